--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+VENV := .venv
+PY := $(VENV)/bin/python
+PACKAGES := -e packages/core -e packages/daemon -e packages/cli -e packages/standins
+TOOLS := pytest hypothesis syrupy ruff mypy
+
+.PHONY: demo test lint capacity bench soak clean
+
+$(VENV)/.ready: constraints.txt $(wildcard packages/*/pyproject.toml)
+	test -x $(PY) || python3 -m venv $(VENV)
+	$(PY) -m pip install -q -c constraints.txt $(PACKAGES) $(TOOLS)
+	touch $@
+
+demo: $(VENV)/.ready
+	$(PY) -m quetzallock_standins demo --deployment=$(or $(DEPLOYMENT),aveia)
+
+test: $(VENV)/.ready
+	$(PY) -m pytest tests
+
+lint: $(VENV)/.ready
+	$(VENV)/bin/ruff format --check packages tests
+	$(VENV)/bin/ruff check packages tests
+	$(VENV)/bin/mypy packages/core/src packages/daemon/src packages/cli/src packages/standins/src
+
+capacity: $(VENV)/.ready
+	$(PY) -m quetzallock_standins capacity
+
+soak: $(VENV)/.ready
+	$(PY) -m quetzallock_standins soak --seconds=$(or $(SECONDS_TO_RUN),60)
+
+clean:
+	rm -rf $(VENV) out
--- /dev/null
+++ b/packages/cli/src/quetzallock_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line for operators and submitters."""
--- /dev/null
+++ b/packages/core/src/quetzallock_core/clock.py
@@ -0,0 +1,38 @@
+"""The clock type of the project: monotonic time in whole milliseconds."""
+
+import time
+from typing import Final, Protocol
+
+_NS_PER_MS: Final = 1_000_000
+
+
+class Clock(Protocol):
+    """A source of monotonic time; readings of two processes never compare."""
+
+    def now(self) -> int:
+        """Return the time in milliseconds since an arbitrary start."""
+
+
+class MonotonicClock:
+    """The monotonic clock of the operating system; it runs on while a process is stopped."""
+
+    def now(self) -> int:
+        """Return the time in milliseconds since an arbitrary start."""
+        return time.monotonic_ns() // _NS_PER_MS
+
+
+class ManualClock:
+    """A clock that moves only when told to."""
+
+    def __init__(self, start: int = 0) -> None:
+        self._now = start
+
+    def now(self) -> int:
+        """Return the time in milliseconds since an arbitrary start."""
+        return self._now
+
+    def advance(self, ms: int) -> None:
+        """Move the clock forward by `ms` milliseconds."""
+        if ms < 0:
+            raise ValueError("a monotonic clock cannot go back")
+        self._now += ms
--- /dev/null
+++ b/packages/core/src/quetzallock_core/exceptions.py
@@ -0,0 +1,59 @@
+"""Errors with codes, and findings that are collected and reported together."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Finding:
+    """One fault found in an input.
+
+    Attributes:
+        place: Where it is, such as `aveia.toml: listen.port`.
+        reason: What is wrong there.
+    """
+
+    place: str
+    reason: str
+
+    def __str__(self) -> str:
+        return f"{self.place}: {self.reason}"
+
+
+class QuetzallockError(Exception):
+    """Base of all errors of the project.
+
+    Attributes:
+        code: Stable identifier for programs.
+        cause: One sentence on what went wrong.
+        hint: One sentence on what to do.
+    """
+
+    code = "internal"
+
+    def __init__(self, cause: str, hint: str = "") -> None:
+        super().__init__(cause)
+        self.cause = cause
+        self.hint = hint
+
+
+class InvalidInputError(QuetzallockError):
+    """An input has one or more findings."""
+
+    code = "invalid_input"
+
+    def __init__(self, findings: Sequence[Finding]) -> None:
+        super().__init__("; ".join(map(str, findings)), "correct the places named and try again")
+        self.findings = tuple(findings)
+
+
+class UndefinedTransitionError(QuetzallockError):
+    """A state chart has no transition for an event in a state."""
+
+    code = "undefined_transition"
+
+
+class CodecError(QuetzallockError):
+    """Bytes from a peer or from the log cannot be decoded."""
+
+    code = "undecodable"
--- /dev/null
+++ b/packages/core/src/quetzallock_core/helpers/__init__.py
@@ -0,0 +1,1 @@
+"""Small functions that several domains use."""
--- /dev/null
+++ b/packages/core/src/quetzallock_core/host.py
@@ -0,0 +1,69 @@
+"""Puts the domains of one entry host together."""
+
+from dataclasses import dataclass, field
+from random import Random
+
+from . import jobs, members, placement, presets, reports, requests
+from .clock import Clock
+from .core import Core, Identity
+from .jobs.client import JobClient
+from .jobs.const import JobSettings
+from .jobs.shards import Shards
+from .members.const import MemberSettings
+from .members.gossip import Members
+from .placement.const import PlacementSettings
+from .placement.placer import Placer
+from .presets.const import PresetSettings
+from .presets.sync import Presets
+from .reports.collector import Reports
+from .requests.const import RequestSettings
+from .requests.router import Router
+
+
+@dataclass(frozen=True, slots=True)
+class HostSettings:
+    """The settings of all domains."""
+
+    members: MemberSettings = field(default_factory=MemberSettings)
+    placement: PlacementSettings = field(default_factory=PlacementSettings)
+    jobs: JobSettings = field(default_factory=JobSettings)
+    presets: PresetSettings = field(default_factory=PresetSettings)
+    requests: RequestSettings = field(default_factory=RequestSettings)
+
+
+@dataclass(frozen=True, slots=True)
+class EntryHost:
+    """One entry host without its sockets."""
+
+    core: Core
+    members: Members
+    placer: Placer
+    shards: Shards
+    jobs: JobClient
+    presets: Presets
+    router: Router
+    reports: Reports
+
+    def leave(self) -> None:
+        """Let racks, shards and keys move to other hosts: this one is stopping."""
+        self.members.leave()
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether nothing is left that another host has to take over."""
+        return not self.placer.held and not self.shards.owned
+
+
+def make_host(identity: Identity, settings: HostSettings, clock: Clock, rng: Random) -> EntryHost:
+    """Return an entry host that has just started."""
+    core = Core(identity, clock, rng)
+    member_list = members.setup(core, settings.members)
+    placer = placement.setup(core, member_list, settings.placement)
+    placer.shards = settings.jobs.shards
+    shards = jobs.setup(core, member_list, placer, settings.jobs)
+    client = JobClient(core, member_list, settings.jobs.shards)
+    preset_state = presets.setup(core, member_list, settings.presets)
+    router = requests.setup(core, member_list, placer, settings.requests)
+    survey = reports.setup(core, member_list)
+    core.fire(members.MembersChanged(member_list.usable))
+    return EntryHost(core, member_list, placer, shards, client, preset_state, router, survey)
--- /dev/null
+++ b/packages/core/src/quetzallock_core/jobs/book.py
@@ -0,0 +1,109 @@
+"""The jobs of one shard as its stream's entries leave them."""
+
+from collections import Counter
+from dataclasses import replace
+
+from ..chart import load_chart
+from .models import (
+    AttemptEnded,
+    AttemptRecorded,
+    Entry,
+    JobAccepted,
+    JobCancelled,
+    JobForgotten,
+    JobSpec,
+    Snapshot,
+    TaskCount,
+    TaskFinished,
+    TaskParked,
+    TaskRow,
+    name_task,
+)
+
+TASK_CHART = load_chart(__package__, "task")
+
+
+class Book:
+    """Jobs and task rows; changes only by entries."""
+
+    def __init__(self) -> None:
+        self.jobs: dict[str, JobSpec] = {}
+        self.rows: dict[str, TaskRow] = {}
+
+    def apply(self, entry: Entry) -> None:
+        """Apply one entry.
+
+        Raises:
+            UndefinedTransitionError: The entry does not fit the task's state.
+        """
+        match entry:
+            case JobAccepted(spec):
+                self._accept(spec)
+            case AttemptRecorded(task, attempt, worker, boot):
+                fields = {"attempt": attempt, "worker": worker, "boot": boot}
+                self._move(task, "record_attempt", **fields)
+            case AttemptEnded(task, _, reason, progress):
+                failures = self.rows[task].failures + (reason == "failed")
+                fields = {"reason": reason, "progress_ms": progress, "failures": failures}
+                self._move(task, "end_attempt", **fields)
+            case TaskFinished(task, _):
+                self._move(task, "finish")
+            case TaskParked(task, reason):
+                self._move(task, "park", reason=reason)
+            case JobCancelled(job):
+                self._cancel(job)
+            case JobForgotten(job):
+                self._forget(job)
+            case Snapshot(jobs):
+                self._restore(jobs)
+
+    def list_tasks(self, job: str) -> tuple[str, ...]:
+        """Return the ids of the tasks of `job`."""
+        return tuple(name_task(job, index) for index in range(self.jobs[job].tasks))
+
+    def count_states(self, job: str) -> tuple[TaskCount, ...]:
+        """Return how many tasks of `job` are in each state."""
+        counts = Counter(self.rows[task].state for task in self.list_tasks(job))
+        return tuple(TaskCount(state, count) for state, count in sorted(counts.items()))
+
+    def is_over(self, job: str) -> bool:
+        """Tell whether no task of `job` will change any more by itself."""
+        ended = TASK_CHART.final | {"parked"}
+        return all(self.rows[task].state in ended for task in self.list_tasks(job))
+
+    def make_snapshot(self) -> Snapshot:
+        """Return an entry that restores this state."""
+        return Snapshot(
+            tuple(
+                (spec, tuple(self.rows[task] for task in self.list_tasks(job)))
+                for job, spec in self.jobs.items()
+            )
+        )
+
+    def _accept(self, spec: JobSpec) -> None:
+        if spec.job in self.jobs:
+            return
+        self.jobs[spec.job] = spec
+        for task in self.list_tasks(spec.job):
+            self.rows[task] = TaskRow(TASK_CHART.initial)
+
+    def _move(self, task: str, event: str, **fields: object) -> None:
+        row = self.rows[task]
+        state = TASK_CHART.next_state(row.state, event)
+        self.rows[task] = replace(row, state=state, **fields)  # type: ignore[arg-type]
+
+    def _cancel(self, job: str) -> None:
+        for task in self.list_tasks(job):
+            if TASK_CHART.allows(self.rows[task].state, "cancel"):
+                self._move(task, "cancel")
+
+    def _forget(self, job: str) -> None:
+        for task in self.list_tasks(job):
+            del self.rows[task]
+        del self.jobs[job]
+
+    def _restore(self, jobs: tuple[tuple[JobSpec, tuple[TaskRow, ...]], ...]) -> None:
+        self.jobs = {spec.job: spec for spec, _ in jobs}
+        self.rows = {
+            name_task(spec.job, index): row for spec, rows in jobs for index, row in enumerate(rows)
+        }
--- /dev/null
+++ b/packages/core/src/quetzallock_core/jobs/shards.py
@@ -0,0 +1,79 @@
+"""Dispatches events about jobs to the shards."""
+
+from ..core import Core
+from ..effects import Appended, ReadDone
+from ..helpers.hashing import choose_owner
+from ..members.models import MembersChanged
+from ..placement.models import RoomReserved, TaskReport
+from .models import CancelJob, ShowJob, SubmitJob, find_job
+from .owner import ShardOwner, find_shard
+
+
+class Shards:
+    """All shards as this host sees them."""
+
+    def __init__(self, core: Core, owners: tuple[ShardOwner, ...]) -> None:
+        self._core = core
+        self.owners = owners
+        self._by_stream = {owner.journal.stream: owner for owner in owners}
+        self._wanted: frozenset[int] = frozenset()
+        self._stopping = False
+        core.listen(MembersChanged, self._on_members)
+        core.listen(Appended, self._on_appended)
+        core.listen(ReadDone, self._on_read)
+        core.listen(SubmitJob, lambda ask, source: self.find(ask.spec.job).on_submit(ask, source))
+        core.listen(CancelJob, lambda ask, source: self.find(ask.job).on_cancel(ask, source))
+        core.listen(ShowJob, lambda ask, source: self.find(ask.job).on_show(ask, source))
+        core.listen(RoomReserved, self._on_reserved)
+        core.listen(TaskReport, self._on_report)
+        core.every_tick(self._tick)
+
+    @property
+    def owned(self) -> tuple[ShardOwner, ...]:
+        """Shards that this host owns."""
+        return tuple(owner for owner in self.owners if owner.journal.is_owner)
+
+    def find(self, job: str) -> ShardOwner:
+        """Return the shard of `job`."""
+        return self.owners[find_shard(job, len(self.owners))]
+
+    def leave(self) -> None:
+        """Give all shards up: this host is stopping."""
+        self._stopping = True
+        for owner in self.owners:
+            owner.leave()
+
+    def _on_members(self, event: MembersChanged, _source: str) -> None:
+        me = self._core.identity.host
+        self._wanted = frozenset(
+            owner.shard
+            for owner in self.owners
+            if choose_owner(f"shard/{owner.shard}", event.hosts) == me
+        )
+
+    def _tick(self, now: int) -> None:
+        for owner in self.owners:
+            wanted = owner.shard in self._wanted and not self._stopping
+            if wanted or owner.journal.state != "idle":
+                owner.tick(now, wanted)
+
+    def _on_appended(self, event: Appended, _source: str) -> None:
+        owner = self._by_stream.get(event.stream)
+        if owner is not None:
+            owner.on_appended(event)
+
+    def _on_read(self, event: ReadDone, _source: str) -> None:
+        owner = self._by_stream.get(event.stream)
+        if owner is not None:
+            owner.on_read(event)
+
+    def _on_reserved(self, answer: RoomReserved, source: str) -> None:
+        tasks = [one.task for one in answer.reservations]
+        tasks += [ref.task for ref in answer.refused]
+        shards = {find_shard(find_job(task), len(self.owners)) for task in tasks}
+        for shard in shards:
+            self.owners[shard].on_reserved(answer, source)
+
+    def _on_report(self, report: TaskReport, _source: str) -> None:
+        if report.shard < len(self.owners):
+            self.owners[report.shard].on_report(report)
--- /dev/null
+++ b/packages/core/src/quetzallock_core/members/models.py
@@ -0,0 +1,54 @@
+"""Messages of the member list."""
+
+from dataclasses import dataclass
+
+from ..codec import message
+
+
+@message(20)
+@dataclass(frozen=True, slots=True)
+class Rumour:
+    """The newest that is known of one host; the higher version wins."""
+
+    host: str
+    life: int
+    version: int
+    state: str
+    address: str
+    data_centre: str
+
+
+@message(21)
+@dataclass(frozen=True, slots=True)
+class Ping:
+    """A heartbeat; `whole` asks for the whole member list."""
+
+    sequence: int
+    rumours: tuple[Rumour, ...]
+    preset_offset: int
+    whole: bool = False
+
+
+@message(22)
+@dataclass(frozen=True, slots=True)
+class PingAnswer:
+    """The answer to the heartbeat `sequence`."""
+
+    sequence: int
+    rumours: tuple[Rumour, ...]
+    preset_offset: int
+
+
+@dataclass(frozen=True, slots=True)
+class MembersChanged:
+    """Event: the set of hosts that may own something is now `hosts`."""
+
+    hosts: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class PeerPresetSeen:
+    """Event: the peer `host` has applied the preset stream up to `offset`."""
+
+    host: str
+    offset: int
--- /dev/null
+++ b/packages/core/src/quetzallock_core/placement/sharing.py
@@ -0,0 +1,80 @@
+"""Divides the slots of a rack among the hosts that ask for them.
+
+Each asker is sure of an equal part of the rack's slots; what others do not want goes to whoever
+does. A lease is cut down only by idle slots, when its holder asks next.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Final
+
+from .models import AskSlots, SlotLease
+from .slots import SlotLedger
+
+_ASKER_MS: Final = 5_000
+
+
+@dataclass(frozen=True, slots=True)
+class SlotOffer:
+    """A worker whose slots can be leased, and for how many ms at most."""
+
+    ledger: SlotLedger
+    ttl_ms: int
+
+
+class RackSharing:
+    """Remembers who wants slots of one rack."""
+
+    def __init__(self) -> None:
+        self._wanted: dict[str, tuple[int, int]] = {}
+
+    def divide(
+        self, offers: Mapping[str, SlotOffer], ask: AskSlots, now: int
+    ) -> tuple[SlotLease, ...]:
+        """Renew, grow or shrink the leases of one asker and return them all."""
+        self._note(ask, now)
+        for held in ask.held:
+            offer = offers.get(held.worker)
+            if offer is not None:
+                offer.ledger.renew(ask.holder, held.busy, now, offer.ttl_ms)
+        total = sum(offer.ledger.slots_of(ask.holder) for offer in offers.values())
+        target = min(ask.wanted, self._find_limit(offers, ask.holder))
+        if total < target:
+            _grow(offers, ask.holder, target - total, now)
+        elif total > target:
+            _shrink(offers, ask.holder, total - target)
+        return tuple(
+            SlotLease(worker, offer.ledger.slots_of(ask.holder), offer.ttl_ms)
+            for worker, offer in offers.items()
+        )
+
+    def _note(self, ask: AskSlots, now: int) -> None:
+        self._wanted[ask.holder] = (ask.wanted, now)
+        for holder, (_, at) in list(self._wanted.items()):
+            if now - at >= _ASKER_MS:
+                del self._wanted[holder]
+
+    def _find_limit(self, offers: Mapping[str, SlotOffer], holder: str) -> int:
+        total = sum(offer.ledger.slots for offer in offers.values())
+        fair = total // max(1, len(self._wanted))
+        others = sum(
+            min(wanted, fair) for other, (wanted, _) in self._wanted.items() if other != holder
+        )
+        return max(fair, total - others)
+
+
+def _grow(offers: Mapping[str, SlotOffer], holder: str, missing: int, now: int) -> None:
+    """Lease slots one by one from the workers with the most free, to spread the load."""
+    while missing > 0:
+        roomiest = max(offers.values(), key=lambda offer: offer.ledger.find_free(now), default=None)
+        if roomiest is None or not roomiest.ledger.grow(holder, 1, now, roomiest.ttl_ms):
+            return
+        missing -= 1
+
+
+def _shrink(offers: Mapping[str, SlotOffer], holder: str, surplus: int) -> None:
+    ledgers = (offer.ledger for offer in offers.values())
+    for ledger in sorted(ledgers, key=lambda ledger: -ledger.slots_of(holder)):
+        surplus -= ledger.shrink(holder, surplus)
+        if surplus <= 0:
+            return
--- /dev/null
+++ b/packages/core/src/quetzallock_core/presets/const.py
@@ -0,0 +1,21 @@
+"""Settings of the preset stream."""
+
+from dataclasses import dataclass
+from typing import Final
+
+STREAM: Final = "presets"
+
+
+@dataclass(frozen=True, slots=True)
+class PresetSettings:
+    """Times in ms.
+
+    Attributes:
+        read_ms: Interval of reads of the stream.
+        answer_ms: Time after which an operator's change in doubt is answered `unknown`.
+        rewrite_ms: Age at which the whole state is written again, well below the retention.
+    """
+
+    read_ms: int = 1_000
+    answer_ms: int = 4_000
+    rewrite_ms: int = 600_000
--- /dev/null
+++ b/packages/core/src/quetzallock_core/presets/sync.py
@@ -0,0 +1,237 @@
+"""Keeps this host's preset state up to date from the log and from peers."""
+
+import logging
+from dataclasses import dataclass, replace
+
+from ..codec import decode, encode
+from ..const import NO_OFFSET
+from ..core import Core
+from ..effects import Append, Appended, Read, ReadDone
+from ..exceptions import CodecError
+from ..helpers.hashing import choose_owner
+from ..members import Members
+from ..members.models import PeerPresetSeen
+from .book import EMPTY, apply_record, find_preset
+from .const import STREAM, PresetSettings
+from .models import (
+    AskInForce,
+    ChangeOutcome,
+    FetchPresets,
+    HostPreset,
+    InForce,
+    PresetChanged,
+    PresetState,
+    PublishPreset,
+    UsePreset,
+)
+
+_LOGGER = logging.getLogger(__name__)
+_QUERY_MS = 1_000
+_RETRY_MS = 1_000
+
+
+@dataclass(slots=True)
+class _Change:
+    ticket: int
+    deadline: int
+
+
+@dataclass(slots=True)
+class _Query:
+    ticket: int
+    deadline: int
+    answers: dict[str, HostPreset]
+
+
+class Presets:
+    """The preset state of one host; it never goes back."""
+
+    def __init__(self, core: Core, members: Members, settings: PresetSettings) -> None:
+        self._core = core
+        self._members = members
+        self._settings = settings
+        self._state = EMPTY
+        self._logged = EMPTY
+        self._complete = True
+        self._read_from = 0
+        self._next_read = 0
+        self._reading = False
+        self._log_ok = False
+        self._changes: dict[int, _Change] = {}
+        self._queries: dict[int, _Query] = {}
+        self._next_query = 0
+        self._rewrite_at = core.clock.now() + settings.rewrite_ms
+        core.listen(ReadDone, self._on_read)
+        core.listen(Appended, self._on_appended)
+        core.listen(PeerPresetSeen, self._on_peer)
+        core.listen(FetchPresets, self._on_fetch)
+        core.listen(PresetState, self._on_state)
+        core.listen(AskInForce, self._on_ask)
+        core.listen(InForce, self._on_in_force)
+        core.every_tick(self._tick)
+
+    @property
+    def state(self) -> PresetState:
+        """What this host has applied."""
+        return self._state
+
+    @property
+    def ready(self) -> bool:
+        """Whether a preset is in force here."""
+        return bool(self._state.in_force)
+
+    def publish(self, ticket: int, name: str, text: str, author: str, base: int | None) -> None:
+        """Publish a preset; the outcome goes to `ticket`."""
+        old = find_preset(self._state, name)
+        newest = old.offset if old else NO_OFFSET
+        nonce = self._core.rng.getrandbits(62)
+        record = PublishPreset(name, text, newest if base is None else base, author, nonce)
+        self._change(ticket, nonce, record)
+
+    def use(self, ticket: int, name: str, author: str, base: int | None) -> None:
+        """Put a preset in force; the outcome goes to `ticket`."""
+        nonce = self._core.rng.getrandbits(62)
+        start = self._state.switched_at if base is None else base
+        self._change(ticket, nonce, UsePreset(name, start, author, nonce))
+
+    def ask_everywhere(self, ticket: int) -> None:
+        """Ask all hosts which preset they act on; the list goes to `ticket`."""
+        self._next_query += 1
+        deadline = self._core.clock.now() + _QUERY_MS
+        self._queries[self._next_query] = _Query(ticket, deadline, {})
+        for host in self._members.usable:
+            self._core.send(host, AskInForce(self._next_query))
+
+    def _change(self, ticket: int, nonce: int, record: PublishPreset | UsePreset) -> None:
+        if not self._log_ok:
+            outcome = ChangeOutcome("not_run", retry_after_ms=_RETRY_MS)
+            self._core.answer(ticket, outcome)
+            return
+        deadline = self._core.clock.now() + self._settings.answer_ms
+        self._changes[nonce] = _Change(ticket, deadline)
+        self._core.emit(Append(STREAM, encode(record)))
+
+    def _tick(self, now: int) -> None:
+        if now >= self._next_read:
+            self._read(now)
+        if now >= self._rewrite_at:
+            self._rewrite(now)
+        for nonce, change in list(self._changes.items()):
+            if now >= change.deadline:
+                del self._changes[nonce]
+                self._core.answer(change.ticket, ChangeOutcome("unknown"))
+        for number, query in list(self._queries.items()):
+            if now >= query.deadline:
+                self._close_query(number)
+
+    def _read(self, now: int) -> None:
+        self._next_read = now + self._settings.read_ms
+        if self._reading:
+            return
+        self._reading = True
+        self._core.emit(Read(STREAM, self._read_from))
+
+    def _rewrite(self, now: int) -> None:
+        """Write the state again before its records expire; one host does it."""
+        self._rewrite_at = now + self._settings.rewrite_ms
+        owner = choose_owner(STREAM, self._members.usable)
+        if owner == self._core.identity.host and self._log_ok and self._state.presets:
+            self._core.emit(Append(STREAM, encode(self._state)))
+
+    def _on_appended(self, event: Appended, _source: str) -> None:
+        if event.stream == STREAM:
+            self._next_read = 0
+
+    def _on_read(self, event: ReadDone, _source: str) -> None:
+        if event.stream != STREAM:
+            return
+        self._reading = False
+        self._log_ok = event.ok
+        if not event.ok:
+            return
+        if event.first > self._read_from:
+            self._logged, self._complete = EMPTY, False
+            self._read_from = event.first
+        for offset, raw in event.records:
+            self._take(offset, raw)
+            self._read_from = offset + 1
+        if self._read_from < event.next_offset:
+            self._next_read = 0
+        else:
+            self._complete = True
+        if self._complete:
+            self._adopt(self._logged)
+
+    def _take(self, offset: int, raw: bytes) -> None:
+        try:
+            record = decode(raw)
+        except CodecError as error:
+            self._core.counters["presets.undecodable"] += 1
+            _LOGGER.warning("preset record %d is passed over: %s", offset, error)
+            record = None
+        self._logged, valid = apply_record(self._logged, offset, record)
+        if isinstance(record, PresetState) and valid:
+            self._complete = True
+            self._rewrite_at = self._core.clock.now() + self._settings.rewrite_ms
+        if isinstance(record, PublishPreset | UsePreset):
+            self._answer_change(record, offset, valid)
+
+    def _answer_change(self, record: PublishPreset | UsePreset, offset: int, valid: bool) -> None:
+        change = self._changes.pop(record.nonce, None)
+        if change is None:
+            return
+        outcome = ChangeOutcome("done", switched_at=offset)
+        if not valid:
+            winner = self._find_winner(record)
+            outcome = ChangeOutcome("lost", winner, self._logged.switched_at)
+        self._core.answer(change.ticket, outcome)
+
+    def _find_winner(self, record: PublishPreset | UsePreset) -> str:
+        if isinstance(record, UsePreset):
+            return self._logged.switched_by
+        preset = find_preset(self._logged, record.name)
+        return preset.author if preset else ""
+
+    def _on_peer(self, event: PeerPresetSeen, _source: str) -> None:
+        if event.offset > self._state.offset:
+            self._core.send(event.host, FetchPresets(self._state.offset))
+
+    def _on_fetch(self, fetch: FetchPresets, source: str) -> None:
+        if self._state.offset > fetch.offset:
+            self._core.send(source, self._state)
+
+    def _on_state(self, state: PresetState, _source: str) -> None:
+        self._adopt(state)
+
+    def _adopt(self, state: PresetState) -> None:
+        """Act on `state` unless it is older than what this host acts on."""
+        before = self._state
+        if state.offset <= before.offset:
+            return
+        self._core.counters["presets.reverted"] += state.switched_at < before.switched_at
+        self._state = state
+        self._members.set_preset_offset(state.offset)
+        if state.switched_at == before.switched_at:
+            return
+        _LOGGER.info("preset %s is in force since offset %d", state.in_force, state.switched_at)
+        self._core.fire(PresetChanged(state.in_force, state.text, state.switched_at))
+
+    def _on_ask(self, ask: AskInForce, source: str) -> None:
+        answer = InForce(ask.query, self._state.in_force, self._state.switched_at)
+        self._core.send(source, answer)
+
+    def _on_in_force(self, answer: InForce, source: str) -> None:
+        query = self._queries.get(answer.query)
+        if query is None:
+            return
+        query.answers[source] = HostPreset(source, answer.name, answer.switched_at)
+        if len(query.answers) == len(self._members.usable):
+            self._close_query(answer.query)
+
+    def _close_query(self, number: int) -> None:
+        query = self._queries.pop(number)
+        missing = HostPreset("", None, NO_OFFSET)
+        rows = tuple(
+            query.answers.get(host, replace(missing, host=host)) for host in self._members.usable
+        )
+        self._core.answer(query.ticket, rows)
--- /dev/null
+++ b/packages/core/src/quetzallock_core/reports/collector.py
@@ -0,0 +1,128 @@
+"""Counts what happens on this host and sums up what all hosts counted."""
+
+from collections import Counter
+from dataclasses import dataclass
+
+from hdrh.histogram import HdrHistogram
+
+from ..core import Core
+from ..members import Members
+from ..presets.models import PresetChanged
+from ..requests.models import RequestEnded
+from .const import ANSWER_MS, CREST_WINDOW_MS, DIGITS, HIGHEST_MS, LOWEST_MS
+from .models import AskReport, Count, HostReport, Report
+
+
+def make_histogram() -> HdrHistogram:
+    """Return an empty histogram of times in ms."""
+    return HdrHistogram(LOWEST_MS, HIGHEST_MS, DIGITS)
+
+
+@dataclass(slots=True)
+class _Query:
+    ticket: int
+    deadline: int
+    answers: dict[str, HostReport]
+
+
+class Reports:
+    """The counts of this host, and its questions to other hosts."""
+
+    def __init__(self, core: Core, members: Members) -> None:
+        self._core = core
+        self._members = members
+        self._started = core.clock.now()
+        self._latency = make_histogram()
+        self._short_wait = make_histogram()
+        self._preset = ""
+        self._window_at = self._started
+        self._window = (0, 0)
+        self._crest = (0, 0)
+        self._queries: dict[int, _Query] = {}
+        self._next_query = 0
+        core.listen(RequestEnded, self._on_ended)
+        core.listen(PresetChanged, self._on_preset)
+        core.listen(AskReport, self._on_ask)
+        core.listen(HostReport, self._on_report)
+        core.every_tick(self._tick)
+
+    def ask_everywhere(self, ticket: int) -> None:
+        """Ask all hosts; a `Report` goes to `ticket`."""
+        self._next_query += 1
+        deadline = self._core.clock.now() + ANSWER_MS
+        self._queries[self._next_query] = _Query(ticket, deadline, {})
+        for host in self._members.usable:
+            self._core.send(host, AskReport(self._next_query))
+
+    def _on_ended(self, event: RequestEnded, _source: str) -> None:
+        if event.outcome == "whole":
+            self._latency.record_value(max(LOWEST_MS, event.took_ms))
+        if not event.is_long:
+            self._short_wait.record_value(max(LOWEST_MS, event.waited_ms))
+        asked, in_time = self._window
+        self._window = (asked + 1, in_time + event.in_time)
+        self._core.counters["requests.in_time"] += event.in_time
+
+    def _on_preset(self, event: PresetChanged, _source: str) -> None:
+        self._preset = event.name
+
+    def _tick(self, now: int) -> None:
+        if now - self._window_at >= CREST_WINDOW_MS:
+            self._crest = max(self._crest, self._window)
+            self._window_at, self._window = now, (0, 0)
+        for number, query in list(self._queries.items()):
+            if now >= query.deadline:
+                self._close(number)
+
+    def _on_ask(self, ask: AskReport, source: str) -> None:
+        crest = max(self._crest, self._window)
+        counts = tuple(Count(name, value) for name, value in sorted(self._core.counters.items()))
+        report = HostReport(
+            ask.query,
+            self._core.clock.now() - self._started,
+            counts,
+            self._latency.encode(),
+            self._short_wait.encode(),
+            crest[0],
+            crest[1],
+            self._preset,
+        )
+        self._core.send(source, report)
+
+    def _on_report(self, report: HostReport, source: str) -> None:
+        query = self._queries.get(report.query)
+        if query is None:
+            return
+        query.answers[source] = report
+        if len(query.answers) == len(self._members.usable):
+            self._close(report.query)
+
+    def _close(self, number: int) -> None:
+        query = self._queries.pop(number)
+        missing = tuple(host for host in self._members.usable if host not in query.answers)
+        reports = tuple(query.answers.values())
+        self._core.answer(query.ticket, merge_reports(reports, missing, self._preset))
+
+
+def merge_reports(reports: tuple[HostReport, ...], missing: tuple[str, ...], preset: str) -> Report:
+    """Return the sum of the hosts' reports."""
+    latency, short_wait = make_histogram(), make_histogram()
+    counts: Counter[str] = Counter()
+    for report in reports:
+        latency.decode_and_add(report.latency)
+        short_wait.decode_and_add(report.short_wait)
+        for count in report.counts:
+            counts[count.name] += count.value
+    return Report(
+        len(reports),
+        missing,
+        preset,
+        sum(report.preset == preset for report in reports),
+        dict(counts),
+        latency.get_value_at_percentile(50),
+        latency.get_value_at_percentile(99),
+        short_wait.get_value_at_percentile(99),
+        sum(report.crest_asked for report in reports),
+        sum(report.crest_in_time for report in reports),
+        max((report.up_ms for report in reports), default=0),
+    )
--- /dev/null
+++ b/packages/core/src/quetzallock_core/requests/__init__.py
@@ -0,0 +1,16 @@
+"""Requests: latency-critical calls from callers to backend servers."""
+
+from ..core import Core
+from ..members import Members
+from ..placement.placer import Placer
+from .const import RequestSettings
+from .keys import Keys
+from .router import Router
+from .slots import SlotPool
+
+
+def setup(core: Core, members: Members, placer: Placer, settings: RequestSettings) -> Router:
+    """Return the request router of this host, attached to `core`."""
+    pool = SlotPool(core, placer, settings)
+    keys = Keys(core, members, settings)
+    return Router(core, pool, keys, settings)
--- /dev/null
+++ b/packages/core/src/quetzallock_core/requests/policies.py
@@ -0,0 +1,181 @@
+"""Request policies, chosen by the preset in force."""
+
+import heapq
+from collections import deque
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from ..presets.schema import RequestRules
+from ..registry import Registry
+from .lengths import Lengths
+
+
+@dataclass(slots=True)
+class Waiting:
+    """A request that waits for a slot.
+
+    Attributes:
+        expected_ms: How long it is likely to take.
+        is_in_doubt: Whether an earlier try may have run.
+        avoid: Workers that failed it.
+    """
+
+    ticket: int
+    kind: str
+    deadline: int
+    idempotent: bool
+    arrived: int
+    expected_ms: float = 0.0
+    is_long: bool = False
+    key: str = ""
+    tries: int = 0
+    sent_at: int = 0
+    is_in_doubt: bool = False
+    avoid: frozenset[str] = field(default_factory=frozenset)
+
+
+class RequestPolicy(Protocol):
+    """Decides which requests wait, in which order, and which are refused."""
+
+    max_tries: int
+
+    def admit(self, waiting: Waiting, slots: int, now: int) -> int | None:
+        """Queue a request, or return the ms after which to come back."""
+
+    def pop(self, slots: int, now: int) -> Waiting | None:
+        """Return the request to be sent next, or None."""
+
+    def pop_hopeless(self, now: int) -> Waiting | None:
+        """Return a queued request that cannot be answered in time, or None."""
+
+    def note_sent(self, waiting: Waiting) -> None:
+        """Note that a request is under way."""
+
+    def note_done(self, waiting: Waiting, took_ms: float | None) -> None:
+        """Note that a request is not under way any more; the time only if it was answered."""
+
+    def count(self) -> int:
+        """Return how many requests are queued."""
+
+
+PolicyFactory = type[RequestPolicy]
+POLICIES: Registry = Registry("requests.policy")
+
+
+@POLICIES.register("baseline")
+class BaselinePolicy:
+    """One queue in order of arrival, nothing refused before its deadline, three retries."""
+
+    max_tries = 4
+
+    def __init__(self, rules: RequestRules, lengths: Lengths) -> None:
+        self._queue: deque[Waiting] = deque()
+        self._lengths = lengths
+
+    def admit(self, waiting: Waiting, slots: int, now: int) -> int | None:
+        """Queue the request in any case."""
+        self._queue.append(waiting)
+        return None
+
+    def pop(self, slots: int, now: int) -> Waiting | None:
+        """Return the oldest request."""
+        return self._queue.popleft() if self._queue else None
+
+    def pop_hopeless(self, now: int) -> Waiting | None:
+        """Return a request whose deadline has passed."""
+        if self._queue and now >= self._queue[0].deadline:
+            return self._queue.popleft()
+        return None
+
+    def note_sent(self, waiting: Waiting) -> None:
+        """Do nothing."""
+
+    def note_done(self, waiting: Waiting, took_ms: float | None) -> None:
+        """Learn the length."""
+        if took_ms is not None:
+            self._lengths.note(waiting.kind, took_ms)
+
+    def count(self) -> int:
+        """Return how many requests are queued."""
+        return len(self._queue)
+
+
+@POLICIES.register("deadline")
+class DeadlinePolicy:
+    """Short and long work apart, earliest deadline first, refusal of what would be late."""
+
+    max_tries = 3
+
+    def __init__(self, rules: RequestRules, lengths: Lengths) -> None:
+        self._rules = rules
+        self._lengths = lengths
+        self._short: list[tuple[int, int, Waiting]] = []
+        self._long: list[tuple[int, int, Waiting]] = []
+        self._long_busy = 0
+        self._short_work = 0.0
+        self._long_work = 0.0
+
+    def admit(self, waiting: Waiting, slots: int, now: int) -> int | None:
+        """Queue the request where it is likely to be answered in time."""
+        waiting.expected_ms = self._lengths.expect(waiting.kind)
+        waiting.is_long = waiting.expected_ms >= self._rules.long_ms
+        wait = self._predict_wait(waiting, slots)
+        if now + wait + waiting.expected_ms > waiting.deadline:
+            return int(wait + waiting.expected_ms)
+        self._enter(waiting)
+        return None
+
+    def _predict_wait(self, waiting: Waiting, slots: int) -> float:
+        if waiting.is_long:
+            return self._long_work / max(1, self._find_long_limit(slots))
+        return self._short_work / max(1, slots - self._long_busy)
+
+    def _find_long_limit(self, slots: int) -> int:
+        return max(1, slots * self._rules.long_percent // 100)
+
+    def _enter(self, waiting: Waiting) -> None:
+        entry = (waiting.deadline, waiting.ticket, waiting)
+        if waiting.is_long:
+            heapq.heappush(self._long, entry)
+            self._long_work += waiting.expected_ms
+        else:
+            heapq.heappush(self._short, entry)
+            self._short_work += waiting.expected_ms
+
+    def _leave(self, lane: list[tuple[int, int, Waiting]]) -> Waiting:
+        waiting = heapq.heappop(lane)[2]
+        if waiting.is_long:
+            self._long_work = max(0.0, self._long_work - waiting.expected_ms)
+        else:
+            self._short_work = max(0.0, self._short_work - waiting.expected_ms)
+        return waiting
+
+    def pop(self, slots: int, now: int) -> Waiting | None:
+        """Return the most pressing request; long work only below its share of slots."""
+        long_allowed = self._long and self._long_busy < self._find_long_limit(slots)
+        if long_allowed and (not self._short or self._long[0] < self._short[0]):
+            return self._leave(self._long)
+        if self._short:
+            return self._leave(self._short)
+        return None
+
+    def pop_hopeless(self, now: int) -> Waiting | None:
+        """Return a request that would be late even if it were sent now."""
+        for lane in (self._short, self._long):
+            if lane and now + lane[0][2].expected_ms / 2 > lane[0][0]:
+                return self._leave(lane)
+        return None
+
+    def note_sent(self, waiting: Waiting) -> None:
+        """Count long work under way."""
+        self._long_busy += waiting.is_long
+
+    def note_done(self, waiting: Waiting, took_ms: float | None) -> None:
+        """Learn the length."""
+        self._long_busy -= waiting.is_long
+        if took_ms is not None:
+            self._lengths.note(waiting.kind, took_ms)
+
+    def count(self) -> int:
+        """Return how many requests are queued."""
+        return len(self._short) + len(self._long)
--- /dev/null
+++ b/packages/core/src/quetzallock_core/workers/__init__.py
@@ -0,0 +1,1 @@
+"""Workers: the protocol that the platform's workers speak."""
--- /dev/null
+++ b/packages/daemon/src/quetzallock_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""quetzallockd: the daemon that runs on each entry host."""
--- /dev/null
+++ b/packages/daemon/src/quetzallock_daemon/helpers.py
@@ -0,0 +1,32 @@
+"""Small functions around Twisted."""
+
+from collections.abc import Coroutine
+from io import BytesIO
+from typing import Any
+
+from twisted.internet import reactor as _reactor
+from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.web.client import FileBodyProducer
+from twisted.web.http import Request
+
+reactor: Any = _reactor
+
+
+def with_timeout(deferred: Deferred[Any], timeout_ms: int) -> Deferred[Any]:
+    """Cancel `deferred` after `timeout_ms` ms and return it."""
+    return deferred.addTimeout(timeout_ms / 1_000, reactor)
+
+
+def run_task(task: Coroutine[Any, Any, Any]) -> Deferred[Any]:
+    """Run a coroutine and return a deferred of its result."""
+    return ensureDeferred(task)
+
+
+def make_body(data: bytes) -> Any:
+    """Return a producer of a request's body."""
+    return FileBodyProducer(BytesIO(data))
+
+
+def read_body(request: Request) -> bytes:
+    """Return the body of a request that was taken in."""
+    return b"" if request.content is None else request.content.read()
--- /dev/null
+++ b/packages/daemon/src/quetzallock_daemon/node.py
@@ -0,0 +1,143 @@
+"""Runs one entry host: carries out its effects, hands in events, lets time pass."""
+
+import logging
+from collections.abc import Callable
+from random import SystemRandom
+from typing import Any
+
+from twisted.internet.task import LoopingCall
+from twisted.web.client import Agent, HTTPConnectionPool
+
+from quetzallock_core.clock import Clock, MonotonicClock
+from quetzallock_core.core import Identity
+from quetzallock_core.effects import Answer, Append, CallWorker, Effect, Read, Send
+from quetzallock_core.host import EntryHost, make_host
+from quetzallock_core.placement.models import WorkersListed
+from quetzallock_core.requests.models import Dispatch
+
+from .const import HOST_LIST_MS, SECOND_MS, STATS_MS, TICK_MS
+from .helpers import run_task
+from .peers import PeerLinks
+from .platform.client import PlatformClient
+from .settings import Settings
+from .telemetry.metrics import Metrics
+from .waiting import Tickets
+from .workers.client import WorkerClient
+
+_LOGGER = logging.getLogger(__name__)
+_CONTROL_CONNECTIONS = 2
+_IDLE_CONNECTION_S = 30
+
+
+class Node:
+    """One entry host with its clients; the only task that touches the host's state."""
+
+    def __init__(self, reactor: Any, settings: Settings, clock: Clock | None = None) -> None:
+        self.settings = settings
+        self.clock = clock or MonotonicClock()
+        self.tickets = Tickets()
+        life = SystemRandom().getrandbits(62)
+        self.identity = Identity(settings.host, life, settings.listen.peers, settings.data_centre)
+        self.host: EntryHost = make_host(
+            self.identity, settings.domains, self.clock, SystemRandom()
+        )
+        self.counters = self.host.core.counters
+        self.on_dispatch: Callable[[Dispatch], None] = _ignore_dispatch
+        self._reactor = reactor
+        self._addresses: dict[str, str] = {}
+        agent = make_agent(reactor, _CONTROL_CONNECTIONS)
+        self._platform = PlatformClient(agent, settings.platform, self.clock, self.fire)
+        self._workers = WorkerClient(agent, self.clock, self.find_worker_address, self.fire)
+        self.links = PeerLinks(reactor, self.identity, self.counters)
+        self._metrics = Metrics(settings.telemetry, self.counters)
+        self._loops = [
+            (LoopingCall(self._tick), TICK_MS),
+            (LoopingCall(lambda: run_task(self._list_workers())), HOST_LIST_MS),
+            (LoopingCall(self._metrics.flush), STATS_MS),
+        ]
+
+    def start(self) -> None:
+        """Begin to act."""
+        for loop, interval_ms in self._loops:
+            loop.clock = self._reactor
+            loop.start(interval_ms / SECOND_MS).addErrback(self._on_loop_failed)
+
+    def stop(self) -> None:
+        """Cease to act."""
+        for loop, _ in self._loops:
+            if loop.running:
+                loop.stop()
+        self._metrics.flush()
+        self.links.close()
+
+    def find_worker_address(self, worker: str) -> str | None:
+        """Return `ip:port` of a worker, if listed."""
+        return self._addresses.get(worker)
+
+    def fire(self, event: object, source: str = "") -> None:
+        """Hand an event to the host and carry out what follows."""
+        self.host.core.fire(event, source)
+        self.carry_out()
+
+    def carry_out(self) -> None:
+        """Carry out the effects that the host has asked for."""
+        effects = self.host.core.drain()
+        while effects:
+            for effect in effects:
+                self._do(effect)
+            effects = self.host.core.drain()
+
+    def _do(self, effect: Effect | Dispatch) -> None:
+        match effect:
+            case Send(to, message):
+                self._send(to, message)
+            case CallWorker():
+                run_task(self._workers.call(effect))
+            case Append():
+                run_task(self._platform.append(effect))
+            case Read():
+                run_task(self._platform.read(effect))
+            case Answer(ticket, body):
+                self.tickets.deliver(ticket, body)
+            case Dispatch():
+                self.on_dispatch(effect)
+
+    def _send(self, to: str, message: object) -> None:
+        if to == self.identity.host:
+            self._reactor.callLater(0, self.fire, message, to)
+            return
+        address = to if ":" in to else self.host.members.address_of(to)
+        if address is not None:
+            self.links.send(address, message)
+
+    def _tick(self) -> None:
+        self.host.core.tick()
+        self.carry_out()
+
+    async def _list_workers(self) -> None:
+        workers = await self._platform.list_workers()
+        if workers is None:
+            self.counters["platform.list_failed"] += 1
+            return
+        self._addresses = {info.worker: info.address for info in workers}
+        self.fire(WorkersListed(workers))
+
+    def _on_loop_failed(self, failure: object) -> None:
+        _LOGGER.critical("a loop of the daemon failed: %s", failure)
+        self._reactor.stop()
+
+
+def make_agent(reactor: Any, connections: int) -> Agent:
+    """Return an HTTP client that keeps up to `connections` idle ones to each address.
+
+    It never repeats a request by itself: whether that is allowed is the router's decision.
+    """
+    pool = HTTPConnectionPool(reactor, persistent=True)
+    pool.maxPersistentPerHost = connections
+    pool.cachedConnectionTimeout = _IDLE_CONNECTION_S
+    pool.retryAutomatically = False
+    return Agent(reactor, connectTimeout=1, pool=pool)
+
+
+def _ignore_dispatch(dispatch: Dispatch) -> None:
+    raise RuntimeError(f"no client takes {dispatch}")
--- /dev/null
+++ b/packages/daemon/src/quetzallock_daemon/peers/links.py
@@ -0,0 +1,168 @@
+"""Sends and receives messages; each link is a task that owns its connection and queue.
+
+A message that cannot be sent soon is dropped and counted: every exchange between hosts is
+repeated by its owner, so the streams promise order but not delivery.
+"""
+
+import logging
+from collections import Counter, deque
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.protocol import Factory, connectionDone
+from twisted.protocols.basic import Int32StringReceiver
+from twisted.python.failure import Failure
+
+from quetzallock_core.codec import decode, encode
+from quetzallock_core.const import PROTOCOL_VERSION
+from quetzallock_core.core import Identity
+from quetzallock_core.exceptions import CodecError
+
+from .const import BACKLOG_BYTES, CONNECT_MS, FRAME_BYTES, QUEUE_FRAMES, RETRY_MS
+from .models import Hello
+
+_LOGGER = logging.getLogger(__name__)
+
+OnMessage = Callable[[object, str], None]
+
+
+class PeerReceiver(Int32StringReceiver):
+    """The receiving end of a stream from one peer."""
+
+    MAX_LENGTH = FRAME_BYTES
+
+    def __init__(self, on_message: OnMessage, counters: Counter[str]) -> None:
+        self._on_message = on_message
+        self._counters = counters
+        self._peer = ""
+
+    def stringReceived(self, string: bytes) -> None:  # noqa: N802
+        """Take in one frame."""
+        self._counters["peers.bytes_in"] += len(string) + 4
+        try:
+            message = decode(string)
+        except CodecError as error:
+            self._counters["peers.undecodable"] += 1
+            _LOGGER.warning("a frame of %s is passed over: %s", self._peer or "a peer", error)
+            return
+        if isinstance(message, Hello):
+            self._peer = message.host
+        elif self._peer:
+            self._on_message(message, self._peer)
+
+    def lengthLimitExceeded(self, length: int) -> None:  # noqa: N802
+        """Close a stream that announces too long a frame."""
+        self._counters["peers.too_long"] += 1
+        super().lengthLimitExceeded(length)
+
+
+class _Sender(Int32StringReceiver):
+    """The sending end of a stream."""
+
+    MAX_LENGTH = FRAME_BYTES
+
+    def __init__(self, on_lost: Callable[[], None]) -> None:
+        self._on_lost = on_lost
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
+        """Tell the link."""
+        self._on_lost()
+
+
+class Link:
+    """The stream to one address."""
+
+    def __init__(self, reactor: Any, address: str, hello: bytes, counters: Counter[str]) -> None:
+        self._reactor = reactor
+        self._address = address
+        self._hello = hello
+        self._counters = counters
+        self._queue: deque[bytes] = deque(maxlen=QUEUE_FRAMES)
+        self._sender: _Sender | None = None
+        self._is_connecting = False
+        self._retry_at = 0.0
+
+    def send(self, frame: bytes) -> None:
+        """Send a frame, or keep it for the connection that is being made."""
+        if self._sender is not None:
+            self._write(frame)
+            return
+        now = self._reactor.seconds()
+        if not self._is_connecting and now < self._retry_at:
+            self._counters["peers.dropped"] += 1
+            return
+        self._queue.append(frame)
+        if not self._is_connecting:
+            self._connect()
+
+    def close(self) -> None:
+        """Close the connection after what was sent."""
+        transport: Any = self._sender.transport if self._sender else None
+        if transport is not None:
+            transport.loseConnection()
+
+    def _write(self, frame: bytes) -> None:
+        assert self._sender is not None
+        transport: Any = self._sender.transport
+        backlog = getattr(transport, "_tempDataLen", 0) + len(getattr(transport, "dataBuffer", b""))
+        if transport is None or backlog > BACKLOG_BYTES:
+            self._counters["peers.dropped"] += 1
+            return
+        self._counters["peers.bytes_out"] += len(frame) + 4
+        self._sender.sendString(frame)
+
+    def _connect(self) -> None:
+        self._is_connecting = True
+        ip, _, port = self._address.rpartition(":")
+        endpoint = TCP4ClientEndpoint(self._reactor, ip, int(port), timeout=CONNECT_MS / 1_000)
+        factory: Any = Factory.forProtocol(lambda: _Sender(self._on_lost))
+        endpoint.connect(factory).addCallbacks(self._on_connected, self._on_failed)
+
+    def _on_connected(self, sender: _Sender) -> None:
+        self._is_connecting = False
+        self._sender = sender
+        if sender.transport is not None and hasattr(sender.transport, "setTcpNoDelay"):
+            sender.transport.setTcpNoDelay(True)
+        self._write(self._hello)
+        while self._queue:
+            self._write(self._queue.popleft())
+
+    def _on_failed(self, _failure: Failure) -> None:
+        self._is_connecting = False
+        self._counters["peers.dropped"] += len(self._queue)
+        self._queue.clear()
+        self._retry_at = self._reactor.seconds() + RETRY_MS / 1_000
+
+    def _on_lost(self) -> None:
+        self._sender = None
+        self._retry_at = self._reactor.seconds() + RETRY_MS / 1_000
+
+
+class PeerLinks:
+    """The streams to all peers that were written to."""
+
+    def __init__(self, reactor: Any, identity: Identity, counters: Counter[str]) -> None:
+        self._reactor = reactor
+        self._hello = encode(Hello(identity.host, identity.life, PROTOCOL_VERSION))
+        self._counters = counters
+        self._links: dict[str, Link] = {}
+
+    def send(self, address: str, message: object) -> None:
+        """Send `message` to the host that listens at `address`."""
+        link = self._links.get(address)
+        if link is None:
+            link = Link(self._reactor, address, self._hello, self._counters)
+            self._links[address] = link
+        self._counters["peers.messages_out"] += 1
+        link.send(encode(message))
+
+    def close(self) -> None:
+        """Close all streams."""
+        for link in self._links.values():
+            link.close()
+
+
+def make_peer_factory(on_message: OnMessage, counters: Counter[str]) -> Factory:
+    """Return a factory of receiving ends."""
+    return Factory.forProtocol(lambda: PeerReceiver(on_message, counters))
--- /dev/null
+++ b/packages/daemon/src/quetzallock_daemon/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's services: the append-only log and the host list."""
--- /dev/null
+++ b/packages/daemon/src/quetzallock_daemon/platform/client.py
@@ -0,0 +1,81 @@
+"""Reads and appends to the log, and reads the host list."""
+
+from collections.abc import Callable
+
+from twisted.web.client import Agent, readBody
+
+from quetzallock_core.clock import Clock
+from quetzallock_core.effects import Append, Appended, Read, ReadDone
+from quetzallock_core.exceptions import CodecError
+from quetzallock_core.workers.models import WorkerInfo
+
+from ..helpers import make_body, with_timeout
+from ..settings.models import PlatformSettings
+from .models import parse_host_list, parse_page
+
+OnEvent = Callable[[object], None]
+
+
+class PlatformClient:
+    """The platform's services over HTTP."""
+
+    def __init__(
+        self, agent: Agent, settings: PlatformSettings, clock: Clock, on_event: OnEvent
+    ) -> None:
+        self._agent = agent
+        self._settings = settings
+        self._clock = clock
+        self._on_event = on_event
+
+    async def append(self, append: Append) -> None:
+        """Append a record; an `Appended` follows in any case."""
+        ok = False
+        try:
+            url = f"{self._settings.log}/streams/{append.stream}".encode()
+            body = make_body(append.record)
+            call = self._agent.request(b"POST", url, bodyProducer=body)
+            response = await with_timeout(call, self._settings.timeout_ms)
+            await with_timeout(readBody(response), self._settings.timeout_ms)
+            ok = response.code == 200
+        except Exception:  # noqa: BLE001 - whatever went wrong, the outcome is unknown
+            ok = False
+        self._on_event(Appended(append.stream, ok))
+
+    async def read(self, read: Read) -> None:
+        """Read a stream; a `ReadDone` follows in any case."""
+        asked_at = self._clock.now()
+        try:
+            url = f"{self._settings.log}/streams/{read.stream}?from={read.offset}".encode()
+            body = await self._fetch(url)
+            page = parse_page(body)
+        except Exception:  # noqa: BLE001 - any failure means that nothing was read
+            self._on_event(ReadDone(read.stream, False, read.offset, asked_at))
+            return
+        self._on_event(
+            ReadDone(
+                read.stream,
+                True,
+                read.offset,
+                asked_at,
+                page.first,
+                page.next_offset,
+                page.records,
+            )
+        )
+
+    async def list_workers(self) -> tuple[WorkerInfo, ...] | None:
+        """Return the listed workers, or None where the list cannot be had."""
+        try:
+            body = await self._fetch(f"{self._settings.host_list}/hosts".encode())
+            workers: tuple[WorkerInfo, ...] = parse_host_list(body)
+        except (CodecError, Exception):  # noqa: BLE001 - the list is only a hint
+            return None
+        return workers
+
+    async def _fetch(self, url: bytes) -> bytes:
+        call = self._agent.request(b"GET", url)
+        response = await with_timeout(call, self._settings.timeout_ms)
+        body = await with_timeout(readBody(response), self._settings.timeout_ms)
+        if response.code != 200:
+            raise CodecError(f"the platform answered {response.code}")
+        return bytes(body)
--- /dev/null
+++ b/packages/daemon/src/quetzallock_daemon/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Telemetry: statsd counters and trace spans."""
--- /dev/null
+++ b/packages/daemon/src/quetzallock_daemon/web/calls.py
@@ -0,0 +1,170 @@
+"""Latency-critical requests: from the caller to the router and back."""
+
+from twisted.web.http import Request
+
+from quetzallock_core.exceptions import Finding, InvalidInputError
+from quetzallock_core.requests.const import NOT_RUN, WHOLE
+from quetzallock_core.requests.models import Arrival, CallerGone, Dispatch, Response, Verdict
+
+from ..helpers import read_body, run_task
+from ..telemetry.traces import TRACEPARENT, Span
+from ..workers.backend import HOP_BY_HOP, BackendClient, CallerRequest
+from .const import (
+    DEADLINE_HEADER,
+    IDEMPOTENT_HEADER,
+    IDEMPOTENT_METHODS,
+    KEY_HEADER,
+    KEY_LENGTH,
+    OUTCOME_HEADER,
+    REPEAT_HEADER,
+)
+from .context import WebContext, get_header
+from .replies import write_error
+from .routes import route
+
+_LEAST_DEADLINE_MS = 10
+
+
+class Call:
+    """One caller's request until its final answer."""
+
+    def __init__(
+        self, context: WebContext, request: Request, passed_on: CallerRequest, deadline: int
+    ) -> None:
+        self.passed_on = passed_on
+        self.deadline = deadline
+        self._context = context
+        self._request = request
+        self._is_gone = False
+        parent = get_header(request, TRACEPARENT)
+        self._span = context.tracing.start("request", parent)
+        self.try_span: Span | None = None
+        request.notifyFinish().addErrback(self._on_gone)
+        self.ticket = context.node.tickets.open(self._on_verdict)
+        context.calls[self.ticket] = self
+
+    @property
+    def traceparent(self) -> str:
+        """Trace context for hops that this request causes."""
+        return self._span.traceparent
+
+    def _on_gone(self, _reason: object) -> None:
+        self._is_gone = True
+        self._context.node.fire(CallerGone(self.ticket))
+
+    def _on_verdict(self, verdict: Verdict) -> None:
+        self._context.calls.pop(self.ticket, None)
+        self._span.end(outcome=verdict.outcome, worker=verdict.worker)
+        if self._is_gone:
+            return
+        if self.traceparent:
+            self._request.setHeader(TRACEPARENT, self.traceparent)
+        if self._context.is_draining:
+            self._request.setHeader("Connection", "close")
+        if verdict.outcome == WHOLE and verdict.response is not None:
+            self._write_whole(verdict.response)
+        elif verdict.outcome == NOT_RUN:
+            self._write_failure(503, verdict)
+        else:
+            self._write_failure(504, verdict)
+
+    def _write_whole(self, response: Response) -> None:
+        request = self._request
+        request.setResponseCode(response.status)
+        for name, value in response.headers:
+            request.responseHeaders.addRawHeader(name, value)
+        request.setHeader(OUTCOME_HEADER, WHOLE)
+        request.setHeader("Content-Length", str(len(response.body)))
+        if request.method != b"HEAD":
+            request.write(response.body)
+        request.finish()
+
+    def _write_failure(self, status: int, verdict: Verdict) -> None:
+        write_error(
+            self._request,
+            status,
+            verdict.outcome,
+            verdict.reason,
+            retry_after_ms=verdict.retry_after_ms,
+            outcome=verdict.outcome,
+        )
+
+
+@route("*", r"/v1/call/(?P<service>[^/]+)(?P<path>/.*)?")
+def handle_call(context: WebContext, request: Request, service: str, path: str | None) -> None:
+    """Check a request and hand it to the router."""
+    node = context.node
+    if service not in node.settings.calls.services:
+        finding = Finding("path", f"{service!r} is not a service")
+        write_error(request, 404, "unknown_service", "no such service", [finding])
+        return
+    deadline_ms = _read_deadline(context, request)
+    key = get_header(request, KEY_HEADER)
+    if len(key) > KEY_LENGTH:
+        raise InvalidInputError([Finding(KEY_HEADER, f"is longer than {KEY_LENGTH}")])
+    method = request.method.decode("latin-1")
+    idempotent = method in IDEMPOTENT_METHODS or get_header(request, IDEMPOTENT_HEADER) == "true"
+    deadline = node.clock.now() + deadline_ms
+    call = Call(context, request, _copy_request(request, service), deadline)
+    first_part = (path or "/").split("/")[1]
+    arrival = Arrival(
+        call.ticket,
+        f"{method} {service}/{first_part}",
+        deadline,
+        idempotent,
+        "" if idempotent else key,
+        get_header(request, REPEAT_HEADER) == "true",
+    )
+    node.fire(arrival)
+
+
+def _read_deadline(context: WebContext, request: Request) -> int:
+    text = get_header(request, DEADLINE_HEADER)
+    if not text:
+        return context.node.host.router.rules.deadline_ms
+    longest = context.node.settings.domains.requests.request_ms
+    if not text.isascii() or not text.isdigit():
+        raise InvalidInputError([Finding(DEADLINE_HEADER, f"{text!r} is no whole number of ms")])
+    if not _LEAST_DEADLINE_MS <= int(text) <= longest:
+        reason = f"is not from {_LEAST_DEADLINE_MS} to {longest}"
+        raise InvalidInputError([Finding(DEADLINE_HEADER, reason)])
+    return int(text)
+
+
+def _copy_request(request: Request, service: str) -> CallerRequest:
+    _, _, rest = request.uri.partition(b"/v1/call/")
+    _, _, path = rest.partition(b"/")
+    headers = tuple(
+        (name, value)
+        for name, values in request.requestHeaders.getAllRawHeaders()
+        for value in values
+        if name.decode("latin-1").lower() not in HOP_BY_HOP
+        and name.decode("latin-1").lower() != TRACEPARENT
+    )
+    return CallerRequest(request.method, service, path, headers, read_body(request))
+
+
+class Dispatcher:
+    """Carries out the router's dispatches."""
+
+    def __init__(self, context: WebContext, client: BackendClient) -> None:
+        self._context = context
+        self._client = client
+
+    def dispatch(self, dispatch: Dispatch) -> None:
+        """Send a caller's request to a backend server."""
+        call: Call = self._context.calls[dispatch.ticket]
+        span = self._context.tracing.start("backend", call.traceparent)
+        headers = call.passed_on.headers
+        if span.traceparent:
+            headers = (*headers, (TRACEPARENT.encode(), span.traceparent.encode()))
+        passed_on = CallerRequest(
+            call.passed_on.method,
+            call.passed_on.service,
+            call.passed_on.path,
+            headers,
+            call.passed_on.body,
+        )
+        time_ms = call.deadline - self._context.node.clock.now()
+        done = run_task(self._client.send(dispatch, passed_on, time_ms))
+        done.addBoth(lambda _result: span.end(worker=dispatch.worker, number=dispatch.number))
--- /dev/null
+++ b/packages/daemon/src/quetzallock_daemon/web/replies.py
@@ -0,0 +1,43 @@
+"""Writes answers: JSON with a code, the cause, the place and when to come back."""
+
+import json
+import math
+from collections.abc import Sequence
+
+from twisted.web.http import Request
+
+from quetzallock_core.const import SECOND_MS
+from quetzallock_core.exceptions import Finding
+
+from .const import OUTCOME_HEADER
+
+
+def write_json(request: Request, status: int, body: object) -> None:
+    """Write `body` as JSON and end the answer."""
+    raw = json.dumps(body).encode() + b"\n"
+    request.setResponseCode(status)
+    request.setHeader("Content-Type", "application/json")
+    request.setHeader("Content-Length", str(len(raw)))
+    if request.method != b"HEAD":
+        request.write(raw)
+    request.finish()
+
+
+def write_error(
+    request: Request,
+    status: int,
+    code: str,
+    cause: str,
+    findings: Sequence[Finding] = (),
+    retry_after_ms: int = 0,
+    outcome: str = "not_run",
+) -> None:
+    """Write an error; `outcome` says whether the request was run."""
+    request.setHeader(OUTCOME_HEADER, outcome)
+    body: dict[str, object] = {"code": code, "outcome": outcome, "cause": cause}
+    if findings:
+        body["findings"] = [{"place": one.place, "reason": one.reason} for one in findings]
+    if retry_after_ms:
+        request.setHeader("Retry-After", str(math.ceil(retry_after_ms / SECOND_MS)))
+        body["retry_after_ms"] = retry_after_ms
+    write_json(request, status, body)
--- /dev/null
+++ b/packages/standins/src/quetzallock_standins/__main__.py
@@ -0,0 +1,54 @@
+"""`python -m quetzallock_standins COMMAND`: stand-ins, the trace player and benchmarks."""
+
+import sys
+from pathlib import Path
+
+import fire
+
+from .deployment import load_deployment
+from .processes import EXAMPLES
+
+
+class Commands:
+    """Stand-ins of the platform and the workers, and tools that play load against them."""
+
+    def log(self, port: int, retention_ms: int = 3_600_000) -> None:
+        """Run the log stand-in on PORT."""
+        from .log.server import run_log
+
+        run_log(port, retention_ms)
+
+    def hosts(self, port: int, deployment: str, worker_port: int, lag_ms: int = 2_000) -> None:
+        """Run the host list stand-in on PORT."""
+        from .platform.server import run_host_list
+
+        shape = load_deployment(EXAMPLES / deployment / "deployment.toml")
+        run_host_list(shape, port, worker_port, lag_ms)
+
+    def workers(self, port: int, deployment: str) -> None:
+        """Run all workers of a deployment on PORT."""
+        from .workers.server import run_workers
+
+        run_workers(load_deployment(EXAMPLES / deployment / "deployment.toml"), port)
+
+    def make_trace(self, deployment: str, seed: int, out: str, seconds: int = 30) -> None:
+        """Write a trace made by the seeded generator to the file OUT."""
+        from .play.traces import make_trace, save_trace
+
+        shape = load_deployment(EXAMPLES / deployment / "deployment.toml")
+        save_trace(Path(out), make_trace(shape, seed, seconds * 1_000))
+
+    def demo(self, deployment: str = "aveia", out: str = "out/demo") -> None:
+        """Play a recorded trace against a whole deployment, one daemon killed in the middle."""
+        from .play.demo import run_demo
+
+        sys.exit(run_demo(deployment, Path(out) / deployment))
+
+
+def main() -> None:
+    """Run the command line."""
+    fire.Fire(Commands(), name="quetzallock_standins")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/standins/src/quetzallock_standins/platform/__init__.py
@@ -0,0 +1,1 @@
+"""A stand-in of the platform's lagging host list."""
--- /dev/null
+++ b/packages/standins/src/quetzallock_standins/platform/server.py
@@ -0,0 +1,53 @@
+"""The host list stand-in as a process.
+
+GET /hosts lists workers as they were some time ago; PUT /hosts/WORKER with `{"state": ...}`
+changes one: `live`, `leaving` or `gone`.
+"""
+
+import json
+
+from twisted.web.http import Request
+
+from quetzallock_core.clock import MonotonicClock
+from quetzallock_daemon.helpers import read_body
+
+from ..deployment import Deployment
+from ..server import serve, write_json
+
+
+class HostListServer:
+    """The host list over HTTP."""
+
+    def __init__(self, deployment: Deployment, worker_port: int, lag_ms: int) -> None:
+        self._rows = deployment.list_rows(worker_port)
+        self._lag_ms = lag_ms
+        self._clock = MonotonicClock()
+        self._changes: list[tuple[int, str, str]] = []
+        self._states: dict[str, str] = {}
+
+    def respond(self, request: Request) -> None:
+        """Answer a request."""
+        if request.method == b"PUT":
+            worker = request.path.decode().rpartition("/")[2]
+            state = json.loads(read_body(request))["state"]
+            self._changes.append((self._clock.now() + self._lag_ms, worker, state))
+            write_json(request, 200, {"worker": worker, "state": state})
+            return
+        self._take_due()
+        rows = [
+            row | {"state": self._states.get(str(row["worker"]), "live")}
+            for row in self._rows
+            if self._states.get(str(row["worker"])) != "gone"
+        ]
+        write_json(request, 200, {"workers": rows})
+
+    def _take_due(self) -> None:
+        now = self._clock.now()
+        while self._changes and self._changes[0][0] <= now:
+            _, worker, state = self._changes.pop(0)
+            self._states[worker] = state
+
+
+def run_host_list(deployment: Deployment, port: int, worker_port: int, lag_ms: int) -> None:
+    """Run the host list stand-in."""
+    serve(port, HostListServer(deployment, worker_port, lag_ms).respond)
