Prove the promises with a state machine of faults, and mend what it found

Cause: random faults in pairs broke promises that the healthy path kept. Found and mended, each seen as a violation first: - a lapsed task lease was taken for the end of the attempt, but the attempt had finished on a worker that nobody reached, and the task finished twice; now its end is waited for while the platform lists the worker; - a rebooted worker forgot its lease early, and its slots were leased twice (9 requests on 8 slots); now all slots count as taken until earlier slot leases are over; - a host whose records expired unread kept the shard with an empty book (KeyError); now it claims the shard anew; - a log that had lost the preset records made hosts revert; now what is known stays in force. Ruled out: counting a result that a crashed worker lost before anybody had it as a second finish.

--- a/packages/core/src/quetzallock_core/jobs/journal.py
+++ b/packages/core/src/quetzallock_core/jobs/journal.py
@@ -152,6 +152,9 @@
         self.log_ok = event.ok
         if not event.ok or self.state == "idle" or event.offset > self.replay.next_offset:
             return JournalNews()
+        if event.first > self.replay.next_offset and self.state == "owned":
+            _LOGGER.warning("records of %s expired before they were read", self.stream)
+            return self._leave("outdone")
         self.replay.skip_to(event.first)
         effects: list[Pending] = []
         for offset, raw in event.records:
--- a/packages/core/src/quetzallock_core/jobs/owner.py
+++ b/packages/core/src/quetzallock_core/jobs/owner.py
@@ -1,7 +1,8 @@
 """Owns one shard of the jobs: accepts, places, watches and ends their tasks.
 
 Exactly once: an attempt is recorded before it may start; the next attempt is recorded only when
-the worker has said that the earlier one is over, or its task lease has surely lapsed.
+the worker has said that the earlier one is over, or when the platform has taken the worker off
+its list and the task lease has surely lapsed.
 """
 
 from ..core import Core
@@ -424,7 +425,7 @@
                 continue
             if watch.lapses_at is None:
                 watch.lapses_at = self._find_inherited_lapse(now)
-            if now >= watch.lapses_at and self.journal.log_ok:
+            if now >= watch.lapses_at and self._is_gone(row.worker):
                 self._add_end(task, row, "lapsed", watch.progress_ms)
                 continue
             watch.asked_at = now
@@ -432,6 +433,14 @@
         for worker, refs in asks.items():
             self._send_to_worker(worker, AskAttempts(self.shard, worker, tuple(refs)))
 
+    def _is_gone(self, worker: str) -> bool:
+        """Tell whether nobody can hear from `worker` any more.
+
+        A lapsed lease proves that an attempt does not run, not that it has not finished: while
+        the platform lists the worker, the attempt's end is waited for.
+        """
+        return self.journal.log_ok and not self._placer.may_be_alive(worker)
+
     def _add_end(self, task: str, row: TaskRow, reason: str, progress_ms: int) -> None:
         watch = self._watches.enter(task)
         progress_ms = max(progress_ms, watch.progress_ms, row.progress_ms)
--- a/packages/core/src/quetzallock_core/placement/held.py
+++ b/packages/core/src/quetzallock_core/placement/held.py
@@ -97,8 +97,12 @@
             self.commitment.forget_task(ack.task, ack.attempt)
 
     def take_slots(self, state: WorkerState, now: int, settings: PlacementSettings) -> None:
-        """Begin a slot ledger; requests under way count as taken."""
-        self.slots = SlotLedger(state.slots, state.busy_slots, now, settings.request_ms)
+        """Begin a slot ledger; what may be under way counts as taken."""
+        over_ms = settings.slot_lease_ms + settings.request_ms
+        inherited, until = state.busy_slots, now + settings.request_ms
+        if state.up_ms < over_ms:
+            inherited, until = state.slots, now + over_ms - state.up_ms
+        self.slots = SlotLedger(state.slots, inherited, until, settings.request_ms)
 
     def forget(self) -> None:
         """Forget all that was known under an earlier lease."""
--- a/packages/core/src/quetzallock_core/placement/placer.py
+++ b/packages/core/src/quetzallock_core/placement/placer.py
@@ -9,7 +9,7 @@
 from ..members import Members
 from ..members.models import MembersChanged
 from ..presets.models import PresetChanged
-from ..presets.schema import BatchRules, parse_preset
+from ..presets.schema import BatchRules
 from ..workers.models import (
     NOTHING,
     AttemptRef,
@@ -80,6 +80,10 @@
         info = self._infos.get(worker)
         return info.rack if info else None
 
+    def may_be_alive(self, worker: str) -> bool:
+        """Tell whether the platform lists `worker`, or the list has not been read yet."""
+        return worker in self._infos or not self._infos
+
     def list_workers(self) -> tuple[WorkerInfo, ...]:
         """Return the workers that the platform last listed."""
         return tuple(self._infos.values())
@@ -100,7 +104,7 @@
         return choose_owner(f"rack/{rack}", self._members.usable)
 
     def _on_preset(self, event: PresetChanged, _source: str) -> None:
-        self.batch = parse_preset(event.text, event.name).batch
+        self.batch = event.preset.batch
         for held in self._held.values():
             held.commitment.set_aside = self._find_set_aside(held.commitment.capacity)
 
--- a/packages/core/src/quetzallock_core/placement/slots.py
+++ b/packages/core/src/quetzallock_core/placement/slots.py
@@ -2,7 +2,8 @@
 
 Slots are leased in whole numbers and never add up to more than the worker has. No slot lease
 outlives the worker lease of the host that gave it, so a new holder of the worker only has to
-wait for the requests that the worker says are under way.
+wait for the requests that the worker says are under way. A worker that has just booted has
+forgotten its lease too early: then all slots count as taken until earlier slot leases are over.
 """
 
 from dataclasses import dataclass
@@ -19,14 +20,14 @@
     """The slot leases of one worker.
 
     Attributes:
-        slots: Slots that the worker has.
+        slots: Slots that the worker has; `inherited` of them are taken up to `inherited_until`.
     """
 
-    def __init__(self, slots: int, busy: int, now: int, request_ms: int) -> None:
+    def __init__(self, slots: int, inherited: int, inherited_until: int, request_ms: int) -> None:
         self.slots = slots
         self._request_ms = request_ms
-        self._inherited = busy
-        self._inherited_until = now + request_ms
+        self._inherited = inherited
+        self._inherited_until = inherited_until
         self._leases: dict[str, _Lease] = {}
 
     def find_free(self, now: int) -> int:
--- a/packages/core/src/quetzallock_core/presets/models.py
+++ b/packages/core/src/quetzallock_core/presets/models.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from ..codec import message
+from .schema import Preset
 
 
 @message(40)
@@ -87,10 +88,9 @@
 
 @dataclass(frozen=True, slots=True)
 class PresetChanged:
-    """Event: this host acts on the preset `name` from now on."""
+    """Event: this host acts on `preset` from now on."""
 
-    name: str
-    text: str
+    preset: Preset
     switched_at: int
 
 
--- a/packages/core/src/quetzallock_core/presets/sync.py
+++ b/packages/core/src/quetzallock_core/presets/sync.py
@@ -7,7 +7,7 @@
 from ..const import NO_OFFSET
 from ..core import Core
 from ..effects import Append, Appended, Read, ReadDone
-from ..exceptions import CodecError
+from ..exceptions import CodecError, InvalidInputError
 from ..helpers.hashing import choose_owner
 from ..members import Members
 from ..members.models import PeerPresetSeen
@@ -24,6 +24,7 @@
     PublishPreset,
     UsePreset,
 )
+from .schema import parse_preset
 
 _LOGGER = logging.getLogger(__name__)
 _QUERY_MS = 1_000
@@ -160,7 +161,17 @@
         else:
             self._complete = True
         if self._complete:
-            self._adopt(self._logged)
+            self._adopt_logged()
+
+    def _adopt_logged(self) -> None:
+        """Act on what the log says, unless it has lost the switch that is known here.
+
+        Then what is known here goes into the log again with the next rewrite.
+        """
+        if self._logged.switched_at < self._state.switched_at <= self._logged.offset:
+            self._core.counters["presets.log_lost_state"] += 1
+            self._logged = replace(self._state, offset=self._logged.offset)
+        self._adopt(self._logged)
 
     def _take(self, offset: int, raw: bytes) -> None:
         try:
@@ -208,13 +219,22 @@
         before = self._state
         if state.offset <= before.offset:
             return
+        if state.switched_at < before.switched_at:
+            self._core.counters["presets.outdated_seen"] += 1
+            return
         self._core.counters["presets.reverted"] += state.switched_at < before.switched_at
         self._state = state
         self._members.set_preset_offset(state.offset)
         if state.switched_at == before.switched_at:
             return
+        try:
+            preset = parse_preset(state.text, state.in_force)
+        except InvalidInputError as error:
+            self._core.counters["presets.unusable"] += 1
+            _LOGGER.error("preset %s cannot be used: %s", state.in_force, error)
+            return
         _LOGGER.info("preset %s is in force since offset %d", state.in_force, state.switched_at)
-        self._core.fire(PresetChanged(state.in_force, state.text, state.switched_at))
+        self._core.fire(PresetChanged(preset, state.switched_at))
 
     def _on_ask(self, ask: AskInForce, source: str) -> None:
         answer = InForce(ask.query, self._state.in_force, self._state.switched_at)
--- a/packages/core/src/quetzallock_core/reports/collector.py
+++ b/packages/core/src/quetzallock_core/reports/collector.py
@@ -64,7 +64,7 @@
         self._core.counters["requests.in_time"] += event.in_time
 
     def _on_preset(self, event: PresetChanged, _source: str) -> None:
-        self._preset = event.name
+        self._preset = event.preset.name
 
     def _tick(self, now: int) -> None:
         if now - self._window_at >= CREST_WINDOW_MS:
--- a/packages/core/src/quetzallock_core/requests/router.py
+++ b/packages/core/src/quetzallock_core/requests/router.py
@@ -2,7 +2,7 @@
 
 from ..core import Core
 from ..presets.models import PresetChanged
-from ..presets.schema import RequestRules, parse_preset
+from ..presets.schema import RequestRules
 from .budget import RetryBudget
 from .const import BROKEN, NOT_RUN, UNKNOWN, WHOLE, RequestSettings
 from .keys import Keys
@@ -41,7 +41,7 @@
         return self._policy.count() + len(self._underway)
 
     def _on_preset(self, event: PresetChanged, _source: str) -> None:
-        rules = parse_preset(event.text, event.name).requests
+        rules = event.preset.requests
         if rules == self.rules:
             return
         queued = self._drain_queue()
--- a/packages/core/src/quetzallock_core/workers/models.py
+++ b/packages/core/src/quetzallock_core/workers/models.py
@@ -188,6 +188,7 @@
         clock: The worker's clock when it answered.
         version: Version of the task list; `tasks` are those changed after `since`.
         complete: Whether `tasks` is the whole list.
+        up_ms: Time since the worker's boot; leases given before it are forgotten.
     """
 
     granted: bool
@@ -202,6 +203,7 @@
     version: int
     complete: bool
     tasks: tuple[TaskStatus, ...] = ()
+    up_ms: int = 0
 
 
 @message(11)
--- a/packages/standins/src/quetzallock_standins/workers/model.py
+++ b/packages/standins/src/quetzallock_standins/workers/model.py
@@ -4,7 +4,7 @@
 that the scheduler's own care is what a check sees.
 """
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Final
 
 from quetzallock_core.workers.const import (
@@ -108,6 +108,7 @@
     epoch: int = 0
     holder: str = ""
     lease_until: int = 0
+    booted_at: int = 0
     leaving: bool = False
     busy_slots: int = 0
     service_reserve: Resources = NOTHING
@@ -176,11 +177,20 @@
         for name, task in self._tasks.items():
             if task.state == RUNNING:
                 self._record(name, task, now, "crashed")
+            elif task.state == FINISHED:
+                self._mark_lost(name, task)
         self.boot, self.epoch, self.holder, self.lease_until = boot, 0, "", 0
+        self.booted_at = now
         self._tasks.clear()
         self._closed.clear()
         self.busy_slots = 0
 
+    def _mark_lost(self, name: str, task: _Task) -> None:
+        """Note that a result was lost before it was acknowledged: nobody has it."""
+        for at, run in enumerate(self.history):
+            if (run.task, run.attempt, run.ending) == (name, task.attempt, FINISHED):
+                self.history[at] = replace(run, ending="result lost")
+
     def _find_work(self, task: _Task, passed: int) -> int:
         return passed * task.throttle_percent // (100 + self.shape.slowdown_percent)
 
@@ -265,6 +275,7 @@
             self._version + 1 if granted else 0,
             complete,
             tasks,
+            now - self.booted_at,
         )
 
     def _renew(self, leases: tuple[TaskLease, ...]) -> None:
--- a/packages/standins/src/quetzallock_standins/workers/server.py
+++ b/packages/standins/src/quetzallock_standins/workers/server.py
@@ -90,10 +90,12 @@
         done = reactor.callLater(
             work_ms * slower / 100 / SECOND_MS, self._answer, request, worker, identity
         )
-        ends.addBoth(lambda _reason: self._free(worker, done))
+        boot = worker.boot
+        ends.addBoth(lambda _reason: self._free(worker, boot, done))
 
-    def _free(self, worker: WorkerModel, done: Any) -> None:
-        worker.busy_slots -= 1
+    def _free(self, worker: WorkerModel, boot: str, done: Any) -> None:
+        if worker.boot == boot:
+            worker.busy_slots -= 1
         if done.active():
             done.cancel()
 
--- a/tests/common.py
+++ b/tests/common.py
@@ -25,7 +25,8 @@
 from quetzallock_core.jobs.models import JobSpec
 from quetzallock_core.members.const import MemberSettings
 from quetzallock_core.placement.models import WorkersListed
-from quetzallock_core.requests.const import WHOLE
+from quetzallock_core.presets.const import PresetSettings
+from quetzallock_core.requests.const import BROKEN, NOT_SENT, WHOLE
 from quetzallock_core.requests.models import Arrival, Dispatch, Response, TryDone
 from quetzallock_core.workers.models import Resources, WorkerInfo
 from quetzallock_standins.log.model import LogModel
@@ -33,6 +34,7 @@
 
 TICK_MS = 100
 CALL_TIMEOUT_MS = 1_000
+LONG_UP_MS = 60_000
 CAPACITY = Resources(16_000, 64_000, 1)
 PRESET = 'name = "ordinary"\n[batch]\nreserve_percent = 50\n'
 
@@ -45,7 +47,7 @@
     snapshot_ms=10_000,
     keep_ms=120_000,
 )
-FAST_SETTINGS = HostSettings(jobs=FAST_JOBS)
+FAST_SETTINGS = HostSettings(jobs=FAST_JOBS, presets=PresetSettings(rewrite_ms=8_000))
 
 
 @dataclass(slots=True)
@@ -92,6 +94,9 @@
         self.cut_links: set[tuple[str, str]] = set()
         self.log_cut_hosts: set[str] = set()
         self.paused_workers: set[str] = set()
+        self.removed_workers: set[str] = set()
+        self.break_answers = 0
+        self.refuse_connections = 0
         self.answers: dict[tuple[str, int], Any] = {}
         self.executions: list[Execution] = []
         self.effects_seen: list[tuple[int, str, object]] = []
@@ -106,7 +111,9 @@
         for index in range(workers):
             name = f"worker-{index}"
             shape = (shapes or {}).get(index, WorkerShape(CAPACITY))
-            self.workers[name] = WorkerModel(name, shape, f"boot-{next(self._boots)}")
+            self.workers[name] = WorkerModel(
+                name, shape, f"boot-{next(self._boots)}", booted_at=-LONG_UP_MS
+            )
         for index in range(hosts):
             self.start_host(f"host-{index}")
 
@@ -133,8 +140,9 @@
         infos = tuple(
             WorkerInfo(worker, f"rack-{index % 2}", "dc-1", f"{worker}:1", worker in leaving)
             for index, worker in enumerate(self.workers)
+            if worker not in self.removed_workers
         )
-        self.hosts[name].host.core.fire(WorkersListed(infos))
+        self._fire(name, WorkersListed(infos))
 
     def kill_host(self, name: str) -> None:
         """End a host at once."""
@@ -168,6 +176,25 @@
         for run in self._held_commands.pop(name, []):
             run()
 
+    def remove_worker(self, name: str) -> None:
+        """End a worker for good: its tasks are gone and the platform lists it no more."""
+        self.crash_worker(name)
+        self.paused_workers.add(name)
+        self.removed_workers.add(name)
+        self.list_everywhere()
+
+    def return_worker(self, name: str) -> None:
+        """Bring a removed worker back, empty."""
+        self.removed_workers.discard(name)
+        self._held_commands.pop(name, None)
+        self.resume_worker(name)
+        self.list_everywhere()
+
+    def list_everywhere(self, leaving: Iterable[str] = ()) -> None:
+        """Hand the platform's host list to all entry hosts."""
+        for host in self.hosts:
+            self.list_workers(host, leaving)
+
     def crash_worker(self, name: str) -> None:
         """Restart a worker: its tasks are gone."""
         self.workers[name].crash(self.clock.now(), f"boot-{next(self._boots)}")
@@ -183,6 +210,8 @@
         self.log.faults.lose_answers = 0
         for name in list(self.hosts):
             self.thaw_host(name)
+        for name in list(self.removed_workers):
+            self.return_worker(name)
         for name in list(self.paused_workers):
             self.resume_worker(name)
         for index in range(3):
@@ -350,15 +379,34 @@
     def _dispatch(self, name: str, effect: Dispatch) -> None:
         key, service_ms = self._request_keys[(name, effect.ticket)]
         model = self.workers[effect.worker]
+        boot = model.boot
         life = self.hosts[name]
 
-        def finish() -> None:
-            model.busy_slots -= 1
-            response = Response(200, (), key.encode())
-            done = TryDone(effect.ticket, effect.number, effect.worker, WHOLE, response)
+        def report(outcome: str, response: Response | None = None) -> None:
+            done = TryDone(effect.ticket, effect.number, effect.worker, outcome, response)
             if self.hosts.get(name) is life:
                 self._fire(name, done)
 
+        def repeat_late() -> None:
+            """Deliver a second answer to this try, long after it was given up."""
+            report(WHOLE, Response(200, (), b"stale"))
+
+        def finish() -> None:
+            if model.boot != boot:
+                report(BROKEN)
+                return
+            model.busy_slots -= 1
+            if self.break_answers > 0:
+                self.break_answers -= 1
+                report(BROKEN)
+                self._later(TICK_MS, repeat_late)
+            else:
+                report(WHOLE, Response(200, (), key.encode()))
+
+        if self.refuse_connections > 0:
+            self.refuse_connections -= 1
+            self._later(0, lambda: report(NOT_SENT))
+            return
         model.busy_slots += 1
         model.guards.peak_slots = max(model.guards.peak_slots, model.busy_slots)
         if model.busy_slots > model.shape.slots:
@@ -446,11 +494,11 @@
     return overlaps
 
 
-def count_finishes(runs: Iterable[RunRecord]) -> dict[str, int]:
-    """Return how often each task finished."""
+def count_finishes(runs: Iterable[RunRecord], ending: str = "finished") -> dict[str, int]:
+    """Return how often each task ended so."""
     finishes: dict[str, int] = {}
     for run in runs:
-        if run.ending == "finished":
+        if run.ending == ending:
             finishes[run.task] = finishes.get(run.task, 0) + 1
     return finishes
 
--- /dev/null
+++ b/tests/proofs/faults.py
@@ -0,0 +1,167 @@
+"""Faults by name: how each begins and how it ends."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from quetzallock_core.registry import Registry
+from tests.common import FakeCluster, make_spec
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """A fault; both functions take the cluster and a number that picks the target."""
+
+    begin: Callable[[FakeCluster, int], None]
+    end: Callable[[FakeCluster, int], None]
+
+
+FAULTS: Registry[Fault] = Registry("fault")
+
+
+def pick_host(cluster: FakeCluster, target: int) -> str:
+    """Return the name of the entry host that `target` picks."""
+    return f"host-{target % 3}"
+
+
+def pick_worker(cluster: FakeCluster, target: int) -> str:
+    """Return the name of the worker that `target` picks."""
+    return f"worker-{target % len(cluster.workers)}"
+
+
+def _kill(cluster: FakeCluster, target: int) -> None:
+    cluster.kill_host(pick_host(cluster, target))
+
+
+def _restart(cluster: FakeCluster, target: int) -> None:
+    if pick_host(cluster, target) not in cluster.hosts:
+        cluster.start_host(pick_host(cluster, target))
+
+
+def _set_log(name: str, value: object) -> Callable[[FakeCluster, int], None]:
+    def change(cluster: FakeCluster, target: int) -> None:
+        setattr(cluster.log.faults, name, value)
+
+    return change
+
+
+def _do_nothing(cluster: FakeCluster, target: int) -> None:
+    """End a fault that ends by itself."""
+
+
+def _cut_links(cluster: FakeCluster, target: int) -> None:
+    one = pick_host(cluster, target)
+    for worker in list(cluster.workers)[::2]:
+        cluster.cut_links.add((one, worker))
+
+
+def _break_answers(cluster: FakeCluster, target: int) -> None:
+    cluster.break_answers = 1 + target % 4
+
+
+def _refuse_connections(cluster: FakeCluster, target: int) -> None:
+    cluster.refuse_connections = 1 + target % 4
+
+
+def _leave(cluster: FakeCluster, target: int) -> None:
+    fake = cluster.hosts.get(pick_host(cluster, target))
+    if fake is not None and not fake.is_frozen:
+        fake.host.leave()
+
+
+def _come_back(cluster: FakeCluster, target: int) -> None:
+    cluster.kill_host(pick_host(cluster, target))
+    _restart(cluster, target)
+
+
+def _list_leaving(cluster: FakeCluster, target: int) -> None:
+    cluster.list_everywhere(leaving=[pick_worker(cluster, target)])
+
+
+def _list_all(cluster: FakeCluster, target: int) -> None:
+    cluster.list_everywhere()
+
+
+_TABLE = {
+    "kill": Fault(_kill, _restart),
+    "cut": Fault(
+        lambda cluster, target: cluster.cut_hosts.add(pick_host(cluster, target)),
+        lambda cluster, target: cluster.cut_hosts.discard(pick_host(cluster, target)),
+    ),
+    "cut from workers": Fault(_cut_links, lambda cluster, target: cluster.cut_links.clear()),
+    "cut from log": Fault(
+        lambda cluster, target: cluster.log_cut_hosts.add(pick_host(cluster, target)),
+        lambda cluster, target: cluster.log_cut_hosts.discard(pick_host(cluster, target)),
+    ),
+    "freeze": Fault(
+        lambda cluster, target: cluster.freeze_host(pick_host(cluster, target)),
+        lambda cluster, target: cluster.thaw_host(pick_host(cluster, target)),
+    ),
+    "log down": Fault(_set_log("down", True), _set_log("down", False)),
+    "log slow": Fault(_set_log("slow_ms", 900), _set_log("slow_ms", 0)),
+    "answers lost": Fault(_set_log("lose_answers", 3), _set_log("lose_answers", 0)),
+    "records expire": Fault(
+        lambda cluster, target: setattr(cluster.log, "retention_ms", 60_000), _do_nothing
+    ),
+    "worker paused": Fault(
+        lambda cluster, target: cluster.pause_worker(pick_worker(cluster, target)),
+        lambda cluster, target: cluster.resume_worker(pick_worker(cluster, target)),
+    ),
+    "worker crashes": Fault(
+        lambda cluster, target: cluster.crash_worker(pick_worker(cluster, target)), _do_nothing
+    ),
+    "worker removed": Fault(
+        lambda cluster, target: cluster.remove_worker(pick_worker(cluster, target)),
+        lambda cluster, target: cluster.return_worker(pick_worker(cluster, target)),
+    ),
+    "worker cut": Fault(
+        lambda cluster, target: cluster.cut_workers.add(pick_worker(cluster, target)),
+        lambda cluster, target: cluster.cut_workers.discard(pick_worker(cluster, target)),
+    ),
+    "worker leaves": Fault(_list_leaving, _list_all),
+    "host stops": Fault(_leave, _come_back),
+    "answers break": Fault(_break_answers, _do_nothing),
+    "connections refused": Fault(_refuse_connections, _do_nothing),
+}
+
+
+def _cancel_burst(cluster: FakeCluster, target: int) -> None:
+    """Submit and cancel forty jobs at once."""
+    host = next((name for name, fake in cluster.hosts.items() if not fake.is_frozen), None)
+    if host is None:
+        return
+    jobs = [f"burst-{index}" for index in range(40)]
+    for job in jobs:
+        cluster.submit(host, make_spec(job, 2, 2_000))
+    cluster.run(600 + 200 * (target % 5))
+    for job in jobs:
+        cluster.cancel(host, job)
+
+
+def _race(cluster: FakeCluster, target: int) -> None:
+    """Let every host switch the preset at the same time, again and again."""
+    for step in range(4):
+        for name, fake in cluster.hosts.items():
+            if not fake.is_frozen:
+                cluster.use(name, "ordinary", f"{name}-{step}")
+        cluster.run(300)
+
+
+def _kill_in_outage(cluster: FakeCluster, target: int) -> None:
+    cluster.log.faults.down = True
+    cluster.run(700)
+    _kill(cluster, target)
+
+
+def _end_outage(cluster: FakeCluster, target: int) -> None:
+    cluster.log.faults.down = False
+    _restart(cluster, target)
+
+
+_TABLE |= {
+    "worker fails all": Fault(_do_nothing, _do_nothing),
+    "burst of cancellations": Fault(_cancel_burst, _do_nothing),
+    "operator race": Fault(_race, _do_nothing),
+    "kill while log down": Fault(_kill_in_outage, _end_outage),
+}
+for _name, _fault in _TABLE.items():
+    FAULTS.register(_name)(_fault)
--- /dev/null
+++ b/tests/proofs/outcomes.py
@@ -0,0 +1,108 @@
+"""Checks of outcomes seen from outside: what was told, joined with what really ran."""
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+from quetzallock_core.requests.const import NOT_RUN, WHOLE
+from tests.common import FakeCluster, count_finishes, find_double_runs
+
+HEAL_MS = 180_000
+
+
+@dataclass(slots=True)
+class Told:
+    """What callers and submitters asked for, with the tickets of the answers."""
+
+    jobs: dict[str, list[tuple[str, int]]] = field(default_factory=dict)
+    sizes: dict[str, int] = field(default_factory=dict)
+    cancelled: set[str] = field(default_factory=set)
+    requests: list[tuple[str, int, str, bool]] = field(default_factory=list)
+
+
+def find_running_violations(cluster: FakeCluster) -> list[str]:
+    """Return what is broken at any moment, however many faults there are."""
+    runs = cluster.list_runs()
+    found = [
+        f"{one.task} ran on {one.worker} and {other.worker} at once: {one} {other}"
+        for one, other in find_double_runs(runs)
+    ]
+    found += [f"{task} finished {n} times" for task, n in count_finishes(runs).items() if n > 1]
+    for name, worker in cluster.workers.items():
+        guards = worker.guards
+        if guards.over_committed:
+            found.append(f"{name} was over-committed, peak {guards.peak}")
+        if guards.two_attempts:
+            found.append(f"{name} was asked to run two attempts")
+        if guards.over_slots:
+            found.append(f"{name} had {guards.peak_slots} requests at once")
+    return found
+
+
+def find_resume_violations(cluster: FakeCluster) -> list[str]:
+    """Return attempts that did not resume from where the one before had stopped."""
+    by_task: dict[str, list] = {}
+    for run in cluster.list_runs():
+        by_task.setdefault(run.task, []).append(run)
+    found = []
+    for task, runs in by_task.items():
+        attempts = Counter(run.attempt for run in runs)
+        found += [f"{task} attempt {n} ran twice" for n, times in attempts.items() if times > 1]
+        runs.sort(key=lambda run: run.attempt)
+        for one, other in zip(runs, runs[1:], strict=False):
+            if one.ending == "stopped" and other.start_progress_ms < one.end_progress_ms:
+                found.append(f"{task} attempt {other.attempt} lost work")
+    return found
+
+
+def find_request_violations(cluster: FakeCluster, told: Told) -> list[str]:
+    """Return requests whose answer does not fit what ran."""
+    ran = Counter(execution.key for execution in cluster.executions)
+    by_key: dict[str, list[str]] = {}
+    found = []
+    for host, ticket, key, idempotent in told.requests:
+        verdict = cluster.answers.get((host, ticket))
+        if not idempotent and ran[key] > 1:
+            found.append(f"{key} ran {ran[key]} times")
+        if verdict is None:
+            continue
+        by_key.setdefault(key, []).append(verdict.outcome)
+        if verdict.outcome == WHOLE and verdict.response.body != key.encode():
+            found.append(f"{key} got the answer of {verdict.response.body!r}")
+    for key, outcomes in by_key.items():
+        asked = sum(key == other for _, _, other, _ in told.requests)
+        if set(outcomes) == {NOT_RUN} and len(outcomes) == asked and ran[key]:
+            found.append(f"{key} was told not run, but ran")
+    return found
+
+
+def find_final_violations(cluster: FakeCluster, told: Told) -> list[str]:
+    """Return accepted work that neither finished nor was cancelled once all is healed."""
+    runs = cluster.list_runs()
+    finishes = count_finishes(runs) | count_finishes(runs, "result lost")
+    found = []
+    for job, tickets in told.jobs.items():
+        outcomes = {
+            cluster.answers[ticket].outcome for ticket in tickets if ticket in cluster.answers
+        }
+        if "accepted" not in outcomes or job in told.cancelled:
+            continue
+        missing = [
+            f"{job}/{index}"
+            for index in range(told.sizes[job])
+            if not finishes.get(f"{job}/{index}")
+        ]
+        if missing:
+            found.append(f"accepted work was lost: {missing}")
+    return found
+
+
+def heal_and_settle(cluster: FakeCluster, told: Told) -> list[str]:
+    """Take all faults away, let the work finish, and return every violation."""
+    cluster.heal()
+    cluster.run_until(lambda: not find_final_violations(cluster, told), HEAL_MS)
+    return (
+        find_running_violations(cluster)
+        + find_resume_violations(cluster)
+        + find_request_violations(cluster, told)
+        + find_final_violations(cluster, told)
+    )
--- /dev/null
+++ b/tests/proofs/scenario.py
@@ -0,0 +1,218 @@
+"""One course of work with one fault in it, and what each promise says of its outcome."""
+
+from dataclasses import dataclass, field
+
+from quetzallock_standins.workers.model import WorkerShape
+from tests.common import CAPACITY, PRESET, Execution, FakeCluster, make_spec
+
+from .faults import FAULTS
+from .outcomes import (
+    HEAL_MS,
+    Told,
+    find_final_violations,
+    find_request_violations,
+    find_resume_violations,
+    find_running_violations,
+)
+
+IN_FORCE_MS = 4_000
+LEAVING_MS = 4_000
+STOP_MS = 15_000
+PEAK = 'name = "peak"\n[batch]\nreserve_percent = 60\n'
+
+
+@dataclass(slots=True)
+class Scenario:
+    """A course of work on one cluster.
+
+    Attributes:
+        violations: What was found, by promise.
+    """
+
+    cluster: FakeCluster
+    fault: str
+    target: int
+    told: Told = field(default_factory=Told)
+    violations: dict[str, list[str]] = field(default_factory=dict)
+    switches: dict[str, int] = field(default_factory=dict)
+
+    def note(self, promise: str, found: list[str]) -> None:
+        """Add violations of a promise."""
+        self.violations.setdefault(promise, []).extend(found)
+
+    def run(self) -> None:
+        """Go through the whole course."""
+        self._prepare()
+        self._begin_work()
+        FAULTS.get(self.fault).begin(self.cluster, self.target)
+        self._work_on(8_000)
+        self._switch_presets()
+        self._evict()
+        FAULTS.get(self.fault).end(self.cluster, self.target)
+        self._work_on(3_000)
+        self._stop_a_host()
+        self._finish()
+
+    def _prepare(self) -> None:
+        cluster = self.cluster
+        cluster.run(6_000)
+        cluster.publish("host-0", "ordinary", PRESET, "ana")
+        cluster.run(1_000)
+        cluster.publish("host-0", "peak", PEAK, "ana")
+        cluster.use("host-0", "ordinary", "ana")
+        cluster.run(2_000)
+
+    def _begin_work(self) -> None:
+        for index in range(6):
+            host = self._find_live(index)
+            job = f"job-{index}"
+            self.told.sizes[job] = 5
+            ticket = self.cluster.submit(host, make_spec(job, 5, 4_000 + 2_000 * index, 2_500))
+            self.told.jobs[job] = [(host, ticket)]
+        self._work_on(2_000)
+        self.cluster.break_answers = 3
+
+    def _work_on(self, ms: int) -> None:
+        """Make requests and repeat orders while time passes."""
+        for step in range(ms // 500):
+            for index in range(3):
+                host = self._find_live(index)
+                if not host:
+                    continue
+                for _ in range(3):
+                    key = f"key-{len(self.told.requests)}"
+                    self._request(host, key, len(self.told.requests) % 3 == 0, False)
+                orders = [one for one in self.told.requests if not one[3]]
+                self._request(host, orders[-1 - 5 * index % len(orders)][2], False, True)
+            self.cluster.run(500)
+            self._watch_presets()
+
+    def _request(self, host: str, key: str, idempotent: bool, repeat: bool) -> None:
+        ticket = self.cluster.request(host, key, idempotent, repeat=repeat)
+        self.told.requests.append((host, ticket, key, idempotent))
+
+    def _watch_presets(self) -> None:
+        for name, fake in self.cluster.hosts.items():
+            life = fake.host.core.identity.holder
+            switched_at = fake.host.presets.state.switched_at
+            if switched_at < self.switches.get(life, -1):
+                self.note("preset", [f"{name} went back to offset {switched_at}"])
+            self.switches[life] = switched_at
+
+    def _switch_presets(self) -> None:
+        """Let two operators race; at most one may win, and it wins everywhere in time."""
+        hosts = [host for host in (self._find_live(1), self._find_live(2)) if host]
+        base = max(self.switches.values())
+        tickets = [
+            (host, self.cluster.use(host, "peak", f"operator-{index}", base))
+            for index, host in enumerate(hosts)
+        ]
+        done = [ticket for ticket in tickets if self._await_outcome(ticket, 4_500) == "done"]
+        if len(done) > 1:
+            self.note("preset", ["both operators were told that they won"])
+        if not done:
+            return
+        offset = self.cluster.answers[done[0]].switched_at
+        self.cluster.run(IN_FORCE_MS)
+        self._watch_presets()
+        behind = [name for name in self._list_reachable() if self.switches_of(name) < offset]
+        if behind:
+            self.note("preset", [f"the switch at {offset} is not in force on {behind}"])
+
+    def switches_of(self, name: str) -> int:
+        """Return the offset of the switch that a host acts on."""
+        return self.cluster.hosts[name].host.presets.state.switched_at
+
+    def _await_outcome(self, ticket: tuple[str, int], limit_ms: int) -> str:
+        self.cluster.run_until(lambda: ticket in self.cluster.answers, limit_ms)
+        answer = self.cluster.answers.get(ticket)
+        return answer.outcome if answer is not None else "none"
+
+    def _evict(self) -> None:
+        """Let one worker leave: nothing new may reach it after a few seconds."""
+        leaving = "worker-1"
+        self.cluster.list_everywhere(leaving=[leaving])
+        self._work_on(LEAVING_MS)
+        since = self.cluster.clock.now()
+        reachable = set(self._list_reachable())
+        self._work_on(4_000)
+        if len(reachable) == len(self.cluster.hosts):
+            self.note("leaving", self._find_started(leaving, since))
+        self.cluster.list_everywhere()
+
+    def _find_started(self, worker: str, since: int) -> list[str]:
+        requests = [
+            f"{one.key} reached {worker}"
+            for one in self.cluster.executions
+            if _is_late(one, worker, since)
+        ]
+        starts = [
+            f"{run.task} started on {worker}"
+            for run in self.cluster.list_runs()
+            if run.worker == worker and run.started_at > since
+        ]
+        return requests + starts
+
+    def _stop_a_host(self) -> None:
+        """Stop one host in an orderly way: whoever asked it gets a real answer."""
+        name = self._find_live(2)
+        if not name:
+            return
+        before = len(self.told.requests)
+        for index in range(8):
+            self._request(name, f"last-{index}", False, False)
+        host = self.cluster.hosts[name].host
+        host.leave()
+        self.stop_when_done(name)
+        unanswered = [
+            key
+            for asked, ticket, key, _ in self.told.requests[before:]
+            if (asked, ticket) not in self.cluster.answers
+        ]
+        self.note("stop", [f"{key} was cut off" for key in unanswered])
+        self.cluster.start_host(name)
+
+    def stop_when_done(self, name: str) -> None:
+        """End a host once nothing is open on it, or after the longest drain time."""
+        host = self.cluster.hosts[name].host
+        self.cluster.run_until(lambda: host.router.open_requests == 0, STOP_MS)
+        self.cluster.run(1_000)
+        self.cluster.run_until(lambda: host.is_settled, STOP_MS)
+        self.cluster.kill_host(name)
+
+    def _finish(self) -> None:
+        self.cluster.heal()
+        self.cluster.run_until(lambda: not find_final_violations(self.cluster, self.told), HEAL_MS)
+        for found in find_running_violations(self.cluster):
+            is_room = "over-committed" in found or "requests at once" in found
+            self.note("room" if is_room else "one place", [found])
+        self.note("resume", find_resume_violations(self.cluster))
+        self.note("resume", find_final_violations(self.cluster, self.told))
+        for found in find_request_violations(self.cluster, self.told):
+            promise = "orders" if "times" in found else "whole"
+            self.note("not run" if "not run" in found else promise, [found])
+
+    def _find_live(self, index: int) -> str:
+        names = sorted(self.cluster.hosts)
+        live = [name for name in names if not self.cluster.hosts[name].is_frozen]
+        return live[index % len(live)] if live else ""
+
+    def _list_reachable(self) -> list[str]:
+        """Return hosts that run and that neither are cut off nor act on the faulty host's own."""
+        return [
+            name
+            for name, fake in self.cluster.hosts.items()
+            if not fake.is_frozen and name not in self.cluster.cut_hosts
+        ]
+
+
+def _is_late(execution: Execution, worker: str, since: int) -> bool:
+    return execution.worker == worker and execution.started_at > since
+
+
+def run_scenario(fault: str, seed: int) -> dict[str, list[str]]:
+    """Run the course with a fault and return the violations by promise."""
+    shapes = {3: WorkerShape(CAPACITY, fails_all=True)} if fault == "worker fails all" else None
+    scenario = Scenario(FakeCluster(seed=seed, shapes=shapes), fault, seed)
+    scenario.run()
+    return {promise: found for promise, found in scenario.violations.items() if found}
--- /dev/null
+++ b/tests/proofs/test_machine.py
@@ -0,0 +1,15 @@
+"""The state machine of faults, with fixed seeds."""
+
+from hypothesis import settings
+from hypothesis.stateful import run_state_machine_as_test
+
+from .machine import FaultMachine
+
+EXAMPLES = 25
+STEPS = 30
+
+
+def test_promises_hold_under_any_faults() -> None:
+    run_state_machine_as_test(
+        FaultMachine, settings=settings(max_examples=EXAMPLES, stateful_step_count=STEPS)
+    )
