--- a/packages/core/src/quetzallock_core/placement/placer.py
+++ b/packages/core/src/quetzallock_core/placement/placer.py
@@ -56,6 +56,10 @@
         self._members = members
         self._settings = settings
         self._infos: dict[str, WorkerInfo] = {}
+        self._racks: tuple[str, ...] = ()
+        self._data_centres: dict[str, str] = {}
+        self._owners: dict[str, str | None] = {}
+        self._shard_owners: dict[int, str | None] = {}
         self._held: dict[str, HeldWorker] = {}
         self._ejector = Ejector()
         self._sharing: dict[str, RackSharing] = {}
@@ -63,7 +67,7 @@
         self.batch = BatchRules()
         core.listen(PresetChanged, self._on_preset)
         core.listen(WorkersListed, self._on_listed)
-        core.listen(MembersChanged, lambda _event, _source: self._review_racks())
+        core.listen(MembersChanged, self._on_members)
         core.listen(WorkerAnswered, self._on_answered)
         core.listen(ReserveRoom, self._on_reserve)
         core.listen(StartAttempt, self._on_start)
@@ -94,7 +98,7 @@
 
     def list_racks(self) -> tuple[str, ...]:
         """Return the racks that the platform last listed, in order of name."""
-        return tuple(sorted({info.rack for info in self._infos.values()}))
+        return self._racks
 
     def could_hold(self, demand: Resources) -> bool:
         """Tell whether some listed worker is large enough, or may be for all that is known."""
@@ -105,7 +109,21 @@
 
     def find_owner(self, rack: str) -> str | None:
         """Return the host that `rack` falls to."""
-        return choose_owner(f"rack/{rack}", self._members.usable)
+        if rack not in self._owners:
+            candidates = self._list_candidates(rack)
+            self._owners[rack] = choose_owner(f"rack/{rack}", candidates)
+        return self._owners[rack]
+
+    def find_data_centre(self, rack: str) -> str | None:
+        """Return the data centre that `rack` stands in, if listed."""
+        return self._data_centres.get(rack)
+
+    def _list_candidates(self, rack: str) -> tuple[str, ...]:
+        """Return the hosts in the rack's data centre, or all hosts where it has none."""
+        data_centre = self.find_data_centre(rack)
+        hosts = self._members.usable
+        near = tuple(host for host in hosts if self._members.data_centre_of(host) == data_centre)
+        return near or hosts
 
     def _on_preset(self, event: PresetChanged, _source: str) -> None:
         self.batch = event.preset.batch
@@ -113,7 +131,18 @@
             held.commitment.set_aside = self._find_set_aside(held.commitment.capacity)
 
     def _on_listed(self, event: WorkersListed, _source: str) -> None:
-        self._infos = {info.worker: info for info in event.workers}
+        infos = {info.worker: info for info in event.workers}
+        if infos == self._infos:
+            return
+        self._infos = infos
+        self._data_centres = {info.rack: info.data_centre for info in event.workers}
+        self._racks = tuple(sorted(self._data_centres))
+        self._owners.clear()
+        self._review_racks()
+
+    def _on_members(self, _event: MembersChanged, _source: str) -> None:
+        self._owners.clear()
+        self._shard_owners.clear()
         self._review_racks()
 
     def _review_racks(self) -> None:
@@ -230,12 +259,18 @@
         for status in statuses:
             by_shard.setdefault(self._find_shard(status.task), []).append(status)
         for shard, group in by_shard.items():
-            owner = choose_owner(f"shard/{shard}", self._members.usable)
+            owner = self._find_shard_owner(shard)
             if owner is not None:
                 name = held.info.worker
                 report = TaskReport(shard, name, held.boot, held.clock, tuple(group))
                 self._core.send(owner, report)
 
+    def _find_shard_owner(self, shard: int) -> str | None:
+        if shard not in self._shard_owners:
+            owner = choose_owner(f"shard/{shard}", self._members.usable)
+            self._shard_owners[shard] = owner
+        return self._shard_owners[shard]
+
     def _find_shard(self, task: str) -> int:
         return hash_to_range(task.rpartition("/")[0], self.shards)
 
--- a/packages/core/src/quetzallock_core/requests/const.py
+++ b/packages/core/src/quetzallock_core/requests/const.py
@@ -20,6 +20,7 @@
         slots_ask_ms: Interval of renewals of slot leases.
         slots_margin_ms: Safety taken off a slot lease on this host's clock.
         spare_slots: Slots kept beyond what is in use.
+        racks: Most racks that one host leases slots of.
         request_ms: Longest deadline that a caller may ask for.
         key_ms: How long an idempotency key is remembered.
         key_wait_ms: How long a key's host may take to answer.
@@ -30,6 +31,7 @@
     slots_ask_ms: int = 500
     slots_margin_ms: int = 100
     spare_slots: int = 4
+    racks: int = 8
     request_ms: int = 5_000
     key_ms: int = 600_000
     key_wait_ms: int = 400
--- a/packages/core/src/quetzallock_core/requests/slots.py
+++ b/packages/core/src/quetzallock_core/requests/slots.py
@@ -1,9 +1,11 @@
 """The slots of workers that are leased to this host."""
 
+import heapq
 from dataclasses import dataclass
 
 from ..core import Core
 from ..helpers.ejection import Ejector
+from ..helpers.hashing import hash_text
 from ..placement.models import AskSlots, HeldSlots, SlotsLeased
 from ..placement.placer import Placer
 from .const import RequestSettings
@@ -86,11 +88,24 @@
         if now < self._next_ask:
             return
         self._next_ask = now + self._settings.slots_ask_ms
-        racks = self._placer.list_racks()
+        racks = self._choose_racks()
         wanted = self.busy + self.queued + self._settings.spare_slots * max(1, len(racks))
         for rack in racks:
             self._ask(rack, -(-wanted // len(racks)), now)
 
+    def _choose_racks(self) -> tuple[str, ...]:
+        """Return the racks to lease slots of: near ones first, others spread by hashing."""
+        racks = self._placer.list_racks()
+        if len(racks) <= self._settings.racks:
+            return racks
+        me = self._core.identity
+
+        def rank(rack: str) -> tuple[bool, int]:
+            is_far = self._placer.find_data_centre(rack) != me.data_centre
+            return is_far, hash_text(f"{me.host}/{rack}")
+
+        return tuple(heapq.nsmallest(self._settings.racks, racks, key=rank))
+
     def _ask(self, rack: str, wanted: int, now: int) -> None:
         owner = self._placer.find_owner(rack)
         if owner is None:
--- a/packages/standins/src/quetzallock_standins/__main__.py
+++ b/packages/standins/src/quetzallock_standins/__main__.py
@@ -38,6 +38,12 @@
         shape = load_deployment(EXAMPLES / deployment / "deployment.toml")
         save_trace(Path(out), make_trace(shape, seed, seconds * 1_000))
 
+    def capacity(self, out: str = "out/capacity", processes: bool = True) -> None:
+        """Measure what each role costs and print the slopes."""
+        from .capacity.table import run_capacity
+
+        print(run_capacity(Path(out), processes))
+
     def demo(self, deployment: str = "aveia", out: str = "out/demo") -> None:
         """Play a recorded trace against a whole deployment, one daemon killed in the middle."""
         from .play.demo import run_demo
