Add up a worker's commitments once, not at every decision

Cause: a profile of reservations showed 63% of the time in Commitment.find_room, which added up all tasks and reservations of every worker at each look (1.1 million subtractions for 6,000). Ruled out: the number of workers in all (medians of 164, 168 and 304 us at 24, 470 and 4,700 had suggested a slope; with the collector off all three were equal, and repeats scattered by half). Change: the room is kept until something changes or a reservation runs out; sizes are measured in turns and the best of nine counts.

--- a/packages/core/src/quetzallock_core/placement/commitment.py
+++ b/packages/core/src/quetzallock_core/placement/commitment.py
@@ -1,10 +1,13 @@
 """What one worker is committed to: the one place where its commitments are added up."""
 
 from dataclasses import dataclass
+from typing import Final
 
 from ..workers.const import RUNNING
 from ..workers.models import NOTHING, Resources, TaskStatus
 
+_ROOM_MS: Final = 60_000
+
 
 @dataclass(frozen=True, slots=True)
 class _Reserved:
@@ -23,10 +26,32 @@
     """
 
     def __init__(self) -> None:
-        self.capacity = NOTHING
-        self.set_aside = NOTHING
         self.tasks: dict[str, TaskStatus] = {}
+        self._capacity = NOTHING
+        self._set_aside = NOTHING
         self._reserved: dict[str, _Reserved] = {}
+        self._room: Resources | None = None
+        self._room_until = 0
+
+    @property
+    def capacity(self) -> Resources:
+        """What the worker has."""
+        return self._capacity
+
+    @capacity.setter
+    def capacity(self, capacity: Resources) -> None:
+        self._capacity = capacity
+        self._room = None
+
+    @property
+    def set_aside(self) -> Resources:
+        """What is kept for the backend server."""
+        return self._set_aside
+
+    @set_aside.setter
+    def set_aside(self, set_aside: Resources) -> None:
+        self._set_aside = set_aside
+        self._room = None
 
     def replace_tasks(self, statuses: tuple[TaskStatus, ...]) -> None:
         """Take `statuses` for the whole list of tasks."""
@@ -35,6 +60,7 @@
 
     def merge_tasks(self, statuses: tuple[TaskStatus, ...]) -> None:
         """Take in changed statuses."""
+        self._room = None
         for status in statuses:
             self.tasks[status.task] = status
             self._reserved.pop(status.task, None)
@@ -44,18 +70,27 @@
         status = self.tasks.get(task)
         if status is not None and status.attempt == attempt and status.state != RUNNING:
             del self.tasks[task]
+            self._room = None
 
     def find_room(self, now: int) -> Resources:
         """Return what is neither set aside, used nor reserved at `now`."""
+        if self._room is None or now >= self._room_until:
+            self._room = self._add_up(now)
+        return self._room
+
+    def _add_up(self, now: int) -> Resources:
         room = self.capacity - self.set_aside
         for status in self.tasks.values():
             if status.state == RUNNING:
                 room -= status.demand.cover(status.used)
+        self._room_until = now + _ROOM_MS
         for task, reserved in list(self._reserved.items()):
             if reserved.expires is not None and now >= reserved.expires:
                 del self._reserved[task]
-            else:
-                room -= reserved.demand
+                continue
+            room -= reserved.demand
+            if reserved.expires is not None:
+                self._room_until = min(self._room_until, reserved.expires)
         return room
 
     @property
@@ -81,11 +116,18 @@
 
     def _enter(self, task: str, reserved: _Reserved, now: int) -> bool:
         old = self._reserved.pop(task, None)
-        if reserved.demand.fits(self.find_room(now)):
+        if old is not None:
+            self._room = None
+        room = self.find_room(now)
+        if reserved.demand.fits(room):
             self._reserved[task] = reserved
+            self._room = room - reserved.demand
+            if reserved.expires is not None:
+                self._room_until = min(self._room_until, reserved.expires)
             return True
         if old is not None and old.expires is None:
             self._reserved[task] = old
+            self._room = None
         return False
 
     def expire_starts(self, clock: int) -> None:
@@ -93,6 +135,7 @@
         for task, reserved in list(self._reserved.items()):
             if reserved.expires is None and clock >= reserved.until:
                 del self._reserved[task]
+                self._room = None
 
     def is_running(self, task: str, attempt: int) -> bool:
         """Tell whether the attempt is known to run."""
--- a/packages/standins/src/quetzallock_standins/capacity/measures.py
+++ b/packages/standins/src/quetzallock_standins/capacity/measures.py
@@ -79,7 +79,7 @@
         for index in range(count):
             core = _make_member(loop, index, count)
             loop.add(f"host-{index}", core)
-        loop.run(12_000)
+        loop.run(30_000)
         loop.reset()
         for step in range(3):
             loop.cores.pop(f"host-{count - 1 - step}")
@@ -150,7 +150,7 @@
 @MEASURES.register("placer, one decision")
 def measure_decision() -> list[Series]:
     """One reservation, with state held for one rack, in deployments of growing size."""
-    times = []
+    prepared = []
     for count in (24, 470, 4_700):
         loop = Loop()
         identity = Identity("host-0", 1, "host-0:1", "dc-1")
@@ -164,8 +164,12 @@
         loop.fire("host-0", WorkersListed(infos[:_RACK]))
         loop.run(3_000)
         loop.fire("host-0", _hold_first_rack(host, infos))
-        times.append((count, _time_decisions(loop, host)))
-    return [Series("placer", "µs a reservation", "workers in all", tuple(times))]
+        prepared.append((count, host))
+    best = dict.fromkeys((count for count, _ in prepared), float("inf"))
+    for attempt in range(9):
+        for count, host in prepared:
+            best[count] = min(best[count], _time_decisions(host, attempt))
+    return [Series("placer", "µs a reservation", "workers in all", tuple(best.items()))]
 
 
 def _hold_first_rack(host: EntryHost, infos: tuple[WorkerInfo, ...]) -> WorkersListed:
@@ -183,20 +187,18 @@
     return WorkersListed(near + far)
 
 
-def _time_decisions(loop: Loop, host: EntryHost) -> float:
-    """Return the median µs of a reservation in five runs of 400."""
-    results = []
-    for attempt in range(5):
-        asks = [
-            ReserveRoom("rack-0", (RoomWanted(f"job-{attempt}-{index}/0", 1, _SMALL),))
-            for index in range(400)
-        ]
-        began = time.perf_counter_ns()
-        for ask in asks:
-            host.core.fire(ask, "host-1")
-        results.append((time.perf_counter_ns() - began) / 400 / 1e3)
-        host.core.drain()
-    return sorted(results)[2]
+def _time_decisions(host: EntryHost, attempt: int) -> float:
+    """Return the mean µs of a reservation over 200."""
+    asks = [
+        ReserveRoom("rack-0", (RoomWanted(f"job-{attempt}-{index}/0", 1, _SMALL),))
+        for index in range(200)
+    ]
+    began = time.perf_counter_ns()
+    for ask in asks:
+        host.core.fire(ask, "host-1")
+    taken = time.perf_counter_ns() - began
+    host.core.drain()
+    return taken / len(asks) / 1e3
 
 
 @MEASURES.register("steward, starts")
