--- a/packages/standins/src/quetzallock_standins/__main__.py
+++ b/packages/standins/src/quetzallock_standins/__main__.py
@@ -50,6 +50,34 @@
 
         sys.exit(run_demo(deployment, Path(out) / deployment))
 
+    def play(
+        self,
+        deployment: str = "aveia",
+        fault: str = "none",
+        seconds: int = 12,
+        seed: int = 1,
+        preset: str = "ordinary",
+        entry_hosts: int | None = None,
+        out: str = "out/play",
+        judge_time: bool = True,
+    ) -> None:
+        """Play a trace made from SEED against real daemons, with a fault midway."""
+        from .play.demo import PlayPlan, run_play
+        from .play.traces import make_trace
+
+        shape = load_deployment(EXAMPLES / deployment / "deployment.toml")
+        trace = make_trace(shape, seed, seconds * 1_000)
+        plan = PlayPlan(
+            deployment,
+            trace,
+            preset,
+            fault,
+            entry_hosts=entry_hosts,
+            judges_time=judge_time,
+        )
+        verdict = run_play(plan, Path(out))
+        sys.exit(1 if verdict.list_broken(judge_time) else 0)
+
 
 def main() -> None:
     """Run the command line."""
--- /dev/null
+++ b/tests/processes/__init__.py
@@ -0,0 +1,1 @@
+"""Tests with real processes on loopback."""
