--- a/Makefile
+++ b/Makefile
@@ -24,8 +24,11 @@
 capacity: $(VENV)/.ready
 	$(PY) -m quetzallock_standins capacity
 
+bench: $(VENV)/.ready
+	$(PY) -m quetzallock_standins bench --deployment=$(or $(DEPLOYMENT),aveia)
+
 soak: $(VENV)/.ready
-	$(PY) -m quetzallock_standins soak --seconds=$(or $(SECONDS_TO_RUN),60)
+	$(PY) -m tests.proofs.soak --seconds=$(or $(SECONDS_TO_RUN),60)
 
 clean:
 	rm -rf $(VENV) out
--- a/packages/standins/src/quetzallock_standins/__main__.py
+++ b/packages/standins/src/quetzallock_standins/__main__.py
@@ -25,11 +25,11 @@
         shape = load_deployment(EXAMPLES / deployment / "deployment.toml")
         run_host_list(shape, port, worker_port, lag_ms)
 
-    def workers(self, port: int, deployment: str) -> None:
+    def workers(self, port: int, deployment: str, slots: int | None = None) -> None:
         """Run all workers of a deployment on PORT."""
         from .workers.server import run_workers
 
-        run_workers(load_deployment(EXAMPLES / deployment / "deployment.toml"), port)
+        run_workers(load_deployment(EXAMPLES / deployment / "deployment.toml"), port, slots)
 
     def make_trace(self, deployment: str, seed: int, out: str, seconds: int = 30) -> None:
         """Write a trace made by the seeded generator to the file OUT."""
@@ -78,6 +78,20 @@
         verdict = run_play(plan, Path(out))
         sys.exit(1 if verdict.list_broken(judge_time) else 0)
 
+    def play_plan(self, folder: str) -> None:
+        """Play the plan that a benchmark kept in FOLDER."""
+        from .play.demo import run_kept_plan
+
+        run_kept_plan(Path(folder))
+
+    def bench(
+        self, deployment: str = "aveia", seed: int = 1, only: str = "", out: str = "out/bench"
+    ) -> None:
+        """Compare both request policies on one deployment with the targets."""
+        from .play.bench import run_bench
+
+        print(run_bench(deployment, seed, Path(out) / deployment, only))
+
 
 def main() -> None:
     """Run the command line."""
--- a/packages/standins/src/quetzallock_standins/capacity/processes.py
+++ b/packages/standins/src/quetzallock_standins/capacity/processes.py
@@ -21,7 +21,7 @@
             try:
                 local.start()
                 time.sleep(4)
-                usage = [_watch(running.process.pid) for running in local.hosts.values()]
+                usage = _watch([running.process.pid for running in local.hosts.values()])
             finally:
                 local.stop()
         held = 24 / hosts
@@ -36,11 +36,19 @@
     ]
 
 
-def _watch(pid: int) -> tuple[float, float, float]:
-    process = psutil.Process(pid)
-    before = process.cpu_times()
+def _watch(pids: list[int]) -> list[tuple[float, float, float]]:
+    """Return CPU in % of a core, resident and private MB of each process."""
+    processes = [psutil.Process(pid) for pid in pids]
+    before = [_read_cpu(process) for process in processes]
     time.sleep(_WATCH_S)
-    after = process.cpu_times()
-    spent = after.user + after.system - before.user - before.system
-    info = process.memory_full_info()
-    return spent / _WATCH_S * 100, info.rss / 1e6, info.uss / 1e6
+    usage = []
+    for process, began in zip(processes, before, strict=True):
+        spent = (_read_cpu(process) - began) / _WATCH_S * 100
+        info = process.memory_full_info()
+        usage.append((spent, info.rss / 1e6, info.uss / 1e6))
+    return usage
+
+
+def _read_cpu(process: psutil.Process) -> float:
+    times = process.cpu_times()
+    return float(times.user + times.system)
--- a/packages/standins/src/quetzallock_standins/play/demo.py
+++ b/packages/standins/src/quetzallock_standins/play/demo.py
@@ -1,6 +1,7 @@
 """The main job on stand-ins: a whole deployment, a recorded trace, a fault midway."""
 
 import json
+import subprocess
 import sys
 import time
 from dataclasses import asdict, dataclass
@@ -10,11 +11,12 @@
 from twisted.internet.task import LoopingCall
 from twisted.internet.threads import deferToThread
 
+from quetzallock_core.codec import decode, encode, message
 from quetzallock_daemon.helpers import reactor, run_task
 
 from ..processes import EXAMPLES, LocalDeployment, call_json
 from .faults import PROCESS_FAULTS, pause
-from .models import Trace
+from .models import CallResult, Trace
 from .player import Player
 from .traces import load_trace
 from .verdict import Verdict, judge, render_verdict
@@ -24,6 +26,7 @@
 _FINISH_S: Final = 90.0
 
 
+@message(205)
 @dataclass(frozen=True, slots=True)
 class PlayPlan:
     """What is played.
@@ -32,6 +35,8 @@
         preset: Preset in force.
         fault: Name of a fault, begun when `fault_share` of the trace has passed.
         judges_time: Whether late answers count against the verdict.
+        slots: Slots of each worker, if not the deployment's.
+        preset_text: A preset to publish besides the deployment's.
     """
 
     deployment: str
@@ -41,6 +46,8 @@
     fault_share: float = 0.5
     entry_hosts: int | None = None
     judges_time: bool = True
+    slots: int | None = None
+    preset_text: str = ""
 
 
 def run_demo(name: str, folder: Path) -> int:
@@ -52,7 +59,7 @@
 
 def run_play(plan: PlayPlan, folder: Path) -> Verdict:
     """Start a deployment, play a trace against it and return the verdict."""
-    local = LocalDeployment(plan.deployment, folder, plan.entry_hosts)
+    local = LocalDeployment(plan.deployment, folder, plan.entry_hosts, plan.slots)
     local.set_extra("jobs", task_lease_ms=9_000, trust_ms=60_000, news_ms=4_000)
     local.set_extra("placement", report_ms=3_000)
     print(
@@ -70,7 +77,7 @@
     try:
         local.start()
         time.sleep(_SETTLE_S)
-        local.publish_presets(plan.preset)
+        local.publish_presets(plan.preset, plan.preset_text)
         reactor.callWhenRunning(lambda: run_task(play()).addErrback(_print_failure))
         reactor.run()
     finally:
@@ -81,6 +88,28 @@
     return outcome[0]
 
 
+def run_play_apart(plan: PlayPlan, folder: Path) -> list[CallResult]:
+    """Play in a process of its own, since a reactor runs once, and return the calls."""
+    folder.mkdir(parents=True, exist_ok=True)
+    (folder / "plan.msgpack").write_bytes(encode(plan))
+    command = [sys.executable, "-m", "quetzallock_standins", "play_plan", str(folder)]
+    done = subprocess.run(command, capture_output=True, text=True, check=False)
+    if done.returncode:
+        raise RuntimeError(done.stdout + done.stderr)
+    return list(decode((folder / "calls.msgpack").read_bytes()))
+
+
+def run_kept_plan(folder: Path) -> None:
+    """Play the plan kept in a folder.
+
+    Raises:
+        RuntimeError: A promise was broken.
+    """
+    verdict = run_play(decode((folder / "plan.msgpack").read_bytes()), folder)
+    if verdict.list_broken(False):
+        raise RuntimeError(f"broken: {verdict.list_broken(False)}")
+
+
 def _print_failure(failure: Any) -> None:
     print(failure.getTraceback(), file=sys.stderr)
 
@@ -101,6 +130,7 @@
     await player.finished
     await fault_done
     verdict = await _await_jobs(local, player)
+    (local.folder / "calls.msgpack").write_bytes(encode(tuple(player.calls)))
     progress.stop()
     survivor = next(iter(local.hosts.values())).http
     _, report = await deferToThread(call_json, "GET", f"{survivor}/v1/report")
--- a/packages/standins/src/quetzallock_standins/processes.py
+++ b/packages/standins/src/quetzallock_standins/processes.py
@@ -63,8 +63,15 @@
 class LocalDeployment:
     """The processes of one deployment; ends what it started."""
 
-    def __init__(self, name: str, folder: Path, entry_hosts: int | None = None) -> None:
+    def __init__(
+        self,
+        name: str,
+        folder: Path,
+        entry_hosts: int | None = None,
+        slots: int | None = None,
+    ) -> None:
         self.deployment: Deployment = load_deployment(EXAMPLES / name / "deployment.toml")
+        self._slots = slots or self.deployment.worker.slots
         self.presets = EXAMPLES / name / "presets"
         self.folder = folder
         self.entry_hosts = entry_hosts or self.deployment.entry_hosts
@@ -101,7 +108,9 @@
         """Start the stand-ins and all entry hosts, and wait until they are ready."""
         name = self.deployment.name
         self._start_standin("log", "log", self.log_port, f"--retention-ms={retention_ms}")
-        self._start_standin("workers", "workers", self.worker_port, f"--deployment={name}")
+        self._start_standin(
+            "workers", "workers", self.worker_port, f"--deployment={name}", f"--slots={self._slots}"
+        )
         self._start_standin(
             "hosts",
             "hosts",
@@ -139,13 +148,14 @@
         for running in everything:
             running.process.wait()
 
-    def publish_presets(self, in_force: str) -> None:
-        """Publish the example presets and put one in force everywhere."""
+    def publish_presets(self, in_force: str, further: str = "") -> None:
+        """Publish the example presets, and `further`, and put one in force everywhere."""
         base = next(iter(self.hosts.values())).http
-        for path in sorted(self.presets.glob("*.toml")):
-            request = urllib.request.Request(
-                f"{base}/v1/presets/{path.stem}", path.read_bytes(), method="PUT"
-            )
+        texts = {path.stem: path.read_bytes() for path in sorted(self.presets.glob("*.toml"))}
+        if further:
+            texts[in_force] = further.encode()
+        for name, text in texts.items():
+            request = urllib.request.Request(f"{base}/v1/presets/{name}", text, method="PUT")
             urllib.request.urlopen(request, timeout=10).read()
         call_json("POST", f"{base}/v1/presets/{in_force}/use", {"author": "demo"}, 10)
         deadline = time.monotonic() + _READY_S
--- a/packages/standins/src/quetzallock_standins/workers/server.py
+++ b/packages/standins/src/quetzallock_standins/workers/server.py
@@ -29,13 +29,13 @@
 class WorkersServer:
     """All workers of a deployment over HTTP."""
 
-    def __init__(self, deployment: Deployment) -> None:
+    def __init__(self, deployment: Deployment, slots: int | None = None) -> None:
         self._clock = MonotonicClock()
         self._boots = count(1)
         self._executions: list[tuple[str, str]] = []
         self._truncate: set[str] = set()
         self._leaving: set[str] = set()
-        shape = WorkerShape(deployment.worker.capacity, deployment.worker.slots)
+        shape = WorkerShape(deployment.worker.capacity, slots or deployment.worker.slots)
         self._workers = {
             str(row["worker"]): WorkerModel(
                 str(row["worker"]),
@@ -137,6 +137,6 @@
         write_json(request, 200, body)
 
 
-def run_workers(deployment: Deployment, port: int) -> None:
-    """Run the workers stand-in."""
-    serve(port, WorkersServer(deployment).respond)
+def run_workers(deployment: Deployment, port: int, slots: int | None) -> None:
+    """Run the workers stand-in, with other `slots` than the deployment's if given."""
+    serve(port, WorkersServer(deployment, slots).respond)
