Reckon the capacity page from measured slopes; send less while nothing happens

Cause: an idle daemon spent 1.6% of a core and 0.14% for each worker held; slot leases cost 637 B/s a rack; the host list was sent whole every 2 s (410 KB/s at 4,700 workers, reckoned). Ruled out: the decisions (0.02 ms a sync against 1.2 ms of HTTP), the collector. Change: ten ticks a second unless requests wait, reads of quiet shards every 3 s, slot leases once a second while slots are spare, the host list only when changed, peers' presets only when the log does not answer; hosts that take shards from each other pause longer each time.

--- a/packages/core/src/quetzallock_core/jobs/const.py
+++ b/packages/core/src/quetzallock_core/jobs/const.py
@@ -37,7 +37,7 @@
 
     shards: int = 16
     flush_ms: int = 200
-    read_ms: int = 1_000
+    read_ms: int = 3_000
     append_retry_ms: int = 1_000
     claim_retry_ms: int = 3_000
     task_lease_ms: int = 60_000
--- a/packages/core/src/quetzallock_core/jobs/journal.py
+++ b/packages/core/src/quetzallock_core/jobs/journal.py
@@ -16,6 +16,7 @@
 
 _LOGGER = logging.getLogger(__name__)
 _CHART = load_chart(__package__, "shard")
+_LOSSES_MAX = 5
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,6 +77,7 @@
         self._claim_again_at = 0
         self._next_read = 0
         self._reading = False
+        self._losses = 0
         self._queue: list[Pending] = []
         self._flight: _Flight | None = None
         self._next_flush = 0
@@ -105,6 +107,13 @@
         if now >= self._claim_again_at:
             self._claim(now)
 
+    def forget_losses(self) -> None:
+        """Claim without long pauses again: the members have changed."""
+        self._losses = 0
+        self._claim_again_at = min(
+            self._claim_again_at, self._core.clock.now() + self._settings.claim_retry_ms
+        )
+
     def unwant(self) -> JournalNews:
         """Give up the shard; entries not under way are dropped."""
         if self.state == "idle":
@@ -194,7 +203,9 @@
             return JournalNews(effects, won=True)
         if not mine and self._claim_seen:
             news = self._leave("outdone")
-            self._claim_again_at = now + self._jitter(self._settings.claim_retry_ms)
+            pause = self._settings.claim_retry_ms * 2 ** min(self._losses, _LOSSES_MAX)
+            self._losses += 1
+            self._claim_again_at = now + self._jitter(pause)
             return JournalNews(effects, news.dropped, lost=news.lost)
         return JournalNews(effects)
 
--- a/packages/core/src/quetzallock_core/jobs/shards.py
+++ b/packages/core/src/quetzallock_core/jobs/shards.py
@@ -44,6 +44,8 @@
             owner.leave()
 
     def _on_members(self, event: MembersChanged, _source: str) -> None:
+        for owner in self.owners:
+            owner.journal.forget_losses()
         me = self._core.identity.host
         self._wanted = frozenset(
             owner.shard
--- a/packages/core/src/quetzallock_core/presets/sync.py
+++ b/packages/core/src/quetzallock_core/presets/sync.py
@@ -204,7 +204,11 @@
         return preset.author if preset else ""
 
     def _on_peer(self, event: PeerPresetSeen, _source: str) -> None:
-        if event.offset > self._state.offset:
+        if event.offset <= self._state.offset:
+            return
+        if self._log_ok and self._complete:
+            self._next_read = 0
+        else:
             self._core.send(event.host, FetchPresets(self._state.offset))
 
     def _on_fetch(self, fetch: FetchPresets, source: str) -> None:
--- a/packages/core/src/quetzallock_core/requests/const.py
+++ b/packages/core/src/quetzallock_core/requests/const.py
@@ -17,7 +17,8 @@
     """Times in ms.
 
     Attributes:
-        slots_ask_ms: Interval of renewals of slot leases.
+        slots_ask_ms: Interval of renewals of slot leases while nothing waits.
+        slots_hurry_ms: The same while requests wait for a slot.
         slots_margin_ms: Safety taken off a slot lease on this host's clock.
         spare_slots: Slots kept beyond what is in use.
         racks: Most racks that one host leases slots of.
@@ -28,7 +29,8 @@
         queue_limit: Most requests that wait in one host.
     """
 
-    slots_ask_ms: int = 500
+    slots_ask_ms: int = 1_000
+    slots_hurry_ms: int = 250
     slots_margin_ms: int = 100
     spare_slots: int = 4
     racks: int = 8
--- a/packages/core/src/quetzallock_core/requests/slots.py
+++ b/packages/core/src/quetzallock_core/requests/slots.py
@@ -33,6 +33,7 @@
         self._sequence = 0
         self._asked: dict[str, tuple[int, int]] = {}
         self._next_ask = 0
+        self._last_ask = 0
         self._ejector = Ejector()
         self.queued = 0
         core.listen(SlotsLeased, self._on_leased)
@@ -85,14 +86,21 @@
             self._core.counters["requests.workers_ejected"] += 1
 
     def _tick(self, now: int) -> None:
-        if now < self._next_ask:
+        if now < self._next_ask and not self._is_short(now):
             return
         self._next_ask = now + self._settings.slots_ask_ms
+        self._last_ask = now
         racks = self._choose_racks()
         wanted = self.busy + self.queued + self._settings.spare_slots * max(1, len(racks))
         for rack in racks:
             self._ask(rack, -(-wanted // len(racks)), now)
 
+    def _is_short(self, now: int) -> bool:
+        """Tell whether requests wait for a slot, or too few are spare, since the last asking."""
+        if now - self._last_ask < self._settings.slots_hurry_ms:
+            return False
+        return bool(self.queued) or self.slots - self.busy < self._settings.spare_slots
+
     def _choose_racks(self) -> tuple[str, ...]:
         """Return the racks to lease slots of: near ones first, others spread by hashing."""
         racks = self._placer.list_racks()
--- a/packages/daemon/src/quetzallock_daemon/node.py
+++ b/packages/daemon/src/quetzallock_daemon/node.py
@@ -15,7 +15,7 @@
 from quetzallock_core.placement.models import WorkersListed
 from quetzallock_core.requests.models import Dispatch
 
-from .const import HOST_LIST_MS, SECOND_MS, STATS_MS, TICK_MS
+from .const import BUSY_TICK_MS, HOST_LIST_MS, IDLE_TICK_MS, SECOND_MS, STATS_MS
 from .helpers import run_task
 from .peers import PeerLinks
 from .platform.client import PlatformClient
@@ -44,6 +44,7 @@
         self.counters = self.host.core.counters
         self.on_dispatch: Callable[[Dispatch], None] = _ignore_dispatch
         self._reactor = reactor
+        self._next_tick: Any = None
         self._addresses: dict[str, str] = {}
         agent = make_agent(reactor, _CONTROL_CONNECTIONS)
         self._platform = PlatformClient(agent, settings.platform, self.clock, self.fire)
@@ -51,19 +52,21 @@
         self.links = PeerLinks(reactor, self.identity, self.counters)
         self._metrics = Metrics(settings.telemetry, self.counters)
         self._loops = [
-            (LoopingCall(self._tick), TICK_MS),
             (LoopingCall(lambda: run_task(self._list_workers())), HOST_LIST_MS),
             (LoopingCall(self._metrics.flush), STATS_MS),
         ]
 
     def start(self) -> None:
         """Begin to act."""
+        self._tick()
         for loop, interval_ms in self._loops:
             loop.clock = self._reactor
             loop.start(interval_ms / SECOND_MS).addErrback(self._on_loop_failed)
 
     def stop(self) -> None:
         """Cease to act."""
+        if self._next_tick is not None and self._next_tick.active():
+            self._next_tick.cancel()
         for loop, _ in self._loops:
             if loop.running:
                 loop.stop()
@@ -111,8 +114,11 @@
             self.links.send(address, message)
 
     def _tick(self) -> None:
+        """Let time pass, in small steps only while requests wait."""
         self.host.core.tick()
         self.carry_out()
+        interval_ms = BUSY_TICK_MS if self.host.router.open_requests else IDLE_TICK_MS
+        self._next_tick = self._reactor.callLater(interval_ms / SECOND_MS, self._tick)
 
     async def _list_workers(self) -> None:
         workers = await self._platform.list_workers()
--- a/packages/daemon/src/quetzallock_daemon/platform/client.py
+++ b/packages/daemon/src/quetzallock_daemon/platform/client.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 
 from twisted.web.client import Agent, readBody
+from twisted.web.http import NOT_MODIFIED, OK
+from twisted.web.http_headers import Headers
 
 from quetzallock_core.clock import Clock
 from quetzallock_core.effects import Append, Appended, Read, ReadDone
@@ -26,6 +28,8 @@
         self._settings = settings
         self._clock = clock
         self._on_event = on_event
+        self._list_tag = b""
+        self._listed: tuple[WorkerInfo, ...] = ()
 
     async def append(self, append: Append) -> None:
         """Append a record; an `Appended` follows in any case."""
@@ -36,7 +40,7 @@
             call = self._agent.request(b"POST", url, bodyProducer=body)
             response = await with_timeout(call, self._settings.timeout_ms)
             await with_timeout(readBody(response), self._settings.timeout_ms)
-            ok = response.code == 200
+            ok = response.code == OK
         except Exception:  # noqa: BLE001 - whatever went wrong, the outcome is unknown
             ok = False
         self._on_event(Appended(append.stream, ok))
@@ -64,18 +68,32 @@
         )
 
     async def list_workers(self) -> tuple[WorkerInfo, ...] | None:
-        """Return the listed workers, or None where the list cannot be had."""
+        """Return the listed workers, or None where the list cannot be had.
+
+        The list is sent again only when it has changed.
+        """
+        headers = Headers({b"If-None-Match": [self._list_tag]} if self._list_tag else {})
         try:
-            body = await self._fetch(f"{self._settings.host_list}/hosts".encode())
-            workers: tuple[WorkerInfo, ...] = parse_host_list(body)
+            call = self._agent.request(
+                b"GET", f"{self._settings.host_list}/hosts".encode(), headers
+            )
+            response = await with_timeout(call, self._settings.timeout_ms)
+            body = await with_timeout(readBody(response), self._settings.timeout_ms)
+            if response.code == NOT_MODIFIED:
+                return self._listed
+            if response.code != OK:
+                return None
+            workers = parse_host_list(body)
         except (CodecError, Exception):  # noqa: BLE001 - the list is only a hint
             return None
+        self._list_tag = response.headers.getRawHeaders(b"ETag", [b""])[0]
+        self._listed = workers
         return workers
 
     async def _fetch(self, url: bytes) -> bytes:
         call = self._agent.request(b"GET", url)
         response = await with_timeout(call, self._settings.timeout_ms)
         body = await with_timeout(readBody(response), self._settings.timeout_ms)
-        if response.code != 200:
+        if response.code != OK:
             raise CodecError(f"the platform answered {response.code}")
         return bytes(body)
--- a/packages/standins/src/quetzallock_standins/capacity/measures.py
+++ b/packages/standins/src/quetzallock_standins/capacity/measures.py
@@ -1,6 +1,7 @@
 """The measurements, one for each role; a decorator enters each in the registry."""
 
 import gc
+import json
 import time
 import tracemalloc
 from collections.abc import Callable
@@ -22,6 +23,7 @@
 from quetzallock_core.requests.const import WHOLE
 from quetzallock_core.requests.models import Arrival, Dispatch, Response, TryDone
 from quetzallock_core.workers.models import Resources, WorkerInfo
+from quetzallock_daemon.platform.models import parse_host_list
 
 from ..workers.model import WorkerModel, WorkerShape
 from .loop import Loop
@@ -31,6 +33,7 @@
 MEASURES: Registry[Measure] = Registry("measure")
 
 _RACK = 16
+_TASKS_PER_WORKER = 10
 _CAPACITY = Resources(64_000, 256_000, 2)
 _SMALL = Resources(100, 100, 0)
 _WARM_MS = 12_000
@@ -79,7 +82,7 @@
         for index in range(count):
             core = _make_member(loop, index, count)
             loop.add(f"host-{index}", core)
-        loop.run(30_000)
+        loop.run(60_000)
         loop.reset()
         for step in range(3):
             loop.cores.pop(f"host-{count - 1 - step}")
@@ -125,28 +128,45 @@
 
 @MEASURES.register("placer, workers held")
 def measure_held_workers() -> list[Series]:
-    """Syncs of one host with the workers that it holds, ten tasks on each."""
+    """Syncs of one host with the workers that it holds, about ten tasks on each."""
     cpu, sent, memory = [], [], []
     for count in (16, 80, 320):
         gc.collect()
         tracemalloc.start()
         before = tracemalloc.get_traced_memory()[0]
         loop, hosts = _make_loop(1, count, HostSettings(jobs=JobSettings(shards=4)))
+        _fill(loop, count * _TASKS_PER_WORKER)
         memory.append((count, (tracemalloc.get_traced_memory()[0] - before) / 1e3))
         tracemalloc.stop()
         loop.reset()
-        loop.run(10_000)
+        loop.run(20_000)
         spent = loop.costs["host-0"]
-        cpu.append((count, spent.cpu_ms / 10 / 10))
-        sent.append((count, spent.sent["SyncWorker"] / 10))
+        cpu.append((count, spent.cpu_ms / 20 / 10))
+        sent.append((count, spent.sent["SyncWorker"] / 20))
     role, size = "placer", "workers held"
     return [
-        Series(role, "CPU, % of a core", size, tuple(cpu)),
+        Series(role, "CPU with stewarding, % of a core", size, tuple(cpu)),
         Series(role, "bytes/s of bodies", size, tuple(sent)),
         Series(role, "memory with the stand-in's, KB", size, tuple(memory)),
     ]
 
 
+def _fill(loop: Loop, tasks: int) -> None:
+    """Let `tasks` long tasks run.
+
+    Raises:
+        RuntimeError: They do not.
+    """
+    for index in range(tasks // _TASKS_PER_WORKER):
+        spec = JobSpec(f"long-{index}", "team", _TASKS_PER_WORKER, _SMALL, 86_400_000)
+        loop.fire("host-0", SubmitJob(index, spec), "host-0")
+    for _ in range(120):
+        loop.run(1_000)
+        if sum(worker.count_running() for worker in loop.workers.values()) == tasks:
+            return
+    raise RuntimeError("the tasks do not run")
+
+
 @MEASURES.register("placer, one decision")
 def measure_decision() -> list[Series]:
     """One reservation, with state held for one rack, in deployments of growing size."""
@@ -204,7 +224,7 @@
 @MEASURES.register("steward, starts")
 def measure_starts() -> list[Series]:
     """One shard's owner at a rate of starts: accept, place, record, start, watch, finish."""
-    cpu, sent, appends, log_bytes = [], [], [], []
+    cpu, sent, appends, log_bytes, delay = [], [], [], [], []
     for per_s in (1, 5.3, 26.5):
         settings = HostSettings(jobs=JobSettings(shards=1, flush_ms=500))
         loop, hosts = _make_loop(2, 64, settings)
@@ -213,6 +233,7 @@
         assert sum(placed_by.values()) == 64
         seconds = 40
         loop.reset()
+        began = loop.clock.now()
         appended = loop.log.appended
         done = 0
         for step in range(seconds):
@@ -228,15 +249,27 @@
         sent.append((per_s, (spent.total_bytes - placing) / seconds))
         appends.append((per_s, (loop.log.appended - appended) / seconds))
         log_bytes.append((per_s, spent.sent["Append"] / seconds))
+        delay.append((per_s, _find_longest_wait(loop, began)))
     role, size = "steward", "starts/s"
     return [
         Series(role, "CPU, % of a core, with half the placing", size, tuple(cpu)),
         Series(role, "bytes/s, log and peers", size, tuple(sent)),
         Series(role, "bytes/s appended", size, tuple(log_bytes)),
         Series(role, "appends/s", size, tuple(appends)),
+        Series(role, "longest ms from submission to start", size, tuple(delay)),
     ]
 
 
+def _find_longest_wait(loop: Loop, began: int) -> float:
+    """Return the longest time from the submission of `job-N`, N seconds after `began`."""
+    waits = [
+        run.started_at - began - 1_000 * int(run.task.rpartition("/")[0].removeprefix("job-"))
+        for worker in loop.workers.values()
+        for run in worker.history
+    ]
+    return float(max(waits, default=0))
+
+
 @MEASURES.register("steward, tasks")
 def measure_tasks() -> list[Series]:
     """The book of a shard: memory and snapshot by the number of tasks."""
@@ -316,3 +349,40 @@
         state = PresetState(1, presets, "p0", text, 1, "operator")
         points.append((count, len(encode(state)) / 1e3))
     return [Series("presets", "state, KB", "presets", tuple(points))]
+
+
+@MEASURES.register("platform client")
+def measure_host_list() -> list[Series]:
+    """The host list: bytes and CPU of one reading, and memory, by the number of workers."""
+    size, cpu, memory = [], [], []
+    for count in (24, 470, 4_700):
+        rows = [
+            {
+                "worker": f"dc-1-{index // 10}-{index % 10}",
+                "rack": f"dc-1-{index // 10}",
+                "data_centre": "dc-1",
+                "address": f"10.1.{index // 250}.{index % 250}:8000",
+                "cpu_milli": 16_000,
+                "memory_mb": 64_000,
+                "accelerators": 1,
+                "state": "live",
+            }
+            for index in range(count)
+        ]
+        body = json.dumps({"workers": rows}).encode()
+        tracemalloc.start()
+        before = tracemalloc.get_traced_memory()[0]
+        listed = parse_host_list(body)
+        memory.append((count, (tracemalloc.get_traced_memory()[0] - before) / 1e3))
+        tracemalloc.stop()
+        assert len(listed) == count
+        began = time.process_time_ns()
+        parse_host_list(body)
+        cpu.append((count, (time.process_time_ns() - began) / 1e6))
+        size.append((count, len(body) / 1e3))
+    role, name = "platform client", "workers in all"
+    return [
+        Series(role, "host list, KB", name, tuple(size)),
+        Series(role, "host list, ms to read", name, tuple(cpu)),
+        Series(role, "host list, KB of memory", name, tuple(memory)),
+    ]
--- a/packages/standins/src/quetzallock_standins/platform/server.py
+++ b/packages/standins/src/quetzallock_standins/platform/server.py
@@ -5,14 +5,15 @@
 """
 
 import json
+import zlib
 
-from twisted.web.http import Request
+from twisted.web.http import CACHED, Request
 
 from quetzallock_core.clock import MonotonicClock
 from quetzallock_daemon.helpers import read_body
 
 from ..deployment import Deployment
-from ..server import serve, write_json
+from ..server import serve, write, write_json
 
 
 class HostListServer:
@@ -39,7 +40,11 @@
             for row in self._rows
             if self._states.get(str(row["worker"])) != "gone"
         ]
-        write_json(request, 200, {"workers": rows})
+        body = json.dumps({"workers": rows}).encode()
+        if request.setETag(f'"{zlib.crc32(body):08x}"'.encode()) is CACHED:
+            request.finish()
+            return
+        write(request, 200, body)
 
     def _take_due(self) -> None:
         now = self._clock.now()
--- a/tests/common.py
+++ b/tests/common.py
@@ -40,6 +40,7 @@
 
 FAST_JOBS = JobSettings(
     shards=4,
+    read_ms=1_000,
     task_lease_ms=6_000,
     trust_ms=10_000,
     news_ms=2_000,
