Split the owner and the placer by concern; type the errors of the HTTP interface

Change: jobs/attempts.py, placement/attempts.py, placement/reporter.py and placement/racks.py; the host list is an object of its own; errors carry their findings, one table gives their status. Ruled out: a change of behaviour; the tests keep their assertions.

--- a/packages/core/src/quetzallock_core/exceptions.py
+++ b/packages/core/src/quetzallock_core/exceptions.py
@@ -27,14 +27,16 @@
         code: Stable identifier for programs.
         cause: One sentence on what went wrong.
         hint: One sentence on what to do.
+        findings: Places and reasons, where the error lies in an input.
     """
 
     code = "internal"
 
-    def __init__(self, cause: str, hint: str = "") -> None:
+    def __init__(self, cause: str, hint: str = "", findings: Sequence[Finding] = ()) -> None:
         super().__init__(cause)
         self.cause = cause
         self.hint = hint
+        self.findings = tuple(findings)
 
 
 class InvalidInputError(QuetzallockError):
@@ -43,8 +45,8 @@
     code = "invalid_input"
 
     def __init__(self, findings: Sequence[Finding]) -> None:
-        super().__init__("; ".join(map(str, findings)), "correct the places named and try again")
-        self.findings = tuple(findings)
+        cause = "; ".join(map(str, findings))
+        super().__init__(cause, "correct the places named and try again", findings)
 
 
 class UndefinedTransitionError(QuetzallockError):
--- a/packages/core/src/quetzallock_core/host.py
+++ b/packages/core/src/quetzallock_core/host.py
@@ -13,6 +13,7 @@
 from .members.gossip import Members
 from .placement.const import PlacementSettings
 from .placement.placer import Placer
+from .placement.racks import Racks
 from .presets.const import PresetSettings
 from .presets.sync import Presets
 from .reports.collector import Reports
@@ -37,6 +38,7 @@
 
     core: Core
     members: Members
+    racks: Racks
     placer: Placer
     shards: Shards
     jobs: JobClient
@@ -58,12 +60,12 @@
     """Return an entry host that has just started."""
     core = Core(identity, clock, rng)
     member_list = members.setup(core, settings.members)
-    placer = placement.setup(core, member_list, settings.placement)
-    placer.shards = settings.jobs.shards
-    shards = jobs.setup(core, member_list, placer, settings.jobs)
+    racks = placement.Racks(core, member_list)
+    placer = placement.setup(core, member_list, racks, settings.placement, settings.jobs.shards)
+    shards = jobs.setup(core, racks, settings.jobs)
     client = JobClient(core, member_list, settings.jobs.shards)
     preset_state = presets.setup(core, member_list, settings.presets)
-    router = requests.setup(core, member_list, placer, settings.requests)
+    router = requests.setup(core, member_list, racks, settings.requests)
     survey = reports.setup(core, member_list)
     core.fire(members.MembersChanged(member_list.usable))
-    return EntryHost(core, member_list, placer, shards, client, preset_state, router, survey)
+    return EntryHost(core, member_list, racks, placer, shards, client, preset_state, router, survey)
--- a/packages/core/src/quetzallock_core/jobs/errors.py
+++ b/packages/core/src/quetzallock_core/jobs/errors.py
@@ -1,6 +1,6 @@
-"""Errors of jobs."""
+"""Errors of jobs, as submitters see them."""
 
-from ..exceptions import QuetzallockError
+from ..exceptions import Finding, QuetzallockError
 
 
 class JobConflictError(QuetzallockError):
@@ -8,14 +8,14 @@
 
     code = "job_conflict"
 
-
-class JobTooLargeError(QuetzallockError):
-    """No worker can hold a task of this size."""
-
-    code = "job_too_large"
+    def __init__(self, reason: str) -> None:
+        super().__init__("the id is taken", findings=[Finding("body: job", reason)])
 
 
 class UnknownJobError(QuetzallockError):
     """No job of that id is known."""
 
     code = "unknown_job"
+
+    def __init__(self, job: str) -> None:
+        super().__init__("no such job", findings=[Finding("path", f"{job!r} is not a job")])
--- a/packages/core/src/quetzallock_core/jobs/owner.py
+++ b/packages/core/src/quetzallock_core/jobs/owner.py
@@ -1,26 +1,11 @@
-"""Owns one shard of the jobs: accepts, places, watches and ends their tasks.
-
-Exactly once: an attempt is recorded before it may start; the next attempt is recorded only when
-the worker has said that the earlier one is over, or when the platform has taken the worker off
-its list and the task lease has surely lapsed.
-"""
+"""Owns one shard of the jobs: accepts, shows, cancels and forgets jobs."""
 
 from ..core import Core
 from ..effects import Appended, ReadDone
 from ..helpers.hashing import hash_to_range
-from ..members import Members
-from ..placement.models import (
-    AcknowledgeEnds,
-    AskAttempts,
-    CloseAttempt,
-    RenewTaskLeases,
-    RoomReserved,
-    StartAttempt,
-    TaskReport,
-)
-from ..placement.placer import Placer
-from ..workers.const import FINISHED, OVER_STATES, RUNNING
-from ..workers.models import AttemptRef, TaskLease, TaskStatus
+from ..placement.models import RoomReserved, TaskReport
+from ..placement.racks import Racks
+from .attempts import ALIVE_STATES, TaskAttempts
 from .book import TASK_CHART, Book
 from .const import (
     ACCEPTED,
@@ -48,10 +33,10 @@
     TaskRow,
     find_job,
 )
-from .watch import Watch, Watches
+from .watch import Watches
 
 RETRY_MS = 1_000
-_ALIVE_STATES = ("assigned", "cancelling")
+_NO_LOG = "the log does not answer"
 
 
 def find_shard(job: str, shards: int) -> int:
@@ -62,19 +47,15 @@
 class ShardOwner:
     """One host's part in one shard."""
 
-    def __init__(
-        self, core: Core, members: Members, placer: Placer, settings: JobSettings, shard: int
-    ) -> None:
+    def __init__(self, core: Core, racks: Racks, settings: JobSettings, shard: int) -> None:
         self._core = core
-        self._members = members
-        self._placer = placer
+        self._racks = racks
         self._settings = settings
         self.shard = shard
         self.journal = Journal(core, settings, shard)
-        self._watches = Watches(core, placer, settings)
+        self._watches = Watches(core, racks, settings)
+        self._attempts = TaskAttempts(core, racks, settings, shard, self.journal, self._watches)
         self._ended_at: dict[str, int] = {}
-        self._being_cancelled: set[str] = set()
-        self._unknown: dict[str, int] = {}
 
     @property
     def book(self) -> Book:
@@ -90,7 +71,7 @@
             return
         if self.journal.log_ok:
             self._watches.ask_room(self.book, now)
-        self._check_attempts(now)
+        self._attempts.check(now)
         self._forget_jobs(now)
 
     def leave(self) -> None:
@@ -101,16 +82,24 @@
         """Take in the outcome of an append."""
         self.journal.on_appended(event)
         if not event.ok:
-            self._refuse(self.journal.drop_waiting(), "the log does not answer")
+            self._refuse(self.journal.drop_waiting(), _NO_LOG)
 
     def on_read(self, event: ReadDone) -> None:
         """Take in what was read."""
-        now = self._core.clock.now()
-        news = self.journal.on_read(event, now)
+        news = self.journal.on_read(event, self._core.clock.now())
         if not event.ok:
-            self._refuse(self.journal.drop_waiting(), "the log does not answer")
+            self._refuse(self.journal.drop_waiting(), _NO_LOG)
         self._take_news(news)
 
+    def on_reserved(self, answer: RoomReserved) -> None:
+        """Record attempts that found room."""
+        self._attempts.on_reserved(answer)
+
+    def on_report(self, report: TaskReport) -> None:
+        """Take in what a worker says of this shard's tasks."""
+        if self.journal.is_owner:
+            self._attempts.on_report(report)
+
     def _take_news(self, news: JournalNews) -> None:
         now = self._core.clock.now()
         for pending in news.took_effect:
@@ -119,22 +108,15 @@
         if news.won:
             self._take_over(now)
         if news.lost:
-            self._watches.clear()
+            self._attempts.clear()
             self._ended_at.clear()
-            self._being_cancelled.clear()
-            self._unknown.clear()
 
     def _take_over(self, now: int) -> None:
-        """Begin to watch what earlier owners left.
-
-        They may have renewed leases until their trust ran out, so only after that can a lease
-        be known to have lapsed.
-        """
+        """Begin to watch what earlier owners left."""
         self._core.counters["jobs.shards_won"] += 1
-        lapse = self._find_inherited_lapse(now)
         for task, row in self.book.rows.items():
-            if row.state in _ALIVE_STATES:
-                self._watches.enter(task).lapses_at = lapse
+            if row.state in ALIVE_STATES:
+                self._attempts.take_over(task, now)
             elif row.state == "waiting":
                 self._requeue(task, row)
         for job in self.book.jobs:
@@ -143,18 +125,20 @@
     def _refuse(self, pendings: tuple[Pending, ...], reason: str) -> None:
         for pending in pendings:
             self._watches.unpend(pending.entry)
+            job = ""
             if isinstance(pending.entry, JobCancelled):
-                self._being_cancelled.discard(pending.entry.job)
-            if pending.waiter is None:
-                continue
-            job = getattr(pending.entry, "job", "") or getattr(pending.entry, "spec", None)
-            name = job.job if isinstance(job, JobSpec) else str(job)
-            self._reply(pending.waiter, NOT_RUN, name, RETRY_MS, reason)
+                job = pending.entry.job
+                self._attempts.being_cancelled.discard(job)
+            elif isinstance(pending.entry, JobAccepted):
+                job = pending.entry.spec.job
+            if pending.waiter is not None:
+                self._reply(pending.waiter, NOT_RUN, job, RETRY_MS, reason)
 
     def _reply(
         self, waiter: Waiter, outcome: str, job: str, retry_ms: int = 0, reason: str = ""
     ) -> None:
-        counts = self.book.count_states(job) if job in self.book.jobs else ()
+        is_known = self.journal.is_owner and job in self.book.jobs
+        counts = self.book.count_states(job) if is_known else ()
         reply = JobReply(waiter.request, outcome, job, counts, retry_ms, reason)
         self._core.send(waiter.host, reply)
 
@@ -171,7 +155,7 @@
         elif ask.spec.job in self.book.jobs:
             self._reply(waiter, ACCEPTED, ask.spec.job)
         elif not self.journal.log_ok:
-            self._reply(waiter, NOT_RUN, ask.spec.job, RETRY_MS, "the log does not answer")
+            self._reply(waiter, NOT_RUN, ask.spec.job, RETRY_MS, _NO_LOG)
         else:
             self.journal.add(JobAccepted(ask.spec), waiter)
 
@@ -185,9 +169,9 @@
         elif self.book.is_over(ask.job):
             self._reply(waiter, CANCELLED, ask.job)
         elif not self.journal.log_ok:
-            self._reply(waiter, NOT_RUN, ask.job, RETRY_MS, "the log does not answer")
+            self._reply(waiter, NOT_RUN, ask.job, RETRY_MS, _NO_LOG)
         else:
-            self._being_cancelled.add(ask.job)
+            self._attempts.being_cancelled.add(ask.job)
             self.journal.add(JobCancelled(ask.job), waiter)
 
     def on_show(self, ask: ShowJob, source: str) -> None:
@@ -200,10 +184,7 @@
     def _may_answer(self, waiter: Waiter, job: str) -> bool:
         if self.journal.is_owner:
             return True
-        reply = JobReply(
-            waiter.request, NOT_RUN, job, (), RETRY_MS, "the job's shard is changing hosts"
-        )
-        self._core.send(waiter.host, reply)
+        self._reply(waiter, NOT_RUN, job, RETRY_MS, "the job's shard is changing hosts")
         return False
 
     def _find_spec(self, job: str) -> JobSpec | None:
@@ -226,7 +207,7 @@
                 if pending.waiter:
                     self._reply(pending.waiter, ACCEPTED, spec.job)
             case AttemptRecorded(task):
-                self._start(task, now)
+                self._attempts.start(task, now)
             case TaskFinished(task):
                 self._core.counters["jobs.tasks_finished"] += 1
                 self._end(task, now)
@@ -239,37 +220,16 @@
             case JobCancelled(job):
                 self._cancel(job, pending.waiter, now)
 
-    def _start(self, task: str, now: int) -> None:
-        row = self.book.rows[task]
-        watch = self._watches.enter(task)
-        watch.asked_at = now
-        if row.state != "assigned":
-            self._close(task, row)
-            return
-        spec = self.book.jobs[find_job(task)]
-        start = StartAttempt(
-            row.worker,
-            row.boot,
-            task,
-            row.attempt,
-            spec.demand,
-            spec.run_ms,
-            row.progress_ms,
-            watch.until,
-        )
-        self._send_to_worker(row.worker, start)
-
     def _end(self, task: str, now: int) -> None:
         row = self.book.rows[task]
-        ends = (AttemptRef(task, row.attempt),)
-        self._send_to_worker(row.worker, AcknowledgeEnds(row.worker, row.boot, ends))
+        self._attempts.acknowledge(task, row)
         self._watches.drop(task)
         if row.state == "waiting":
             self._requeue(task, row)
         self._note_end(find_job(task), now)
 
     def _requeue(self, task: str, row: TaskRow) -> None:
-        is_cancelled = find_job(task) in self._being_cancelled
+        is_cancelled = find_job(task) in self._attempts.being_cancelled
         if not is_cancelled and self._has_failed_enough(row):
             reason = f"failed on {', '.join(row.failed_on)}"
             self.journal.add(TaskParked(task, reason))
@@ -278,15 +238,15 @@
 
     def _has_failed_enough(self, row: TaskRow) -> bool:
         """Tell whether the fault is likely to be the task's own, not a worker's."""
-        workers = len(self._placer.list_workers())
+        workers = len(self._racks.workers)
         return len(row.failed_on) >= max(1, min(self._settings.failures, workers))
 
     def _cancel(self, job: str, waiter: Waiter | None, now: int) -> None:
-        self._being_cancelled.discard(job)
+        self._attempts.being_cancelled.discard(job)
         for task in self.book.list_tasks(job):
             row = self.book.rows[task]
             if row.state == "cancelling":
-                self._close(task, row)
+                self._attempts.close(task, row)
             elif row.state in TASK_CHART.final:
                 self._watches.drop(task)
         if waiter:
@@ -303,179 +263,3 @@
                 del self._ended_at[job]
                 if job in self.book.jobs:
                     self.journal.add(JobForgotten(job))
-
-    # Workers
-
-    def on_reserved(self, answer: RoomReserved, source: str) -> None:
-        """Record attempts that found room."""
-        now = self._core.clock.now()
-        self._watches.note_answer(answer, now)
-        for reservation in answer.reservations:
-            row = self.book.rows.get(reservation.task)
-            if row is None or row.state != "waiting" or row.attempt + 1 != reservation.attempt:
-                continue
-            watch = self._watches.enter(reservation.task)
-            if find_job(reservation.task) in self._being_cancelled:
-                continue
-            if watch.is_pending or not self.journal.is_trusted(now):
-                continue
-            watch.until = reservation.clock + self._settings.task_lease_ms
-            watch.lapses_at = self._find_lapse(now)
-            record = AttemptRecorded(
-                reservation.task, reservation.attempt, reservation.worker, reservation.boot
-            )
-            self._add(reservation.task, record)
-
-    def on_report(self, report: TaskReport) -> None:
-        """Take in what a worker says of this shard's tasks."""
-        now = self._core.clock.now()
-        if not self.journal.is_owner:
-            return
-        renewals: list[TaskLease] = []
-        ends: list[AttemptRef] = []
-        for status in report.statuses:
-            self._take_status(report, status, now, renewals, ends)
-        for absent in report.absent:
-            self._take_absent(report, absent, now)
-        if renewals:
-            renew = RenewTaskLeases(report.worker, report.boot, tuple(renewals))
-            self._send_to_worker(report.worker, renew)
-        if ends:
-            acknowledge = AcknowledgeEnds(report.worker, report.boot, tuple(ends))
-            self._send_to_worker(report.worker, acknowledge)
-
-    def _take_status(
-        self,
-        report: TaskReport,
-        status: TaskStatus,
-        now: int,
-        renewals: list[TaskLease],
-        ends: list[AttemptRef],
-    ) -> None:
-        row = self.book.rows.get(status.task)
-        if row is None and not self._is_surely_unknown(status.task, now):
-            return
-        if row is not None and row.attempt < status.attempt:
-            return
-        ref = AttemptRef(status.task, status.attempt)
-        current = (
-            row is not None
-            and row.state in _ALIVE_STATES
-            and (row.attempt, row.worker, row.boot) == (status.attempt, report.worker, report.boot)
-        )
-        if not current:
-            self._take_outdated(report, status, ref, ends)
-            return
-        assert row is not None
-        watch = self._watches.enter(status.task)
-        watch.news_at = now
-        watch.is_started = True
-        watch.progress_ms = max(watch.progress_ms, status.progress_ms)
-        if status.state == RUNNING:
-            self._take_running(report, row, ref, now, renewals)
-        elif status.state == FINISHED:
-            self._add(status.task, TaskFinished(status.task, status.attempt))
-        elif status.state in OVER_STATES:
-            self._add_end(status.task, row, status.state, status.progress_ms)
-
-    def _is_surely_unknown(self, task: str, now: int) -> bool:
-        """Tell whether this host was still the owner after it first heard of an unknown task.
-
-        A former owner that has not read the newer claim yet knows nothing of newer jobs, and
-        must not stop their tasks.
-        """
-        first_heard = self._unknown.setdefault(task, now)
-        if self.journal.confirmed_at <= first_heard:
-            return False
-        del self._unknown[task]
-        return True
-
-    def _take_outdated(
-        self, report: TaskReport, status: TaskStatus, ref: AttemptRef, ends: list[AttemptRef]
-    ) -> None:
-        if status.state != RUNNING:
-            ends.append(ref)
-            return
-        self._core.counters["jobs.outdated_attempts"] += 1
-        self._send_to_worker(report.worker, CloseAttempt(report.worker, ref.task, ref.attempt))
-
-    def _take_running(
-        self,
-        report: TaskReport,
-        row: TaskRow,
-        ref: AttemptRef,
-        now: int,
-        renewals: list[TaskLease],
-    ) -> None:
-        if row.state == "cancelling":
-            self._close(ref.task, row)
-        elif self.journal.is_trusted(now):
-            until = report.clock + self._settings.task_lease_ms
-            renewals.append(TaskLease(ref.task, ref.attempt, until))
-            self._watches.enter(ref.task).lapses_at = self._find_lapse(now)
-
-    def _take_absent(self, report: TaskReport, ref: AttemptRef, now: int) -> None:
-        row = self.book.rows.get(ref.task)
-        if row is None or row.state not in _ALIVE_STATES or row.attempt != ref.attempt:
-            return
-        if row.worker != report.worker:
-            return
-        watch = self._watches.enter(ref.task)
-        if report.boot != row.boot:
-            self._add_end(ref.task, row, "restarted", row.progress_ms)
-        elif report.clock < watch.until and row.state == "assigned" and not watch.is_started:
-            self._start(ref.task, now)
-        else:
-            self._close(ref.task, row)
-
-    def _find_lapse(self, now: int) -> int:
-        """Return when a lease given out on a clock reading just received surely lapses."""
-        return now + self._settings.task_lease_ms + self._settings.margin_ms
-
-    def _find_inherited_lapse(self, now: int) -> int:
-        """Return when leases that earlier owners may still renew have surely lapsed."""
-        return self._find_lapse(now + self._settings.trust_ms)
-
-    def _check_attempts(self, now: int) -> None:
-        asks: dict[str, list[AttemptRef]] = {}
-        for task, watch in self._watches.list_due(now):
-            row = self.book.rows.get(task)
-            if row is None or row.state not in _ALIVE_STATES or watch.is_pending:
-                continue
-            if watch.lapses_at is None:
-                watch.lapses_at = self._find_inherited_lapse(now)
-            if now >= watch.lapses_at and self._is_gone(row.worker):
-                self._add_end(task, row, "lapsed", watch.progress_ms)
-                continue
-            watch.asked_at = now
-            asks.setdefault(row.worker, []).append(AttemptRef(task, row.attempt))
-        for worker, refs in asks.items():
-            self._send_to_worker(worker, AskAttempts(self.shard, worker, tuple(refs)))
-
-    def _is_gone(self, worker: str) -> bool:
-        """Tell whether nobody can hear from `worker` any more.
-
-        A lapsed lease proves that an attempt does not run, not that it has not finished: while
-        the platform lists the worker, the attempt's end is waited for.
-        """
-        return self.journal.log_ok and not self._placer.may_be_alive(worker)
-
-    def _add_end(self, task: str, row: TaskRow, reason: str, progress_ms: int) -> None:
-        watch = self._watches.enter(task)
-        progress_ms = max(progress_ms, watch.progress_ms, row.progress_ms)
-        self._add(task, AttemptEnded(task, row.attempt, reason, progress_ms))
-
-    def _add(self, task: str, entry: AttemptRecorded | AttemptEnded | TaskFinished) -> None:
-        watch: Watch = self._watches.enter(task)
-        if not watch.is_pending:
-            watch.is_pending = True
-            self.journal.add(entry)
-
-    def _close(self, task: str, row: TaskRow) -> None:
-        self._send_to_worker(row.worker, CloseAttempt(row.worker, task, row.attempt))
-
-    def _send_to_worker(self, worker: str, message: object) -> None:
-        rack = self._placer.find_rack(worker)
-        holder = self._placer.find_owner(rack) if rack else None
-        if holder is not None:
-            self._core.send(holder, message)
--- a/packages/core/src/quetzallock_core/jobs/shards.py
+++ b/packages/core/src/quetzallock_core/jobs/shards.py
@@ -69,12 +69,12 @@
         if owner is not None:
             owner.on_read(event)
 
-    def _on_reserved(self, answer: RoomReserved, source: str) -> None:
+    def _on_reserved(self, answer: RoomReserved, _source: str) -> None:
         tasks = [one.task for one in answer.reservations]
         tasks += [ref.task for ref in answer.refused]
         shards = {find_shard(find_job(task), len(self.owners)) for task in tasks}
         for shard in shards:
-            self.owners[shard].on_reserved(answer, source)
+            self.owners[shard].on_reserved(answer)
 
     def _on_report(self, report: TaskReport, _source: str) -> None:
         if report.shard < len(self.owners):
--- a/packages/core/src/quetzallock_core/jobs/watch.py
+++ b/packages/core/src/quetzallock_core/jobs/watch.py
@@ -5,7 +5,8 @@
 
 from ..core import Core
 from ..placement.models import ReserveRoom, RoomReserved, RoomWanted
-from ..placement.placer import Placer
+from ..placement.racks import Racks
+from ..presets.models import PresetChanged
 from .book import Book
 from .const import JobSettings
 from .models import AttemptEnded, AttemptRecorded, Entry, TaskFinished, find_job
@@ -41,12 +42,17 @@
 class Watches:
     """The watches of one shard, and the asking for room."""
 
-    def __init__(self, core: Core, placer: Placer, settings: JobSettings) -> None:
+    def __init__(self, core: Core, racks: Racks, settings: JobSettings) -> None:
         self._core = core
-        self._placer = placer
+        self._racks = racks
         self._settings = settings
         self._by_task: dict[str, Watch] = {}
         self._waiting: dict[str, None] = {}
+        self._is_paused = False
+        core.listen(PresetChanged, self._on_preset)
+
+    def _on_preset(self, event: PresetChanged, _source: str) -> None:
+        self._is_paused = event.preset.batch.paused
 
     def enter(self, task: str) -> Watch:
         """Return the watch of `task`, a new one if need be."""
@@ -84,18 +90,18 @@
 
     def ask_room(self, book: Book, now: int) -> None:
         """Ask the holder of one rack for room for tasks that wait, urgent ones first."""
-        if self._placer.batch.paused:
+        if self._is_paused:
             return
         due = [task for task in self._waiting if self._is_due(book, task, now)]
         if not due:
             return
-        racks = self._placer.list_racks()
+        racks = self._racks.names
         if not racks:
             return
         due.sort(key=lambda task: not book.jobs[find_job(task)].urgent)
         chosen = due[: self._settings.tasks_per_ask]
         rack = self._core.rng.choice(racks)
-        owner = self._placer.find_owner(rack)
+        owner = self._racks.find_owner(rack)
         if owner is None:
             return
         wanted = []
--- a/packages/core/src/quetzallock_core/placement/__init__.py
+++ b/packages/core/src/quetzallock_core/placement/__init__.py
@@ -4,8 +4,16 @@
 from ..members import Members
 from .const import PlacementSettings
 from .placer import Placer
+from .racks import Racks
+from .reporter import Reporter
 
 
-def setup(core: Core, members: Members, settings: PlacementSettings) -> Placer:
+def setup(
+    core: Core, members: Members, racks: Racks, settings: PlacementSettings, shards: int
+) -> Placer:
     """Return the placer of this host, attached to `core`."""
-    return Placer(core, members, settings)
+    reporter = Reporter(core, members, settings, shards)
+    return Placer(core, racks, reporter, settings)
+
+
+__all__ = ["Placer", "PlacementSettings", "Racks", "setup"]
--- a/packages/core/src/quetzallock_core/placement/held.py
+++ b/packages/core/src/quetzallock_core/placement/held.py
@@ -18,7 +18,7 @@
         closes: Attempts being stopped, each with the time of the next try.
     """
 
-    def __init__(self, info: WorkerInfo, lease_state: str, settings: PlacementSettings) -> None:
+    def __init__(self, info: WorkerInfo, lease_state: str) -> None:
         self.info = info
         self.lease_state = lease_state
         self.boot = ""
@@ -112,3 +112,6 @@
         self.renewals.clear()
         self.acks.clear()
         self.closes.clear()
+
+
+HeldWorkers = dict[str, HeldWorker]
--- a/packages/core/src/quetzallock_core/placement/models.py
+++ b/packages/core/src/quetzallock_core/placement/models.py
@@ -169,6 +169,11 @@
     leases: tuple[SlotLease, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class RacksChanged:
+    """Event: the workers, the racks or the hosts that racks fall to have changed."""
+
+
 @dataclass(frozen=True, slots=True)
 class WorkersListed:
     """Event: the platform's host list names these workers."""
--- a/packages/core/src/quetzallock_core/requests/__init__.py
+++ b/packages/core/src/quetzallock_core/requests/__init__.py
@@ -2,15 +2,15 @@
 
 from ..core import Core
 from ..members import Members
-from ..placement.placer import Placer
+from ..placement.racks import Racks
 from .const import RequestSettings
 from .keys import Keys
 from .router import Router
 from .slots import SlotPool
 
 
-def setup(core: Core, members: Members, placer: Placer, settings: RequestSettings) -> Router:
+def setup(core: Core, members: Members, racks: Racks, settings: RequestSettings) -> Router:
     """Return the request router of this host, attached to `core`."""
-    pool = SlotPool(core, placer, settings)
+    pool = SlotPool(core, racks, settings)
     keys = Keys(core, members, settings)
     return Router(core, pool, keys, settings)
--- a/packages/core/src/quetzallock_core/requests/errors.py
+++ b/packages/core/src/quetzallock_core/requests/errors.py
@@ -1,12 +1,6 @@
 """Errors of requests, as callers see them."""
 
-from ..exceptions import QuetzallockError
-
-
-class BadDeadlineError(QuetzallockError):
-    """The deadline is no number of milliseconds, or out of range."""
-
-    code = "bad_deadline"
+from ..exceptions import Finding, QuetzallockError
 
 
 class BodyTooLargeError(QuetzallockError):
@@ -14,14 +8,16 @@
 
     code = "body_too_large"
 
-
-class UnreadableBodyError(QuetzallockError):
-    """The body cannot be read."""
-
-    code = "unreadable_body"
+    def __init__(self, limit: int) -> None:
+        finding = Finding("body", f"is larger than {limit} bytes")
+        super().__init__("the body is too large", findings=[finding])
 
 
 class UnknownServiceError(QuetzallockError):
     """No service has this name."""
 
     code = "unknown_service"
+
+    def __init__(self, service: str) -> None:
+        finding = Finding("path", f"{service!r} is not a service")
+        super().__init__("no such service", findings=[finding])
--- a/packages/core/src/quetzallock_core/requests/slots.py
+++ b/packages/core/src/quetzallock_core/requests/slots.py
@@ -7,7 +7,7 @@
 from ..helpers.ejection import Ejector
 from ..helpers.hashing import hash_text
 from ..placement.models import AskSlots, HeldSlots, SlotsLeased
-from ..placement.placer import Placer
+from ..placement.racks import Racks
 from .const import RequestSettings
 
 _LATENCY_WEIGHT = 0.2
@@ -25,9 +25,9 @@
 class SlotPool:
     """Slots by worker; asks for as many as requests need."""
 
-    def __init__(self, core: Core, placer: Placer, settings: RequestSettings) -> None:
+    def __init__(self, core: Core, racks: Racks, settings: RequestSettings) -> None:
         self._core = core
-        self._placer = placer
+        self._racks = racks
         self._settings = settings
         self._workers: dict[str, _Leased] = {}
         self._sequence = 0
@@ -103,19 +103,19 @@
 
     def _choose_racks(self) -> tuple[str, ...]:
         """Return the racks to lease slots of: near ones first, others spread by hashing."""
-        racks = self._placer.list_racks()
+        racks = self._racks.names
         if len(racks) <= self._settings.racks:
             return racks
         me = self._core.identity
 
         def rank(rack: str) -> tuple[bool, int]:
-            is_far = self._placer.find_data_centre(rack) != me.data_centre
+            is_far = self._racks.find_data_centre(rack) != me.data_centre
             return is_far, hash_text(f"{me.host}/{rack}")
 
         return tuple(heapq.nsmallest(self._settings.racks, racks, key=rank))
 
     def _ask(self, rack: str, wanted: int, now: int) -> None:
-        owner = self._placer.find_owner(rack)
+        owner = self._racks.find_owner(rack)
         if owner is None:
             return
         held = tuple(
--- a/packages/daemon/src/quetzallock_daemon/web/calls.py
+++ b/packages/daemon/src/quetzallock_daemon/web/calls.py
@@ -4,6 +4,7 @@
 
 from quetzallock_core.exceptions import Finding, InvalidInputError
 from quetzallock_core.requests.const import NOT_RUN, WHOLE
+from quetzallock_core.requests.errors import UnknownServiceError
 from quetzallock_core.requests.models import Arrival, CallerGone, Dispatch, Response, Verdict
 
 from ..helpers import read_body, run_task
@@ -95,9 +96,7 @@
     """Check a request and hand it to the router."""
     node = context.node
     if service not in node.settings.calls.services:
-        finding = Finding("path", f"{service!r} is not a service")
-        write_error(request, 404, "unknown_service", "no such service", [finding])
-        return
+        raise UnknownServiceError(service)
     deadline_ms = _read_deadline(context, request)
     key = get_header(request, KEY_HEADER)
     if len(key) > KEY_LENGTH:
--- a/packages/daemon/src/quetzallock_daemon/web/jobs.py
+++ b/packages/daemon/src/quetzallock_daemon/web/jobs.py
@@ -16,6 +16,7 @@
     NOT_RUN,
     UNKNOWN_JOB,
 )
+from quetzallock_core.jobs.errors import JobConflictError, UnknownJobError
 from quetzallock_core.jobs.models import JobReply, JobSpec
 from quetzallock_core.presets.schema import check_document
 from quetzallock_core.workers.models import Resources
@@ -24,7 +25,7 @@
 from ..telemetry.traces import TRACEPARENT
 from .const import JOB_TIMEOUT_MS
 from .context import WebContext, get_header
-from .replies import write_error, write_json
+from .replies import write_error, write_failure, write_json
 from .routes import route
 
 _NAME: Final = vol.All(str, vol.Match(r"^[A-Za-z0-9][A-Za-z0-9._-]{0,99}$", msg="is not a name"))
@@ -61,7 +62,7 @@
 def _parse_spec(context: WebContext, request: Request) -> JobSpec:
     checked = check_document(_SCHEMA, parse_json(request), "body")
     demand = Resources(checked["cpu_milli"], checked["memory_mb"], checked["accelerators"])
-    if not context.node.host.placer.could_hold(demand):
+    if not context.node.host.racks.could_hold(demand):
         place = "body: cpu_milli, memory_mb, accelerators"
         raise InvalidInputError([Finding(place, "no worker is large enough for one task")])
     return JobSpec(
@@ -112,11 +113,9 @@
         body = {"job": reply.job, "outcome": reply.outcome, "tasks": counts}
         write_json(request, status, body)
     elif reply.outcome == UNKNOWN_JOB:
-        finding = Finding("path", f"{reply.job!r} is not a job")
-        write_error(request, 404, "unknown_job", "no such job", [finding])
+        write_failure(request, UnknownJobError(reply.job))
     elif reply.outcome == CONFLICT:
-        finding = Finding("body: job", reply.reason)
-        write_error(request, 409, "job_conflict", "the id is taken", [finding])
+        write_failure(request, JobConflictError(reply.reason))
     else:
         status = 503 if reply.outcome == NOT_RUN else 504
         write_error(
--- a/packages/daemon/src/quetzallock_daemon/web/presets.py
+++ b/packages/daemon/src/quetzallock_daemon/web/presets.py
@@ -7,13 +7,14 @@
 
 from quetzallock_core.exceptions import Finding, InvalidInputError
 from quetzallock_core.presets.book import find_preset
+from quetzallock_core.presets.errors import LostRaceError, UnknownPresetError
 from quetzallock_core.presets.models import ChangeOutcome, HostPreset
 from quetzallock_core.presets.schema import check_document, parse_preset
 
 from ..helpers import read_body
 from .context import WebContext, get_header
 from .jobs import parse_json
-from .replies import write_error, write_json
+from .replies import write_error, write_failure, write_json
 from .routes import route
 
 _USE_SCHEMA: Final = vol.Schema(
@@ -80,9 +81,7 @@
     """Put a preset in force."""
     checked = check_document(_USE_SCHEMA, parse_json(request), "body")
     if find_preset(context.node.host.presets.state, name) is None:
-        finding = Finding("path", f"{name!r} has not been published")
-        write_error(request, 404, "unknown_preset", "no such preset", [finding])
-        return
+        raise UnknownPresetError(name)
     ticket = context.open_ticket(request, lambda outcome: _write_outcome(request, outcome))
     context.node.host.presets.use(ticket, name, checked["author"], checked.get("base"))
     context.node.carry_out()
@@ -93,9 +92,7 @@
         body = {"outcome": "done", "switched_at": outcome.switched_at}
         write_json(request, 200, body)
     elif outcome.outcome == "lost":
-        cause = f"another change, by {outcome.winner or 'nobody known'}, came first"
-        finding = Finding("base", f"the newest change is at offset {outcome.switched_at}")
-        write_error(request, 409, "lost_race", cause, [finding])
+        write_failure(request, LostRaceError(outcome.winner, outcome.switched_at))
     else:
         status = 503 if outcome.outcome == "not_run" else 504
         write_error(
--- a/packages/daemon/src/quetzallock_daemon/web/replies.py
+++ b/packages/daemon/src/quetzallock_daemon/web/replies.py
@@ -7,9 +7,10 @@
 from twisted.web.http import Request
 
 from quetzallock_core.const import SECOND_MS
-from quetzallock_core.exceptions import Finding
+from quetzallock_core.exceptions import Finding, InvalidInputError, QuetzallockError
 
 from .const import OUTCOME_HEADER
+from .errors import STATUS_BY_CODE
 
 
 def write_json(request: Request, status: int, body: object) -> None:
@@ -23,6 +24,15 @@
     request.finish()
 
 
+def write_failure(request: Request, error: QuetzallockError) -> None:
+    """Write an error of the input; it was not run."""
+    status = STATUS_BY_CODE.get(error.code, 400)
+    cause = error.cause
+    if isinstance(error, InvalidInputError):
+        cause = "the input has faults"
+    write_error(request, status, error.code, cause, error.findings)
+
+
 def write_error(
     request: Request,
     status: int,
--- a/packages/daemon/src/quetzallock_daemon/web/routes.py
+++ b/packages/daemon/src/quetzallock_daemon/web/routes.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from typing import Any
 
+from .errors import MethodNotAllowedError, UnknownPathError
+
 Handler = Callable[..., None]
 
 
@@ -30,20 +32,21 @@
     return enter
 
 
-def find_route(method: str, path: str) -> tuple[Handler, dict[str, Any]] | None:
-    """Return the handler and its arguments, or None where no path fits.
+def find_route(method: str, path: str) -> tuple[Handler, dict[str, Any]]:
+    """Return the handler of a request and its arguments.
 
     Raises:
-        LookupError: The path fits, but not with this method.
+        UnknownPathError: No route has this path.
+        MethodNotAllowedError: The path is offered with other methods only.
     """
-    fits = False
+    is_known = False
     for entry in ROUTES:
         match = entry.pattern.fullmatch(path)
         if match is None:
             continue
-        fits = True
+        is_known = True
         if entry.method in (method, "*"):
             return entry.handler, match.groupdict()
-    if fits:
-        raise LookupError(method)
-    return None
+    if is_known:
+        raise MethodNotAllowedError(method)
+    raise UnknownPathError(path)
--- a/packages/daemon/src/quetzallock_daemon/web/site.py
+++ b/packages/daemon/src/quetzallock_daemon/web/site.py
@@ -7,11 +7,12 @@
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET, Request, Site
 
-from quetzallock_core.exceptions import Finding, InvalidInputError, QuetzallockError
+from quetzallock_core.exceptions import QuetzallockError
+from quetzallock_core.requests.errors import BodyTooLargeError
 
 from . import calls, jobs, presets, status  # noqa: F401 - they fill the table of routes
 from .context import WebContext
-from .replies import write_error
+from .replies import write_failure
 from .routes import find_route
 
 _IDLE_S = 75
@@ -50,33 +51,15 @@
     def render(self, request: HttpRequest) -> int:
         """Find the handler; faults of the input are answered with their place."""
         path = unquote(request.path.decode("latin-1"))
-        if getattr(request, "is_too_large", False):
-            limit = self._context.node.settings.calls.body_bytes
-            finding = Finding("body", f"is larger than {limit} bytes")
-            write_error(request, 413, "body_too_large", "the body is too large", [finding])
-            return NOT_DONE_YET
         try:
-            self._dispatch(request, path)
-        except InvalidInputError as error:
-            write_error(request, 400, error.code, "the input has faults", error.findings)
+            if getattr(request, "is_too_large", False):
+                raise BodyTooLargeError(self._context.node.settings.calls.body_bytes)
+            handler, arguments = find_route(request.method.decode("latin-1"), path)
+            handler(self._context, request, **arguments)
         except QuetzallockError as error:
-            write_error(request, 400, error.code, error.cause)
+            write_failure(request, error)
         return NOT_DONE_YET
 
-    def _dispatch(self, request: HttpRequest, path: str) -> None:
-        try:
-            found = find_route(request.method.decode("latin-1"), path)
-        except LookupError:
-            finding = Finding("method", "is not offered at this path")
-            write_error(request, 405, "method_not_allowed", "wrong method", [finding])
-            return
-        if found is None:
-            finding = Finding("path", f"{path} is not offered")
-            write_error(request, 404, "unknown_path", "no such path", [finding])
-            return
-        handler, arguments = found
-        handler(self._context, request, **arguments)
-
 
 def make_site(context: WebContext) -> Site:
     """Return the HTTP server's factory."""
--- a/packages/daemon/src/quetzallock_daemon/web/status.py
+++ b/packages/daemon/src/quetzallock_daemon/web/status.py
@@ -25,7 +25,7 @@
         write_error(request, 503, "draining", "a planned stop has begun")
     elif not context.node.host.members.usable:
         write_error(request, 503, "joining", "no other host has been heard of yet")
-    elif not context.node.host.placer.list_workers():
+    elif not context.node.host.racks.workers:
         write_error(request, 503, "no_workers", "the host list has not been read yet")
     else:
         write_json(request, 200, {"status": "ready"})
--- a/tests/core/test_codec.py
+++ b/tests/core/test_codec.py
@@ -3,6 +3,7 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+
 from quetzallock_core import codec
 from quetzallock_core.exceptions import CodecError
 from quetzallock_core.members.models import Ping, Rumour
--- a/tests/daemon/test_traces.py
+++ b/tests/daemon/test_traces.py
@@ -3,6 +3,7 @@
 import logging
 
 import pytest
+
 from quetzallock_daemon.settings.models import TelemetrySettings
 from quetzallock_daemon.telemetry.traces import make_tracing
 
--- a/tests/proofs/twins.py
+++ b/tests/proofs/twins.py
@@ -5,8 +5,8 @@
 from typing import Any
 from unittest.mock import patch
 
+from quetzallock_core.jobs.attempts import TaskAttempts
 from quetzallock_core.jobs.book import Book
-from quetzallock_core.jobs.owner import ShardOwner
 from quetzallock_core.members.gossip import Members
 from quetzallock_core.placement.commitment import Commitment
 from quetzallock_core.placement.held import HeldWorker
@@ -35,13 +35,13 @@
 
 @TWINS.register("one place")
 def _start_the_next_attempt_at_once() -> list[Any]:
-    def check(self: ShardOwner, now: int) -> None:
-        for task, row in self.book.rows.items():
+    def check(self: TaskAttempts, now: int) -> None:
+        for task, row in self._book.rows.items():
             watch = self._watches.enter(task)
             if row.state == "assigned" and watch.news_at and not watch.is_pending:
                 self._add_end(task, row, "doubted", 0)
 
-    return [patch.object(ShardOwner, "_check_attempts", check)]
+    return [patch.object(TaskAttempts, "check", check)]
 
 
 @TWINS.register("resume")
