--- a/packages/core/src/quetzallock_core/placement/sharing.py
+++ b/packages/core/src/quetzallock_core/placement/sharing.py
@@ -55,12 +55,17 @@
                 del self._wanted[holder]
 
     def _find_limit(self, offers: Mapping[str, SlotOffer], holder: str) -> int:
-        total = sum(offer.ledger.slots for offer in offers.values())
-        fair = total // max(1, len(self._wanted))
-        others = sum(
-            min(wanted, fair) for other, (wanted, _) in self._wanted.items() if other != holder
-        )
-        return max(fair, total - others)
+        """Return the slots that `holder` may have: max-min fair, in whole slots."""
+        free = sum(offer.ledger.slots for offer in offers.values())
+        shares = dict.fromkeys(sorted(self._wanted), 0)
+        while free > 0:
+            unmet = [name for name, share in shares.items() if share < self._wanted[name][0]]
+            if not unmet:
+                return shares.get(holder, 0) + free
+            for name in unmet[:free]:
+                shares[name] += 1
+            free -= min(free, len(unmet))
+        return shares.get(holder, 0)
 
 
 def _grow(offers: Mapping[str, SlotOffer], holder: str, missing: int, now: int) -> None:
