--- a/packages/standins/src/quetzallock_standins/__main__.py
+++ b/packages/standins/src/quetzallock_standins/__main__.py
@@ -92,6 +92,12 @@
 
         print(run_bench(deployment, seed, Path(out) / deployment, only))
 
+    def cost(self, deployment: str = "aveia") -> None:
+        """Measure what one request costs in a daemon."""
+        from .play.cost import measure_cost, render_cost
+
+        print(render_cost(measure_cost(deployment)))
+
 
 def main() -> None:
     """Run the command line."""
