Call work long only where it is much longer than most

Cause: at half a load of one kind of work of 240 ms, beside batch, 41% of requests were refused and the p99 was 1,431 ms against 945 ms of the baseline: learned length passed long_ms (250), so that all requests were held to a quarter of the slots. Ruled out: the sharing of slots (the baseline uses the same leases). Change: work is long if it also takes three times the mean of all; the benchmark's table shows what was not answered in time. Before: 10% refused without batch, 41% beside it.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PACKAGES := -e packages/core -e packages/daemon -e packages/cli -e packages/standins
 TOOLS := pytest pytest-xdist hypothesis syrupy ruff mypy
 
-.PHONY: demo test lint capacity bench soak clean
+.PHONY: demo up test lint capacity bench soak clean
 
 $(VENV)/.ready: constraints.txt $(wildcard packages/*/pyproject.toml)
 	@test -x $(PY) || python3 -m venv $(VENV)
@@ -13,6 +13,9 @@
 demo: $(VENV)/.ready
 	$(PY) -m quetzallock_standins demo --deployment=$(or $(DEPLOYMENT),aveia)
 
+up: $(VENV)/.ready
+	$(PY) -m quetzallock_standins up --deployment=$(or $(DEPLOYMENT),aveia)
+
 test: $(VENV)/.ready
 	$(PY) -m pytest tests -n 5 --dist loadgroup
 
--- a/packages/core/src/quetzallock_core/requests/lengths.py
+++ b/packages/core/src/quetzallock_core/requests/lengths.py
@@ -4,6 +4,8 @@
 from typing import Final
 
 _WEIGHT: Final = 0.1
+_OVERALL_WEIGHT: Final = 0.01
+_LONG_FACTOR: Final = 3.0
 _FIRST_GUESS_MS: Final = 20.0
 _KINDS_LIMIT: Final = 1_000
 _DEVIATIONS: Final = 2.0
@@ -21,11 +23,11 @@
         """Time that few requests of the kind exceed."""
         return self.mean + _DEVIATIONS * self.deviation
 
-    def update(self, took_ms: float) -> "Length":
+    def update(self, took_ms: float, weight: float = _WEIGHT) -> "Length":
         """Return the length after one more request."""
         error = took_ms - self.mean
-        deviation = self.deviation + _WEIGHT * (abs(error) - self.deviation)
-        return Length(self.mean + _WEIGHT * error, deviation)
+        deviation = self.deviation + weight * (abs(error) - self.deviation)
+        return Length(self.mean + weight * error, deviation)
 
 
 class Lengths:
@@ -37,7 +39,7 @@
 
     def note(self, kind: str, took_ms: float) -> None:
         """Take in how long one request took."""
-        self._overall = self._overall.update(took_ms)
+        self._overall = self._overall.update(took_ms, _OVERALL_WEIGHT)
         old = self._kinds.pop(kind, None)
         self._kinds[kind] = old.update(took_ms) if old else Length(took_ms, took_ms / 4)
         if len(self._kinds) > _KINDS_LIMIT:
@@ -46,3 +48,11 @@
     def expect(self, kind: str) -> Length:
         """Return how long a request of `kind` is likely to take."""
         return self._kinds.get(kind, self._overall)
+
+    def is_long(self, kind: str, least_ms: float) -> bool:
+        """Tell whether a kind takes `least_ms` or more, and much longer than most requests.
+
+        What is long is a matter of the company: where all requests take their time, none of
+        them is to be held back for the others.
+        """
+        return self.expect(kind).mean >= max(least_ms, _LONG_FACTOR * self._overall.mean)
--- a/packages/core/src/quetzallock_core/requests/policies.py
+++ b/packages/core/src/quetzallock_core/requests/policies.py
@@ -121,7 +121,7 @@
         """Queue the request where it is likely to be answered in time."""
         length = self._lengths.expect(waiting.kind)
         waiting.expected_ms, waiting.most_ms = length.mean, length.likely_most
-        waiting.is_long = waiting.expected_ms >= self._rules.long_ms
+        waiting.is_long = self._lengths.is_long(waiting.kind, self._rules.long_ms)
         wait = self._predict_wait(waiting, slots)
         if now + wait + waiting.most_ms > waiting.deadline:
             return int(wait + waiting.expected_ms)
--- a/packages/standins/src/quetzallock_standins/__main__.py
+++ b/packages/standins/src/quetzallock_standins/__main__.py
@@ -92,6 +92,12 @@
 
         print(run_bench(deployment, seed, Path(out) / deployment, only))
 
+    def up(self, deployment: str = "aveia", http_port: int = 8080, out: str = "out/up") -> None:
+        """Keep a deployment running until interrupted, its first daemon on HTTP_PORT."""
+        from .play.demo import keep_up
+
+        keep_up(deployment, Path(out) / deployment, http_port)
+
     def cost(self, deployment: str = "aveia") -> None:
         """Measure what one request costs in a daemon."""
         from .play.cost import measure_cost, render_cost
--- a/packages/standins/src/quetzallock_standins/play/bench.py
+++ b/packages/standins/src/quetzallock_standins/play/bench.py
@@ -111,6 +111,12 @@
     return find_quantile(times, 0.99)
 
 
+def find_failed_percent(results: list[CallResult]) -> float:
+    """Return the share of calls that got no whole answer in time."""
+    in_time = sum(one.outcome == "whole" and one.took_ms <= one.deadline_ms for one in results)
+    return 100 * (1 - in_time / max(1, len(results)))
+
+
 @BENCHES.register("crest")
 def measure_crest(bench: Bench) -> list[Row]:
     """Demand of three times what the slots can serve, for six seconds."""
@@ -134,16 +140,18 @@
 @BENCHES.register("stragglers")
 def measure_stragglers(bench: Bench) -> list[Row]:
     """One request in fifty takes about fifteen times as long."""
-    ratio, tails = {}, {}
+    ratio, tails, refused = {}, {}, {}
     for policy in POLICIES:
         without = bench.play("plain", policy, _make_trace(bench, make_calls(bench, 0.5, 0.5, 0)))
         with_them = bench.play(
             "stragglers", policy, _make_trace(bench, make_calls(bench, 0.5, 0.5, 0.02))
         )
         tails[policy] = find_p99(with_them)
+        refused[policy] = find_failed_percent(with_them)
         ratio[policy] = tails[policy] / max(1.0, find_p99(without))
     return [
         _row("stragglers: p99 of short work, ms", tails),
+        _row("stragglers: % not answered in time", refused),
         _row("stragglers: p99 with them to without", ratio, at_most=1.2),
     ]
 
@@ -151,13 +159,19 @@
 @BENCHES.register("batch")
 def measure_batch(bench: Bench) -> list[Row]:
     """Batch work beside requests."""
-    ratio = {}
+    ratio, tails, refused = {}, {}, {}
     for policy in POLICIES:
         alone = bench.play("alone", policy, _make_trace(bench, make_calls(bench, 0.5, 0.5, 0)))
         calls = make_calls(bench, 0.5, 0.5, 0)
         beside = bench.play("beside", policy, _make_trace(bench, calls, with_jobs=True))
-        ratio[policy] = find_p99(beside) / max(1.0, find_p99(alone))
-    return [_row("batch: p99 beside batch to alone", ratio, at_most=1.3)]
+        tails[policy] = find_p99(beside)
+        refused[policy] = find_failed_percent(beside)
+        ratio[policy] = tails[policy] / max(1.0, find_p99(alone))
+    return [
+        _row("batch: p99 beside batch, ms", tails),
+        _row("batch: % not answered in time", refused),
+        _row("batch: p99 beside batch to alone", ratio, at_most=1.3),
+    ]
 
 
 def _is_in_time(call: CallResult) -> bool:
--- a/packages/standins/src/quetzallock_standins/play/demo.py
+++ b/packages/standins/src/quetzallock_standins/play/demo.py
@@ -1,6 +1,7 @@
 """The main job on stand-ins: a whole deployment, a recorded trace, a fault midway."""
 
 import json
+import signal
 import subprocess
 import sys
 import time
@@ -110,6 +111,20 @@
         raise RuntimeError(f"broken: {verdict.list_broken(False)}")
 
 
+def keep_up(name: str, folder: Path, http_port: int) -> None:
+    """Run a deployment with the preset `ordinary` in force until interrupted."""
+    local = LocalDeployment(name, folder, http_port=http_port)
+    try:
+        local.start()
+        time.sleep(_SETTLE_S)
+        local.publish_presets("ordinary")
+        for running in local.hosts.values():
+            print(f"{running.name} at {running.http}", flush=True)
+        signal.sigwait({signal.SIGINT, signal.SIGTERM})
+    finally:
+        local.stop()
+
+
 def _print_failure(failure: Any) -> None:
     print(failure.getTraceback(), file=sys.stderr)
 
--- a/packages/standins/src/quetzallock_standins/processes.py
+++ b/packages/standins/src/quetzallock_standins/processes.py
@@ -69,6 +69,7 @@
         folder: Path,
         entry_hosts: int | None = None,
         slots: int | None = None,
+        http_port: int | None = None,
     ) -> None:
         self.deployment: Deployment = load_deployment(EXAMPLES / name / "deployment.toml")
         self._slots = slots or self.deployment.worker.slots
@@ -82,6 +83,8 @@
         self._host_ports = [
             (ports[3 + 2 * index], ports[4 + 2 * index]) for index in range(self.entry_hosts)
         ]
+        if http_port is not None:
+            self._host_ports[0] = (http_port, self._host_ports[0][1])
         self._extra: dict[str, dict[str, int | str]] = {}
         folder.mkdir(parents=True, exist_ok=True)
 
--- a/tests/core/placement/test_commitment.py
+++ b/tests/core/placement/test_commitment.py
@@ -8,6 +8,7 @@
 from quetzallock_core.workers.models import NOTHING, Resources, TaskStatus
 
 CAPACITY = Resources(16_000, 64_000, 2)
+FOREVER = 2**60
 DEMANDS = st.builds(Resources, st.integers(1, 9_000), st.integers(1, 30_000), st.integers(0, 1))
 TASKS = st.sampled_from([f"job/{index}" for index in range(6)])
 STEPS = st.lists(
@@ -22,38 +23,58 @@
 )
 
 
+class Course:
+    """A commitment, and apart from it all that was granted and can still be used."""
+
+    def __init__(self) -> None:
+        self.commitment = Commitment()
+        self.commitment.capacity = CAPACITY
+        self.now = 0
+        self.granted: dict[str, tuple[Resources, int]] = {}
+
+    def take(self, kind: str, task: str, demand: Resources, number: int) -> None:
+        """Take one step."""
+        is_known = task in self.commitment.tasks
+        if kind == "wait":
+            self.now += number
+            self.commitment.expire_starts(self.now)
+        elif kind in ("reserve", "commit") and not is_known:
+            self._ask(kind, task, demand, number)
+        elif kind == "run" and self.now < self.granted.get(task, (NOTHING, 0))[1]:
+            self.granted[task] = (self.granted[task][0], FOREVER)
+            status = TaskStatus(task, 1, RUNNING, self.granted[task][0])
+            self.commitment.merge_tasks((status,))
+        elif kind == "finish" and is_known:
+            self.commitment.merge_tasks((TaskStatus(task, 1, FINISHED, NOTHING),))
+            self.commitment.forget_task(task, 1)
+            self.granted.pop(task, None)
+
+    def _ask(self, kind: str, task: str, demand: Resources, number: int) -> None:
+        if kind == "reserve":
+            has_room = self.commitment.reserve(task, demand, self.now, number)
+        else:
+            has_room = self.commitment.commit(task, demand, self.now, self.now + number)
+        if has_room:
+            self.granted[task] = (demand, self.now + number)
+
+    def add_up(self) -> Resources:
+        """Return the sum of what can still be used."""
+        total = NOTHING
+        for demand, until in self.granted.values():
+            if self.now < until:
+                total += demand
+        return total
+
+
 @given(STEPS)
 def test_granted_room_never_exceeds_the_worker(
     steps: list[tuple[str, str, Resources, int]],
 ) -> None:
     """All that was granted and can still be used fits, whatever the order of events."""
-    commitment = Commitment()
-    commitment.capacity = CAPACITY
-    now = 0
-    granted: dict[str, tuple[Resources, int]] = {}
-    for kind, task, demand, number in steps:
-        if kind == "wait":
-            now += number
-            commitment.expire_starts(now)
-        elif kind == "reserve" and task not in commitment.tasks:
-            if commitment.reserve(task, demand, now, number):
-                granted[task] = (demand, now + number)
-        elif kind == "commit" and task not in commitment.tasks:
-            if commitment.commit(task, demand, now, now + number):
-                granted[task] = (demand, now + number)
-        elif kind == "run" and task in granted and now < granted[task][1]:
-            status = TaskStatus(task, 1, RUNNING, granted[task][0])
-            commitment.merge_tasks((status,))
-            granted[task] = (granted[task][0], 2**60)
-        elif kind == "finish" and task in commitment.tasks:
-            commitment.merge_tasks((TaskStatus(task, 1, FINISHED, NOTHING),))
-            commitment.forget_task(task, 1)
-            granted.pop(task, None)
-        total = NOTHING
-        for held, until in granted.values():
-            if now < until:
-                total += held
-        assert total.fits(CAPACITY)
+    course = Course()
+    for step in steps:
+        course.take(*step)
+        assert course.add_up().fits(CAPACITY)
 
 
 def test_observed_use_counts_where_it_is_larger() -> None:
--- a/tests/core/requests/test_policies.py
+++ b/tests/core/requests/test_policies.py
@@ -15,6 +15,8 @@
     for kind, length in lengths.items():
         for _ in range(100):
             learned.note(kind, length)
+    for _ in range(400):
+        learned.note("common", min(lengths.values()))
     return DeadlinePolicy(RequestRules(**rules), learned)
 
 
@@ -42,6 +44,18 @@
     assert sent == ["long", "long", "short"]
 
 
+def test_work_is_not_long_where_all_of_it_is() -> None:
+    """Half a load of one kind above `long_ms` was held to a quarter of the slots."""
+    policy = make_policy({"only": 300}, long_ms=250, long_percent=25)
+    for number in range(8):
+        assert policy.admit(make_waiting(number, "only", 5_000), 8, 0) is None
+    sent = []
+    while waiting := policy.pop(8, 0):
+        policy.note_sent(waiting)
+        sent.append(waiting)
+    assert len(sent) == 8
+
+
 def test_most_pressing_request_goes_first() -> None:
     policy = make_policy({"short": 10})
     for ticket, deadline in ((1, 900), (2, 300), (3, 600)):
