--- a/packages/standins/src/quetzallock_standins/play/demo.py
+++ b/packages/standins/src/quetzallock_standins/play/demo.py
@@ -120,7 +120,9 @@
         local.publish_presets("ordinary")
         for running in local.hosts.values():
             print(f"{running.name} at {running.http}", flush=True)
-        signal.sigwait({signal.SIGINT, signal.SIGTERM})
+        stops = {signal.SIGINT, signal.SIGTERM}
+        signal.pthread_sigmask(signal.SIG_BLOCK, stops)
+        signal.sigwait(stops)
     finally:
         local.stop()
 
