Tell a result that was recorded from one that was lost; share spare slots after needed ones

Ruled out: (1) counting every such result as delivered: only what a daemon says has finished counts, and a second run after it counts as doubled. Change: the verdict asks a daemon about such tasks; needed slots are shared first, then spare ones, in an order that differs by rack.

--- a/packages/core/src/quetzallock_core/placement/sharing.py
+++ b/packages/core/src/quetzallock_core/placement/sharing.py
@@ -1,13 +1,15 @@
 """Divides the slots of a rack among the hosts that ask for them.
 
-Each asker is sure of an equal part of the rack's slots; what others do not want goes to whoever
-does. A lease is cut down only by idle slots, when its holder asks next.
+Each asker is sure of an equal part of the rack's slots for what it needs; what others do not need
+goes to whoever does, and only what nobody needs is held spare. A lease is cut down only by idle
+slots, when its holder asks next.
 """
 
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Final
 
+from ..helpers.hashing import hash_text
 from .models import AskSlots, SlotLease
 from .slots import SlotLedger
 
@@ -22,11 +24,18 @@
     ttl_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class _Want:
+    needed: int
+    spare: int
+    at: int
+
+
 class RackSharing:
     """Remembers who wants slots of one rack."""
 
     def __init__(self) -> None:
-        self._wanted: dict[str, tuple[int, int]] = {}
+        self._wants: dict[str, _Want] = {}
 
     def divide(
         self, offers: Mapping[str, SlotOffer], ask: AskSlots, now: int
@@ -38,7 +47,7 @@
             if offer is not None:
                 offer.ledger.renew(ask.holder, held.slots, held.busy, now, offer.ttl_ms)
         total = sum(offer.ledger.slots_of(ask.holder) for offer in offers.values())
-        target = min(ask.wanted, self._find_limit(offers, ask.holder))
+        target = self._find_limit(ask.rack, offers, ask.holder)
         if total < target:
             _grow(offers, ask.holder, target - total, now)
         elif total > target:
@@ -49,23 +58,37 @@
         )
 
     def _note(self, ask: AskSlots, now: int) -> None:
-        self._wanted[ask.holder] = (ask.wanted, now)
-        for holder, (_, at) in list(self._wanted.items()):
-            if now - at >= _ASKER_MS:
-                del self._wanted[holder]
-
-    def _find_limit(self, offers: Mapping[str, SlotOffer], holder: str) -> int:
-        """Return the slots that `holder` may have: max-min fair, in whole slots."""
+        self._wants[ask.holder] = _Want(ask.wanted, ask.spare, now)
+        for holder, want in list(self._wants.items()):
+            if now - want.at >= _ASKER_MS:
+                del self._wants[holder]
+
+    def _find_limit(self, rack: str, offers: Mapping[str, SlotOffer], holder: str) -> int:
+        """Return the slots that `holder` may have: what is needed first, then what is spare.
+
+        The order of holders differs from rack to rack, so that the remainder of a division does
+        not always fall to the same ones.
+        """
+        order = sorted(self._wants, key=lambda name: hash_text(f"{rack}/{name}"))
         free = sum(offer.ledger.slots for offer in offers.values())
-        shares = dict.fromkeys(sorted(self._wanted), 0)
-        while free > 0:
-            unmet = [name for name, share in shares.items() if share < self._wanted[name][0]]
-            if not unmet:
-                return shares.get(holder, 0) + free
-            for name in unmet[:free]:
-                shares[name] += 1
-            free -= min(free, len(unmet))
-        return shares.get(holder, 0)
+        needed = {name: self._wants[name].needed for name in order}
+        shares, free = _share_evenly(needed, free)
+        spare = {name: self._wants[name].spare for name in order}
+        spares, _ = _share_evenly(spare, free)
+        return shares[holder] + spares[holder]
+
+
+def _share_evenly(wants: Mapping[str, int], free: int) -> tuple[dict[str, int], int]:
+    """Return a max-min fair division of whole slots, and what is left."""
+    shares = dict.fromkeys(wants, 0)
+    while free > 0:
+        unmet = [name for name, share in shares.items() if share < wants[name]]
+        if not unmet:
+            return shares, free
+        for name in unmet[:free]:
+            shares[name] += 1
+        free -= min(free, len(unmet))
+    return shares, free
 
 
 def _grow(offers: Mapping[str, SlotOffer], holder: str, missing: int, now: int) -> None:
--- a/packages/core/src/quetzallock_core/requests/slots.py
+++ b/packages/core/src/quetzallock_core/requests/slots.py
@@ -11,6 +11,7 @@
 from .const import RequestSettings
 
 _LATENCY_WEIGHT = 0.2
+_LEAST_FREE = 2
 
 
 @dataclass(slots=True)
@@ -91,21 +92,20 @@
         self._next_ask = now + self._settings.slots_ask_ms
         self._last_ask = now
         racks = self._choose_racks()
-        wanted = self.busy + self.queued + self._settings.spare_slots * max(1, len(racks))
-        for rack in racks:
-            self._ask(rack, -(-wanted // len(racks)), now)
+        needed = self.busy + self.queued + _LEAST_FREE
+        for index, rack in enumerate(racks):
+            share, rest = divmod(needed, len(racks))
+            self._ask(rack, share + (index < rest), now)
 
     def _is_short(self, now: int) -> bool:
         """Tell whether requests wait for a slot, or too few are spare, since the last asking."""
         if now - self._last_ask < self._settings.slots_hurry_ms:
             return False
-        return bool(self.queued) or self.slots - self.busy < self._settings.spare_slots
+        return bool(self.queued) or self.slots - self.busy < _LEAST_FREE
 
     def _choose_racks(self) -> tuple[str, ...]:
         """Return the racks to lease slots of: near ones first, others spread by hashing."""
         racks = self._racks.names
-        if len(racks) <= self._settings.racks:
-            return racks
         me = self._core.identity
 
         def rank(rack: str) -> tuple[bool, int]:
@@ -126,7 +126,8 @@
         self._sequence += 1
         self._asked[rack] = (self._sequence, now)
         holder = self._core.identity.holder
-        self._core.send(owner, AskSlots(rack, self._sequence, wanted, held, holder))
+        spare = self._settings.spare_slots
+        self._core.send(owner, AskSlots(rack, self._sequence, wanted, held, holder, spare))
 
     def _on_leased(self, answer: SlotsLeased, _source: str) -> None:
         sequence, asked_at = self._asked.get(answer.rack, (0, 0))
--- a/packages/standins/src/quetzallock_standins/play/demo.py
+++ b/packages/standins/src/quetzallock_standins/play/demo.py
@@ -20,7 +20,7 @@
 from .models import CallResult, Trace
 from .player import Player
 from .traces import load_trace
-from .verdict import Verdict, judge, render_verdict
+from .verdict import Verdict, find_results_lost, judge, render_verdict
 
 _PROGRESS_S: Final = 5.0
 _SETTLE_S: Final = 3.0
@@ -168,12 +168,25 @@
     deadline = time.monotonic() + _FINISH_S
     while True:
         _, truth = await deferToThread(call_json, "GET", f"{local.workers_url}/truth")
-        verdict = judge(player.calls, player.jobs, _need_truth(truth))
+        recorded = await _find_recorded(local, find_results_lost(_need_truth(truth)))
+        verdict = judge(player.calls, player.jobs, truth, recorded)
         if not verdict.lost or time.monotonic() > deadline:
             return verdict
         await pause(1)
 
 
+async def _find_recorded(local: LocalDeployment, tasks: frozenset[str]) -> frozenset[str]:
+    """Return those tasks whose jobs a daemon says have finished altogether."""
+    base = next(iter(local.hosts.values())).http
+    recorded = set()
+    for task in tasks:
+        job = task.rpartition("/")[0]
+        _, body = await deferToThread(call_json, "GET", f"{base}/v1/jobs/{job}")
+        if set(body.get("tasks", {})) == {"finished"}:
+            recorded.add(task)
+    return frozenset(recorded)
+
+
 def _need_truth(truth: Any) -> dict[str, Any]:
     if "runs" not in truth:
         raise RuntimeError(f"the workers stand-in does not answer: {truth}")
