Revert the sharing of needed slots before spare ones

Cause of the try: hosts held spare slots while others refused. Ruled out: the remainder by rack, which stays.

--- a/packages/core/src/quetzallock_core/placement/sharing.py
+++ b/packages/core/src/quetzallock_core/placement/sharing.py
@@ -1,8 +1,7 @@
 """Divides the slots of a rack among the hosts that ask for them.
 
-Each asker is sure of an equal part of the rack's slots for what it needs; what others do not need
-goes to whoever does, and only what nobody needs is held spare. A lease is cut down only by idle
-slots, when its holder asks next.
+Each asker is sure of an equal part of the rack's slots; what others do not want goes to whoever
+does. A lease is cut down only by idle slots, when its holder asks next.
 """
 
 from collections.abc import Mapping
@@ -26,8 +25,7 @@
 
 @dataclass(frozen=True, slots=True)
 class _Want:
-    needed: int
-    spare: int
+    slots: int
     at: int
 
 
@@ -58,37 +56,28 @@
         )
 
     def _note(self, ask: AskSlots, now: int) -> None:
-        self._wants[ask.holder] = _Want(ask.wanted, ask.spare, now)
+        self._wants[ask.holder] = _Want(ask.wanted, now)
         for holder, want in list(self._wants.items()):
             if now - want.at >= _ASKER_MS:
                 del self._wants[holder]
 
     def _find_limit(self, rack: str, offers: Mapping[str, SlotOffer], holder: str) -> int:
-        """Return the slots that `holder` may have: what is needed first, then what is spare.
+        """Return the slots that `holder` may have: max-min fair, in whole slots.
 
         The order of holders differs from rack to rack, so that the remainder of a division does
         not always fall to the same ones.
         """
-        order = sorted(self._wants, key=lambda name: hash_text(f"{rack}/{name}"))
         free = sum(offer.ledger.slots for offer in offers.values())
-        needed = {name: self._wants[name].needed for name in order}
-        shares, free = _share_evenly(needed, free)
-        spare = {name: self._wants[name].spare for name in order}
-        spares, _ = _share_evenly(spare, free)
-        return shares[holder] + spares[holder]
-
-
-def _share_evenly(wants: Mapping[str, int], free: int) -> tuple[dict[str, int], int]:
-    """Return a max-min fair division of whole slots, and what is left."""
-    shares = dict.fromkeys(wants, 0)
-    while free > 0:
-        unmet = [name for name, share in shares.items() if share < wants[name]]
-        if not unmet:
-            return shares, free
-        for name in unmet[:free]:
-            shares[name] += 1
-        free -= min(free, len(unmet))
-    return shares, free
+        order = sorted(self._wants, key=lambda name: hash_text(f"{rack}/{name}"))
+        shares = dict.fromkeys(order, 0)
+        while free > 0:
+            unmet = [name for name, share in shares.items() if share < self._wants[name].slots]
+            if not unmet:
+                break
+            for name in unmet[:free]:
+                shares[name] += 1
+            free -= min(free, len(unmet))
+        return shares[holder]
 
 
 def _grow(offers: Mapping[str, SlotOffer], holder: str, missing: int, now: int) -> None:
--- a/packages/core/src/quetzallock_core/requests/const.py
+++ b/packages/core/src/quetzallock_core/requests/const.py
@@ -20,7 +20,7 @@
         slots_ask_ms: Interval of renewals of slot leases while nothing waits.
         slots_hurry_ms: The same while requests wait for a slot.
         slots_margin_ms: Safety taken off a slot lease on this host's clock.
-        spare_slots: Slots of each rack held beyond need, where nobody needs them.
+        spare_slots: Slots of each rack kept beyond what is in use.
         racks: Most racks that one host leases slots of.
         request_ms: Longest deadline that a caller may ask for.
         key_ms: How long an idempotency key is remembered.
--- a/packages/core/src/quetzallock_core/requests/slots.py
+++ b/packages/core/src/quetzallock_core/requests/slots.py
@@ -92,10 +92,9 @@
         self._next_ask = now + self._settings.slots_ask_ms
         self._last_ask = now
         racks = self._choose_racks()
-        needed = self.busy + self.queued + _LEAST_FREE
-        for index, rack in enumerate(racks):
-            share, rest = divmod(needed, len(racks))
-            self._ask(rack, share + (index < rest), now)
+        in_use = self.busy + self.queued
+        for rack in racks:
+            self._ask(rack, -(-in_use // len(racks)) + self._settings.spare_slots, now)
 
     def _is_short(self, now: int) -> bool:
         """Tell whether requests wait for a slot, or too few are spare, since the last asking."""
@@ -126,8 +125,7 @@
         self._sequence += 1
         self._asked[rack] = (self._sequence, now)
         holder = self._core.identity.holder
-        spare = self._settings.spare_slots
-        self._core.send(owner, AskSlots(rack, self._sequence, wanted, held, holder, spare))
+        self._core.send(owner, AskSlots(rack, self._sequence, wanted, held, holder))
 
     def _on_leased(self, answer: SlotsLeased, _source: str) -> None:
         sequence, asked_at = self._asked.get(answer.rack, (0, 0))
