Free slots that their holder names no more; drop dead code

Change: an asker that does not name a worker holds nothing of it. Also: counters that nothing raised are raised (length of answers), unused names are gone.

--- a/packages/cli/src/quetzallock_cli/const.py
+++ b/packages/cli/src/quetzallock_cli/const.py
@@ -2,7 +2,6 @@
 
 from typing import Final
 
-EXIT_OK: Final = 0
 EXIT_FAILED: Final = 1
 EXIT_INPUT: Final = 2
 EXIT_NOT_RUN: Final = 3
--- a/packages/core/src/quetzallock_core/placement/sharing.py
+++ b/packages/core/src/quetzallock_core/placement/sharing.py
@@ -9,7 +9,7 @@
 from typing import Final
 
 from ..helpers.hashing import hash_text
-from .models import AskSlots, SlotLease
+from .models import AskSlots, HeldSlots, SlotLease
 from .slots import SlotLedger
 
 _ASKER_MS: Final = 5_000
@@ -40,10 +40,10 @@
     ) -> tuple[SlotLease, ...]:
         """Renew, grow or shrink the leases of one asker and return them all."""
         self._note(ask, now)
-        for held in ask.held:
-            offer = offers.get(held.worker)
-            if offer is not None:
-                offer.ledger.renew(ask.holder, held.slots, held.busy, now, offer.ttl_ms)
+        held = {one.worker: one for one in ask.held}
+        for worker, offer in offers.items():
+            one = held.get(worker, HeldSlots(worker, 0, 0))
+            offer.ledger.renew(ask.holder, one.slots, one.busy, now, offer.ttl_ms)
         total = sum(offer.ledger.slots_of(ask.holder) for offer in offers.values())
         target = self._find_limit(ask.rack, offers, ask.holder)
         if total < target:
--- a/packages/core/src/quetzallock_core/presets/sync.py
+++ b/packages/core/src/quetzallock_core/presets/sync.py
@@ -76,11 +76,6 @@
         """What this host has applied."""
         return self._state
 
-    @property
-    def ready(self) -> bool:
-        """Whether a preset is in force here."""
-        return bool(self._state.in_force)
-
     def publish(self, ticket: int, name: str, text: str, author: str, base: int | None) -> None:
         """Publish a preset; the outcome goes to `ticket`."""
         old = find_preset(self._state, name)
--- a/packages/core/src/quetzallock_core/requests/models.py
+++ b/packages/core/src/quetzallock_core/requests/models.py
@@ -1,18 +1,26 @@
 """What the router is told, decides and answers."""
 
 from dataclasses import dataclass
+from typing import Final
 
 from ..codec import message
 
+UNKNOWN_LENGTH: Final = -1
+
 
 @message(100)
 @dataclass(frozen=True, slots=True)
 class Response:
-    """A backend server's whole answer."""
+    """A backend server's whole answer.
+
+    Attributes:
+        length: Length of the body that the backend server announced, if it did.
+    """
 
     status: int
     headers: tuple[tuple[str, str], ...]
     body: bytes
+    length: int = UNKNOWN_LENGTH
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/quetzallock_core/requests/policies.py
+++ b/packages/core/src/quetzallock_core/requests/policies.py
@@ -60,7 +60,6 @@
         """Return how many requests are queued."""
 
 
-PolicyFactory = type[RequestPolicy]
 POLICIES: Registry = Registry("requests.policy")
 
 
--- a/packages/daemon/src/quetzallock_daemon/web/calls.py
+++ b/packages/daemon/src/quetzallock_daemon/web/calls.py
@@ -5,10 +5,17 @@
 from quetzallock_core.exceptions import Finding, InvalidInputError
 from quetzallock_core.requests.const import NOT_RUN, WHOLE
 from quetzallock_core.requests.errors import UnknownServiceError
-from quetzallock_core.requests.models import Arrival, CallerGone, Dispatch, Response, Verdict
+from quetzallock_core.requests.models import (
+    UNKNOWN_LENGTH,
+    Arrival,
+    CallerGone,
+    Dispatch,
+    Response,
+    Verdict,
+)
 
 from ..helpers import read_body, run_task
-from ..telemetry.traces import TRACEPARENT, Span
+from ..telemetry.traces import TRACEPARENT
 from ..workers.backend import HOP_BY_HOP, BackendClient, CallerRequest
 from .const import (
     DEADLINE_HEADER,
@@ -39,7 +46,6 @@
         self._is_gone = False
         parent = get_header(request, TRACEPARENT)
         self._span = context.tracing.start("request", parent)
-        self.try_span: Span | None = None
         request.notifyFinish().addErrback(self._on_gone)
         self.ticket = context.node.tickets.open(self._on_verdict)
         context.calls[self.ticket] = self
@@ -71,6 +77,8 @@
 
     def _write_whole(self, response: Response) -> None:
         request = self._request
+        is_partial = response.length not in (UNKNOWN_LENGTH, len(response.body))
+        self._context.node.counters["requests.partial_passed"] += is_partial
         request.setResponseCode(response.status)
         for name, value in response.headers:
             request.responseHeaders.addRawHeader(name, value)
--- a/packages/daemon/src/quetzallock_daemon/workers/backend.py
+++ b/packages/daemon/src/quetzallock_daemon/workers/backend.py
@@ -12,7 +12,7 @@
 from twisted.web.http_headers import Headers
 
 from quetzallock_core.requests.const import BROKEN, NOT_SENT, REFUSED, WHOLE
-from quetzallock_core.requests.models import Dispatch, Response, TryDone
+from quetzallock_core.requests.models import UNKNOWN_LENGTH, Dispatch, Response, TryDone
 
 from ..helpers import make_body, run_task, with_timeout
 
@@ -130,4 +130,7 @@
             for value in values
             if name.decode("latin-1").lower() not in HOP_BY_HOP
         )
-        return WHOLE, Response(response.code, kept, body)
+        length = response.length if isinstance(response.length, int) else UNKNOWN_LENGTH
+        if request.method == b"HEAD":
+            length = UNKNOWN_LENGTH
+        return WHOLE, Response(response.code, kept, body, length)
--- a/packages/standins/src/quetzallock_standins/workers/model.py
+++ b/packages/standins/src/quetzallock_standins/workers/model.py
@@ -160,14 +160,6 @@
             if task.state == RUNNING:
                 self._touch(task)
 
-    def find_used(self) -> Resources:
-        """Return what running tasks and the service really use."""
-        used = self.service_reserve
-        for task in self._tasks.values():
-            if task.state == RUNNING:
-                used += self._measure(task)
-        return used
-
     def count_running(self) -> int:
         """Return how many tasks run."""
         return sum(task.state == RUNNING for task in self._tasks.values())
--- a/packages/standins/src/quetzallock_standins/workers/server.py
+++ b/packages/standins/src/quetzallock_standins/workers/server.py
@@ -34,7 +34,6 @@
         self._boots = count(1)
         self._executions: list[tuple[str, str]] = []
         self._truncate: set[str] = set()
-        self._leaving: set[str] = set()
         shape = WorkerShape(deployment.worker.capacity, slots or deployment.worker.slots)
         self._workers = {
             str(row["worker"]): WorkerModel(
--- a/tests/core/placement/test_sharing.py
+++ b/tests/core/placement/test_sharing.py
@@ -135,6 +135,17 @@
         assert sum(limit.values()) <= SLOTS
 
 
+def test_slots_that_an_asker_names_no_more_are_free_at_once() -> None:
+    """They stayed taken for as long as a lapsed lease: 7.5 s of slots that nobody could use."""
+    sharing = RackSharing()
+    offers = {"w-0": SlotOffer(SlotLedger(SLOTS, 0, 0, REQUEST_MS), TTL_MS)}
+    sharing.divide(offers, AskSlots("rack", 1, 8, (), "a"), 0)
+    sharing.divide(offers, AskSlots("rack", 2, 0, (HeldSlots("w-0", 8, 0),), "a"), 100)
+    sharing.divide(offers, AskSlots("rack", 3, 0, (), "a"), 200)
+    (lease,) = sharing.divide(offers, AskSlots("rack", 1, 8, (), "b"), 300)
+    assert lease.slots == 8
+
+
 def test_rebooted_worker_counts_all_slots_as_taken() -> None:
     ledger = SlotLedger(SLOTS, SLOTS, 7_500, REQUEST_MS)
     assert ledger.grow("a", 1, 0, TTL_MS) == 0
