--- a/packages/core/src/quetzallock_core/requests/lengths.py
+++ b/packages/core/src/quetzallock_core/requests/lengths.py
@@ -36,10 +36,13 @@
     def __init__(self) -> None:
         self._kinds: dict[str, Length] = {}
         self._overall = Length(_FIRST_GUESS_MS, 0.0)
+        self._noted = 0
 
     def note(self, kind: str, took_ms: float) -> None:
         """Take in how long one request took."""
-        self._overall = self._overall.update(took_ms, _OVERALL_WEIGHT)
+        self._noted += 1
+        weight = max(_OVERALL_WEIGHT, 1 / self._noted)
+        self._overall = self._overall.update(took_ms, weight)
         old = self._kinds.pop(kind, None)
         self._kinds[kind] = old.update(took_ms) if old else Length(took_ms, took_ms / 4)
         if len(self._kinds) > _KINDS_LIMIT:
--- a/tests/core/requests/test_policies.py
+++ b/tests/core/requests/test_policies.py
@@ -56,6 +56,14 @@
     assert len(sent) == 8
 
 
+def test_first_requests_are_not_taken_for_long() -> None:
+    """The mean of all began at a guess of 20 ms, and a service of 300 ms was long beside it."""
+    learned = Lengths()
+    for _ in range(5):
+        learned.note("only", 300)
+    assert not learned.is_long("only", 250)
+
+
 def test_most_pressing_request_goes_first() -> None:
     policy = make_policy({"short": 10})
     for ticket, deadline in ((1, 900), (2, 300), (3, 600)):
