Carry the trace of a submission to the owner of its shard

Cause: a submission's hop between entry hosts had no span. Change: SubmitJob carries the trace context; the owner's daemon notes the hop. Shown by: a test on the fake cluster; spans in the log exporter were tested before.

--- a/packages/core/src/quetzallock_core/jobs/client.py
+++ b/packages/core/src/quetzallock_core/jobs/client.py
@@ -29,9 +29,9 @@
         core.listen(JobReply, self._on_reply)
         core.every_tick(self._tick)
 
-    def submit(self, ticket: int, spec: JobSpec, timeout_ms: int) -> None:
-        """Submit a job; a `JobReply` goes to `ticket`."""
-        self._ask(ticket, spec.job, timeout_ms, SubmitJob(0, spec))
+    def submit(self, ticket: int, spec: JobSpec, timeout_ms: int, trace: str = "") -> None:
+        """Submit a job under a trace context; a `JobReply` goes to `ticket`."""
+        self._ask(ticket, spec.job, timeout_ms, SubmitJob(0, spec, trace))
 
     def cancel(self, ticket: int, job: str, timeout_ms: int) -> None:
         """Cancel a job; a `JobReply` goes to `ticket`."""
--- a/packages/core/src/quetzallock_core/jobs/models.py
+++ b/packages/core/src/quetzallock_core/jobs/models.py
@@ -160,10 +160,15 @@
 @message(92)
 @dataclass(frozen=True, slots=True)
 class SubmitJob:
-    """Ask the owner of the job's shard to accept the job."""
+    """Ask the owner of the job's shard to accept the job.
+
+    Attributes:
+        trace: W3C trace context of the submission, empty for none.
+    """
 
     request: int
     spec: JobSpec
+    trace: str = ""
 
 
 @message(93)
--- a/packages/daemon/src/quetzallock_daemon/daemon.py
+++ b/packages/daemon/src/quetzallock_daemon/daemon.py
@@ -7,6 +7,7 @@
 from twisted.internet.error import CannotListenError
 
 from quetzallock_core.exceptions import QuetzallockError
+from quetzallock_core.jobs.models import SubmitJob
 
 from .const import EXIT_CUT_OFF, EXIT_DRAINED, SECOND_MS
 from .node import Node, make_agent
@@ -38,6 +39,7 @@
         self.exit_code = EXIT_DRAINED
         self.node = Node(reactor, settings)
         self.context = WebContext(self.node, make_tracing(settings.telemetry, settings.host))
+        self.node.host.core.listen(SubmitJob, self._trace_submission)
         agent = make_agent(reactor, settings.calls.connections_per_worker)
         client = BackendClient(agent, self.node.find_worker_address, self.node.fire)
         self.node.on_dispatch = Dispatcher(self.context, client).dispatch
@@ -46,6 +48,11 @@
         self._drain_until = 0
         self._listen_until = 0
 
+    def _trace_submission(self, ask: SubmitJob, source: str) -> None:
+        """Note the hop of a submission to the owner of its shard."""
+        span = self.context.tracing.start("own", ask.trace)
+        span.end(job=ask.spec.job, source=source)
+
     def start(self) -> None:
         """Listen and begin to act.
 
--- a/packages/daemon/src/quetzallock_daemon/web/jobs.py
+++ b/packages/daemon/src/quetzallock_daemon/web/jobs.py
@@ -86,7 +86,7 @@
         _write_reply(request, reply)
 
     ticket = context.open_ticket(request, on_reply)
-    context.node.host.jobs.submit(ticket, spec, JOB_TIMEOUT_MS)
+    context.node.host.jobs.submit(ticket, spec, JOB_TIMEOUT_MS, span.traceparent)
     context.node.carry_out()
 
 
--- a/tests/daemon/test_traces.py
+++ b/tests/daemon/test_traces.py
@@ -4,8 +4,10 @@
 
 import pytest
 
+from quetzallock_core.jobs.models import SubmitJob
 from quetzallock_daemon.settings.models import TelemetrySettings
 from quetzallock_daemon.telemetry.traces import make_tracing
+from tests.common import FakeCluster, make_spec
 
 PARENT = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"
 TRACE_ID = PARENT.split("-")[1]
@@ -39,3 +41,14 @@
     span.end(outcome="whole")
     assert span.traceparent.endswith("-00")
     assert not caplog.records
+
+
+def test_submission_carries_its_trace_to_the_owner_of_the_shard() -> None:
+    cluster = FakeCluster()
+    cluster.run(6_000)
+    heard: list[str] = []
+    for fake in cluster.hosts.values():
+        fake.host.core.listen(SubmitJob, lambda ask, _source: heard.append(ask.trace))
+    cluster.hosts["host-0"].host.jobs.submit(1, make_spec("job-1"), 3_000, PARENT)
+    cluster.run(1_000)
+    assert heard == [PARENT]
