--- a/packages/core/src/quetzallock_core/helpers/hashing.py
+++ b/packages/core/src/quetzallock_core/helpers/hashing.py
@@ -15,6 +15,11 @@
     return hash_text(key) % size
 
 
+def choose_shard_owner(shard: int, hosts: Iterable[str]) -> str | None:
+    """Return the host that a job shard falls to, or None without hosts."""
+    return choose_owner(f"shard/{shard}", hosts)
+
+
 def choose_owner(key: str, hosts: Iterable[str]) -> str | None:
     """Return the host with the highest rendezvous weight for `key`, or None without hosts.
 
--- a/packages/core/src/quetzallock_core/jobs/client.py
+++ b/packages/core/src/quetzallock_core/jobs/client.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, replace
 
 from ..core import Core
-from ..helpers.hashing import choose_owner
+from ..helpers.hashing import choose_shard_owner
 from ..members import Members
 from .const import NOT_RUN, UNKNOWN
 from .models import CancelJob, JobReply, JobSpec, ShowJob, SubmitJob
@@ -45,7 +45,7 @@
         self, ticket: int, job: str, timeout_ms: int, ask: SubmitJob | CancelJob | ShowJob
     ) -> None:
         shard = find_shard(job, self._shards)
-        owner = choose_owner(f"shard/{shard}", self._members.usable)
+        owner = choose_shard_owner(shard, self._members.usable)
         if owner is None:
             self._core.answer(ticket, JobReply(0, NOT_RUN, job, (), RETRY_MS, "no host is ready"))
             return
--- a/packages/core/src/quetzallock_core/jobs/journal.py
+++ b/packages/core/src/quetzallock_core/jobs/journal.py
@@ -114,12 +114,6 @@
             self._claim_again_at, self._core.clock.now() + self._settings.claim_retry_ms
         )
 
-    def unwant(self) -> JournalNews:
-        """Give up the shard; entries not under way are dropped."""
-        if self.state == "idle":
-            return JournalNews()
-        return self._leave("drop")
-
     def add(self, entry: Entry, waiter: Waiter | None = None) -> None:
         """Queue an entry."""
         self._queue.append(Pending(entry, waiter))
@@ -164,7 +158,7 @@
             return JournalNews()
         if event.first > self.replay.next_offset and self.state == "owned":
             _LOGGER.warning("records of %s expired before they were read", self.stream)
-            return self._leave("outdone")
+            return self._leave()
         self.replay.skip_to(event.first)
         effects: list[Pending] = []
         for offset, raw in event.records:
@@ -202,22 +196,22 @@
             self._snapshot_at = now + self._core.rng.randrange(self._settings.snapshot_ms)
             return JournalNews(effects, won=True)
         if not mine and self._claim_seen:
-            news = self._leave("outdone")
+            news = self._leave()
             pause = self._settings.claim_retry_ms * 2 ** min(self._losses, _LOSSES_MAX)
             self._losses += 1
             self._claim_again_at = now + self._jitter(pause)
             return JournalNews(effects, news.dropped, lost=news.lost)
         return JournalNews(effects)
 
-    def _leave(self, event: str) -> JournalNews:
+    def _leave(self) -> JournalNews:
         was_owner = self.state == "owned"
         flying = self._flight.pendings if self._flight else ()
-        sure = (*flying, *self._queue) if event == "outdone" else tuple(self._queue)
+        dropped = (*flying, *self._queue)
         self._flight, self._queue, self._nonce = None, [], 0
         self._claim_seen = False
         self.trusted_until = 0
-        self._move(event)
-        return JournalNews(dropped=sure, lost=was_owner)
+        self._move("outdone")
+        return JournalNews(dropped=dropped, lost=was_owner)
 
     def _move(self, event: str) -> None:
         self.state = _CHART.next_state(self.state, event)
--- a/packages/core/src/quetzallock_core/jobs/owner.py
+++ b/packages/core/src/quetzallock_core/jobs/owner.py
@@ -74,10 +74,6 @@
         self._attempts.check(now)
         self._forget_jobs(now)
 
-    def leave(self) -> None:
-        """Give the shard up: this host is stopping."""
-        self._take_news(self.journal.unwant())
-
     def on_appended(self, event: Appended) -> None:
         """Take in the outcome of an append."""
         self.journal.on_appended(event)
--- a/packages/core/src/quetzallock_core/jobs/shards.py
+++ b/packages/core/src/quetzallock_core/jobs/shards.py
@@ -2,7 +2,7 @@
 
 from ..core import Core
 from ..effects import Appended, ReadDone
-from ..helpers.hashing import choose_owner
+from ..helpers.hashing import choose_shard_owner
 from ..members.models import MembersChanged
 from ..placement.models import RoomReserved, TaskReport
 from .models import CancelJob, ShowJob, SubmitJob, find_job
@@ -17,7 +17,6 @@
         self.owners = owners
         self._by_stream = {owner.journal.stream: owner for owner in owners}
         self._wanted: frozenset[int] = frozenset()
-        self._stopping = False
         core.listen(MembersChanged, self._on_members)
         core.listen(Appended, self._on_appended)
         core.listen(ReadDone, self._on_read)
@@ -37,12 +36,6 @@
         """Return the shard of `job`."""
         return self.owners[find_shard(job, len(self.owners))]
 
-    def leave(self) -> None:
-        """Give all shards up: this host is stopping."""
-        self._stopping = True
-        for owner in self.owners:
-            owner.leave()
-
     def _on_members(self, event: MembersChanged, _source: str) -> None:
         for owner in self.owners:
             owner.journal.forget_losses()
@@ -50,12 +43,12 @@
         self._wanted = frozenset(
             owner.shard
             for owner in self.owners
-            if choose_owner(f"shard/{owner.shard}", event.hosts) == me
+            if choose_shard_owner(owner.shard, event.hosts) == me
         )
 
     def _tick(self, now: int) -> None:
         for owner in self.owners:
-            wanted = owner.shard in self._wanted and not self._stopping
+            wanted = owner.shard in self._wanted
             if wanted or owner.journal.state != "idle":
                 owner.tick(now, wanted)
 
--- a/packages/core/src/quetzallock_core/placement/reporter.py
+++ b/packages/core/src/quetzallock_core/placement/reporter.py
@@ -1,7 +1,7 @@
 """Tells the owners of shards what workers say of their tasks."""
 
 from ..core import Core
-from ..helpers.hashing import choose_owner, hash_to_range
+from ..helpers.hashing import choose_shard_owner, hash_to_range
 from ..members import Members
 from ..members.models import MembersChanged
 from ..workers.models import TaskStatus
@@ -57,5 +57,5 @@
 
     def _find_owner(self, shard: int) -> str | None:
         if shard not in self._owners:
-            self._owners[shard] = choose_owner(f"shard/{shard}", self._members.usable)
+            self._owners[shard] = choose_shard_owner(shard, self._members.usable)
         return self._owners[shard]
--- a/packages/standins/src/quetzallock_standins/processes.py
+++ b/packages/standins/src/quetzallock_standins/processes.py
@@ -13,6 +13,8 @@
 from pathlib import Path
 from typing import Any, Final
 
+import psutil
+
 from .const import LOOPBACK
 from .deployment import Deployment, load_deployment
 
@@ -229,3 +231,9 @@
             return
         time.sleep(0.1)
     raise TimeoutError(f"{base} is not ready")
+
+
+def read_cpu(process: psutil.Process) -> float:
+    """Return the processor time in s that a process has spent."""
+    times = process.cpu_times()
+    return float(times.user + times.system)
