Give each test process ports of its own; name why a daemon did not start

Cause: find_ports bound port 0 and let go, in the kernel's range for outgoing connections; until the daemon bound it, another test process (four run at once) or a connection could get the port. Change: a block of ports below that range, claimed by a bound socket for the life of the process; one copy of find_ports; a start that fails says exit code and end of output, at once.

--- a/packages/standins/src/quetzallock_standins/processes.py
+++ b/packages/standins/src/quetzallock_standins/processes.py
@@ -9,6 +9,7 @@
 import time
 import urllib.error
 import urllib.request
+from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any, Final
@@ -17,9 +18,16 @@
 
 from .const import LOOPBACK
 from .deployment import Deployment, load_deployment
+from .ports import find_ports
 
 EXAMPLES: Final = Path(__file__).resolve().parents[4] / "examples"
 _READY_S: Final = 30.0
+_POLL_S: Final = 0.05
+_LOG_TAIL_CHARACTERS: Final = 2_000
+
+
+class ProcessEndedError(Exception):
+    """A process ended, or did not get ready; the message holds the end of its output."""
 
 
 @dataclass(slots=True)
@@ -28,6 +36,7 @@
 
     name: str
     process: subprocess.Popen[bytes]
+    log: Path
     http: str = ""
 
     @property
@@ -35,16 +44,23 @@
         """Whether the process has not ended."""
         return self.process.poll() is None
 
+    def wait_until(self, is_ready: Callable[[], bool], what: str) -> None:
+        """Wait until `is_ready()` holds.
 
-def find_ports(number: int) -> list[int]:
-    """Return loopback ports that are free at the moment."""
-    sockets = [socket.socket() for _ in range(number)]
-    for one in sockets:
-        one.bind((LOOPBACK, 0))
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
-    return ports
+        Raises:
+            ProcessEndedError: The process has ended before, or the time is over.
+        """
+        deadline = time.monotonic() + _READY_S
+        while not is_ready():
+            if not self.is_alive:
+                raise ProcessEndedError(self._describe(f"ended, code {self.process.returncode}"))
+            if time.monotonic() > deadline:
+                raise ProcessEndedError(self._describe(f"{what} not after {_READY_S} s"))
+            time.sleep(_POLL_S)
+
+    def _describe(self, what: str) -> str:
+        tail = self.log.read_text(encoding="utf-8", errors="replace")[-_LOG_TAIL_CHARACTERS:]
+        return f"{self.name}: {what}; its output ends with: {tail!r}"
 
 
 def call_json(
@@ -126,7 +142,7 @@
         for index in range(self.entry_hosts):
             self.start_host(index)
         for running in self.hosts.values():
-            wait_ready(running.http)
+            wait_ready(running)
 
     def start_host(self, index: int) -> Running:
         """Start one entry host."""
@@ -135,7 +151,7 @@
         config = self.folder / f"{name}.toml"
         config.write_text(self._make_settings(index, name, http, peers), encoding="utf-8")
         command = [sys.executable, "-m", "quetzallock_daemon", f"--config={config}"]
-        running = Running(name, self._spawn(name, command), f"http://{LOOPBACK}:{http}")
+        running = self._spawn(name, command, f"http://{LOOPBACK}:{http}")
         self.hosts[name] = running
         return running
 
@@ -193,44 +209,32 @@
 
     def _start_standin(self, name: str, kind: str, port: int, *arguments: str) -> None:
         command = [sys.executable, "-m", "quetzallock_standins", kind, f"--port={port}"]
-        self.standins[name] = Running(name, self._spawn(name, [*command, *arguments]))
-        wait_open(port)
-
-    def _spawn(self, name: str, command: list[str]) -> subprocess.Popen[bytes]:
-        with (self.folder / f"{name}.log").open("ab") as output:
-            return subprocess.Popen(
+        running = self._spawn(name, [*command, *arguments])
+        self.standins[name] = running
+        running.wait_until(lambda: is_open(port), f"listening on port {port}")
+
+    def _spawn(self, name: str, command: list[str], http: str = "") -> Running:
+        log = self.folder / f"{name}.log"
+        with log.open("ab") as output:
+            process = subprocess.Popen(
                 command, stdout=output, stderr=output, stdin=subprocess.DEVNULL, env=os.environ
             )
+        return Running(name, process, log, http)
 
 
-def wait_open(port: int) -> None:
-    """Wait until something listens on a loopback port.
-
-    Raises:
-        TimeoutError: Nothing does.
-    """
-    deadline = time.monotonic() + _READY_S
-    while time.monotonic() < deadline:
-        with socket.socket() as probe:
-            if probe.connect_ex((LOOPBACK, port)) == 0:
-                return
-        time.sleep(0.05)
-    raise TimeoutError(f"nothing listens on port {port}")
+def is_open(port: int) -> bool:
+    """Return whether something listens on a loopback port."""
+    with socket.socket() as probe:
+        return probe.connect_ex((LOOPBACK, port)) == 0
 
 
-def wait_ready(base: str) -> None:
+def wait_ready(host: Running) -> None:
     """Wait until an entry host is ready.
 
     Raises:
-        TimeoutError: It is not.
+        ProcessEndedError: It is not.
     """
-    deadline = time.monotonic() + _READY_S
-    while time.monotonic() < deadline:
-        status, _ = call_json("GET", f"{base}/readyz", timeout_s=1)
-        if status == 200:
-            return
-        time.sleep(0.1)
-    raise TimeoutError(f"{base} is not ready")
+    host.wait_until(lambda: call_json("GET", f"{host.http}/readyz", timeout_s=1)[0] == 200, "ready")
 
 
 def read_cpu(process: psutil.Process) -> float:
--- a/tests/platform/processes.py
+++ b/tests/platform/processes.py
@@ -3,7 +3,6 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -12,21 +11,11 @@
 from pathlib import Path
 
 from quetzallock_platform.settings import SETTINGS_VARIABLE
+from quetzallock_standins.ports import find_ports
 
 IP = "127.0.0.1"
 
 
-def find_ports(count: int) -> list[int]:
-    """Return free ports."""
-    sockets = [socket.socket() for _ in range(count)]
-    for sock in sockets:
-        sock.bind((IP, 0))
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
-    return ports
-
-
 class EntryHost:
     """One entry host as a process."""
 
