Add a fault soak of real processes; mend what it found about reborn workers

Causes, all about a worker that is down for less than half a second and back under its id: - ends of its next life, which counts anew, were acknowledged under the numbers of the first: after an inventory call without an answer nothing is acknowledged until one has shown the life again; - an order sent to the first life was obeyed by the next, while the task started elsewhere at once: runs that the first life never listed, or whose orders have no answer, are stopped at the next life before their tasks start again; - an answer of the first life set the clock of the next: answers are taken by life; - a new owner dropped its doubt on the first life at the next one's entry; now at its inventory.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PACKAGES := -e packages/core -e packages/daemon -e platform -e packages/cli -e packages/standins
 TOOLS := pytest pytest-xdist hypothesis syrupy ruff mypy
 
-.PHONY: demo up test lint capacity bench soak clean
+.PHONY: demo up test lint capacity bench soak fault-soak clean
 
 $(VENV)/.ready: constraints.txt $(wildcard packages/*/pyproject.toml)
 	@test -x $(PY) || python3 -m venv $(VENV)
@@ -33,5 +33,8 @@
 soak: $(VENV)/.ready
 	$(PY) -m tests.proofs.soak --seconds=$(or $(SECONDS_TO_RUN),60)
 
+fault-soak: $(VENV)/.ready
+	$(PY) -m tests.soak.run --count=$(or $(SEEDS),10)
+
 clean:
 	rm -rf $(VENV) out
--- a/packages/core/src/quetzallock_core/cells/answers.py
+++ b/packages/core/src/quetzallock_core/cells/answers.py
@@ -6,6 +6,7 @@
 from .const import RETRY_PAUSE_MS
 from .inventory import mark_started
 from .jobs import Run
+from .models import StartRun, StopRun
 from .workers import Worker
 
 OTHER_LIFE: Final = "other life"
@@ -33,11 +34,13 @@
         elif outcome == OTHER_LIFE and worker is not None:
             self._book.bury_worker(worker)
 
-    def note_start(self, worker_id: str, task: str, number: int, outcome: str, clock: int) -> None:
+    def note_start(self, order: StartRun, outcome: str, clock: int) -> None:
         """Take in the answer to a start; `outcome` is empty when there was none."""
-        worker, run = self._find_run(worker_id, task, number)
+        worker, run = self._find_run(order)
         if worker is None or run is None:
             return
+        if outcome:
+            run.unanswered -= 1
         now = self._book.clock.now()
         if outcome == OTHER_LIFE:
             self._book.bury_worker(worker)
@@ -52,7 +55,9 @@
                 mark_started(self._book, run.task.job)
             return
         if not outcome:
-            self._book.decide("start.unanswered", task=task, run=number, worker=worker_id)
+            self._book.decide(
+                "start.unanswered", task=order.task, run=order.run, worker=order.worker
+            )
             return
         self._take_refusal(worker, run, outcome, now)
 
@@ -82,9 +87,9 @@
             for run in list(member.runs.values()):
                 self._book.stop_run(run, "a member was refused")
 
-    def note_stop(self, worker_id: str, task: str, number: int, outcome: str, clock: int) -> None:
+    def note_stop(self, order: StopRun, outcome: str, clock: int) -> None:
         """Take in the answer to a stop; `outcome` is empty when there was none."""
-        worker, run = self._find_run(worker_id, task, number)
+        worker, run = self._find_run(order)
         if worker is None or not outcome:
             return
         if outcome == OTHER_LIFE:
@@ -96,11 +101,12 @@
         elif outcome == "ok" and run is not None:
             run.known_clock = clock + self._book.bounds.stop_ms
 
-    def _find_run(self, worker_id: str, task: str, number: int) -> tuple[Worker | None, Run | None]:
-        worker = self._book.workers.get(worker_id)
-        if worker is None:
+    def _find_run(self, order: StartRun | StopRun) -> tuple[Worker | None, Run | None]:
+        """Return the worker's life that the order went to, while it is known, and its run."""
+        worker = self._book.workers.get(order.worker)
+        if worker is None or worker.entry.born != order.born:
             return None, None
-        run = worker.runs.get(task)
-        if run is None or run.number != number:
+        run = worker.runs.get(order.task)
+        if run is None or run.number != order.run:
             return worker, None
         return worker, run
--- a/packages/core/src/quetzallock_core/cells/book.py
+++ b/packages/core/src/quetzallock_core/cells/book.py
@@ -154,6 +154,15 @@
             self.lengths.list_means(),
         )
 
+    def end_doubts(self, worker_id: str) -> None:
+        """A life of the worker has shown its inventory: it and the ones before hold no secrets.
+
+        Until then an order of the last owner may still reach this life and be obeyed.
+        """
+        for known, born in list(self.doubts):
+            if known == worker_id:
+                del self.doubts[known, born]
+
     def is_in_doubt(self, task: Task) -> bool:
         """Tell whether `task` may run where this owner cannot see it."""
         if not self.doubts or not task.job.is_loaded:
@@ -361,6 +370,27 @@
             del self.workers[worker.id]
             self.dropped_workers.append(worker.id)
 
+    def replace_worker(self, worker: Worker, entry: WorkerEntry) -> None:
+        """Another life has begun under a worker's id: what ran in the first is over.
+
+        An order to start may have reached the second life, or still reach it, unless the first
+        one has listed its run. Such a run is stopped there before its task starts elsewhere.
+        """
+        loose = [run for run in worker.runs.values() if run.unanswered or not run.is_listed]
+        for run in loose:
+            worker.remove(run)
+        self.drop_worker(worker, "started again")
+        successor = self.add_worker(entry)
+        for run in loose:
+            run.unanswered = 0
+            run.is_listed = False
+            run.known_clock = -1
+            self.place_run(successor, run)
+            if run.state == "stopping":
+                self.send_stop(run)
+            else:
+                self.stop_run(run, "its order may reach the worker's next life")
+
     def bury_worker(self, worker: Worker) -> None:
         """Another life answers at the worker's address: this one is over, and so are its runs."""
         self.buried.add((worker.id, worker.entry.born))
--- a/packages/core/src/quetzallock_core/cells/cell.py
+++ b/packages/core/src/quetzallock_core/cells/cell.py
@@ -119,7 +119,7 @@
             if entry is None:
                 worker.is_listed = False
             elif entry.born != worker.entry.born:
-                book.drop_worker(worker, "started again")
+                book.replace_worker(worker, entry)
         for entry in entries.values():
             if (entry.worker, entry.born) in book.buried:
                 continue
@@ -128,15 +128,18 @@
                 book.decide("worker.draining", worker=worker.id)
             worker.entry = entry
             worker.is_listed = True
-            for known, born in list(book.doubts):
-                if known == entry.worker and born != entry.born:
-                    del book.doubts[known, born]
 
     def note_inventory(self, worker: str, inventory: Inventory) -> None:
         """Take in what a worker runs and what has ended there."""
         if self._reader.take_in(worker, inventory):
             self.book.is_start_due = True
 
+    def note_silence(self, worker: str) -> None:
+        """An inventory call to a worker got no answer."""
+        known = self.book.workers.get(worker)
+        if known is not None:
+            known.is_silent = True
+
     def start_waiting(self) -> None:
         """Start what can start."""
         self.book.is_start_due = False
--- a/packages/core/src/quetzallock_core/cells/inventory.py
+++ b/packages/core/src/quetzallock_core/cells/inventory.py
@@ -33,6 +33,7 @@
         now = book.clock.now()
         is_first = worker.contact_at < 0
         worker.note_contact(inventory.clock_ms, now)
+        worker.is_silent = False
         if is_first:
             worker.lease_clock = inventory.clock_ms + book.bounds.lease_ms
         changed = is_first
@@ -48,7 +49,8 @@
         for run in list(worker.runs.values()):
             if (run.task.name, run.number) not in listed:
                 changed |= self._check_missing(run, inventory.clock_ms)
-        book.doubts.pop((worker.id, worker.entry.born), None)
+        if is_first:
+            book.end_doubts(worker.id)
         self._relieve(worker, now)
         return changed
 
--- a/packages/core/src/quetzallock_core/cells/jobs.py
+++ b/packages/core/src/quetzallock_core/cells/jobs.py
@@ -32,6 +32,8 @@
         is_listed: An inventory has shown it.
         known_clock: Worker's clock at its answer to the last order; -1 before any answer.
         resend_at: Local ms at which an unanswered order is sent again.
+        unanswered: Number of start orders without an answer; each may still be carried out, by
+            another life of the worker too.
     """
 
     task: "Task"
@@ -52,6 +54,7 @@
     is_listed: bool = False
     known_clock: int = -1
     resend_at: int = 0
+    unanswered: int = 0
 
     def advance(self, event: str) -> None:
         """Take the transition `event` of the run chart."""
--- a/packages/core/src/quetzallock_core/cells/schedule.py
+++ b/packages/core/src/quetzallock_core/cells/schedule.py
@@ -94,6 +94,7 @@
         """Send the order to start a run, or send it again."""
         run.until_ms = worker.extend(self._book.bounds.lease_ms, now)
         run.resend_at = now + ORDER_TIMEOUT_MS
+        run.unanswered += 1
         entry = worker.entry
         task = run.task
         self._book.emit(
--- a/packages/core/src/quetzallock_core/cells/workers.py
+++ b/packages/core/src/quetzallock_core/cells/workers.py
@@ -64,6 +64,8 @@
         contact_at: Local ms of its last answer; -1 before the first.
         cursor: Highest number of an end that was taken in.
         acked: Highest number of an end that the journal holds.
+        is_silent: The last inventory call got no answer, so that another life, which counts its
+            ends anew, may answer the next.
         is_recorded: The journal names it as it is now.
         revision: Number of the newest change of what the journal has to say of it.
         is_released: Its lease is not renewed until the journal says otherwise.
@@ -87,6 +89,7 @@
     contact_at: int = -1
     cursor: int = 0
     acked: int = 0
+    is_silent: bool = True
     failed_jobs: set[str] = field(default_factory=set)
     suspect_until: int = 0
     slowness: float = FIRST_SPEED
@@ -115,6 +118,11 @@
         """Processor that neither committed nor filling tasks are expected to use."""
         return self.free.cpu - self.soft_cpu
 
+    @property
+    def cursor_to_send(self) -> int:
+        """Highest end that the next inventory call may let the worker forget."""
+        return 0 if self.is_silent else self.acked
+
     def is_usable(self, now: int) -> bool:
         """Tell whether it may be given a new task."""
         return (
--- a/packages/daemon/src/quetzallock_daemon/cells/holds.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/holds.py
@@ -59,13 +59,14 @@
         until = worker.extend(self._bounds.lease_ms, now) if may_extend else None
         wait_ms = self._choose_wait(worker) if is_reachable else 0
         entry = worker.entry
-        answer = await self._workers.hold(entry, owner.epoch, worker.acked, until, wait_ms)
+        answer = await self._workers.hold(entry, owner.epoch, worker.cursor_to_send, until, wait_ms)
         if owner.is_stopped or owner.is_handing_over:
             return HOLD_RETRY_MS
         if isinstance(answer, Inventory):
             owner.cell.note_inventory(worker.id, answer)
             owner.carry_out()
             return HOLD_PAUSE_MS
+        owner.cell.note_silence(worker.id)
         if isinstance(answer, OrderAnswer):
             owner.cell.answers.note_hold_refused(worker.id, answer.outcome)
             owner.carry_out()
--- a/packages/daemon/src/quetzallock_daemon/cells/owner.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/owner.py
@@ -233,17 +233,13 @@
         answer = await self._workers.start(order, self.epoch)
         self._observe("worker.start", self.clock.now() - began)
         if not self.is_stopped:
-            self.cell.answers.note_start(
-                order.worker, order.task, order.run, answer.outcome, answer.clock_ms
-            )
+            self.cell.answers.note_start(order, answer.outcome, answer.clock_ms)
             self.carry_out()
 
     async def _stop(self, order: StopRun) -> None:
         answer: OrderAnswer = await self._workers.stop(order, self.epoch)
         if not self.is_stopped:
-            self.cell.answers.note_stop(
-                order.worker, order.task, order.run, answer.outcome, answer.clock_ms
-            )
+            self.cell.answers.note_stop(order, answer.outcome, answer.clock_ms)
             self.carry_out()
 
     def _start_waiting(self) -> None:
--- a/packages/standins/src/quetzallock_standins/emulator/cluster.py
+++ b/packages/standins/src/quetzallock_standins/emulator/cluster.py
@@ -164,7 +164,11 @@
             return
         self.schedule(HOLD_MS, lambda: self._hold(owner, worker))
         known = owner.cell.book.workers.get(worker.id)
-        if known is None or known.entry.born != worker.entry.born:
+        if known is None:
+            return
+        if worker.has_broken_connections:
+            worker.has_broken_connections = False
+            owner.cell.note_silence(worker.id)
             return
         now = self.clock.now()
         may_extend = known.is_reachable(now) and known.may_be_held
@@ -175,7 +179,7 @@
             )
         if not worker.is_up or worker.is_cut:
             return
-        answer = worker.hold(owner.epoch, known.acked, until)
+        answer = worker.hold(owner.epoch, known.cursor_to_send, until)
         self.schedule(self.latency_ms, lambda: self._note_hold(owner, worker.id, answer))
 
     def _note_hold(self, owner: Owner, worker: str, answer: Inventory | Answer) -> None:
@@ -256,13 +260,9 @@
             return
         cell = owner.cell
         if isinstance(order, StartRun):
-            cell.answers.note_start(
-                order.worker, order.task, order.run, answer.outcome, answer.clock_ms
-            )
+            cell.answers.note_start(order, answer.outcome, answer.clock_ms)
         elif isinstance(order, StopRun):
-            cell.answers.note_stop(
-                order.worker, order.task, order.run, answer.outcome, answer.clock_ms
-            )
+            cell.answers.note_stop(order, answer.outcome, answer.clock_ms)
         self._carry_out(owner)
 
     def submit(
--- a/packages/standins/src/quetzallock_standins/emulator/workers.py
+++ b/packages/standins/src/quetzallock_standins/emulator/workers.py
@@ -68,6 +68,7 @@
 
     Attributes:
         is_replaced: It is down, and another worker answers at its address.
+        has_broken_connections: It has crashed, so that the next call finds its connection broken.
     """
 
     entry: WorkerEntry
@@ -80,6 +81,7 @@
     is_up: bool = True
     is_cut: bool = False
     is_replaced: bool = False
+    has_broken_connections: bool = False
     disturbance: dict[tuple[str, str], float] = field(default_factory=dict)
     fence: int = 0
     lease_until: int = 0
@@ -247,6 +249,7 @@
     def crash(self) -> None:
         """Lose everything; the worker is silent until it is reborn."""
         self.is_up = False
+        self.has_broken_connections = True
         for run in self.runs.values():
             self.truth.note_end(run.order.task, run.order.run, "crashed")
         self.runs.clear()
--- a/tests/core/cells/test_takeover.py
+++ b/tests/core/cells/test_takeover.py
@@ -1,7 +1,7 @@
 """A cell that changes its owner, on the emulator."""
 
 from quetzallock_core.cells.const import LEASE_MOST_MS, PROOF_MS
-from quetzallock_core.cells.models import Resources
+from quetzallock_core.cells.models import Resources, StartRun
 from quetzallock_standins.emulator import CellCluster
 from quetzallock_standins.emulator.cluster import make_spec
 
@@ -195,3 +195,74 @@
     cluster.run(5_000)
     assert not cluster.truth.broken
     assert len(cluster.truth.list_live("b")) == 3
+
+
+def test_end_of_another_life_is_not_acknowledged_under_the_number_of_the_first() -> None:
+    cluster = CellCluster(workers=1)
+    cluster.run(500)
+    for number in range(3):
+        submit_plain(cluster, f"early{number}", count=3, length_ms=50)
+    cluster.run(1_000)
+    assert cluster.cell.book.workers["w0"].acked == 9
+    cluster.workers["w0"].crash()
+    cluster.revive("w0")
+    submit_plain(cluster, "late", count=1, length_ms=10)
+    cluster.run(8_000)
+    assert cluster.cell.find_state("late") == "completed"
+    assert cluster.truth.broken == []
+
+
+def test_order_to_an_earlier_life_starts_nothing_that_runs_elsewhere() -> None:
+    for seed in range(6):
+        cluster = CellCluster(workers=2, seed=seed)
+        cluster.run(500)
+        cluster.late_orders = 1.0
+        cluster.submit(make_spec("a", make_step(2, lasting=True)), POLICY, {0: None})
+        cluster.run(100)
+        cluster.late_orders = 0.0
+        cluster.workers["w0"].crash()
+        cluster.revive("w0")
+        cluster.run(15_000)
+        assert cluster.truth.broken == []
+        assert len(cluster.truth.list_live("a")) == 2
+
+
+def test_order_that_the_next_life_has_obeyed_is_known_before_the_task_starts_elsewhere() -> None:
+    cluster = CellCluster(workers=2)
+    cluster.run(500)
+    cluster.workers["w0"].crash()
+    cluster.revive("w0")
+    cluster.submit(make_spec("a", make_step(4, lasting=True)), POLICY, {0: None})
+    cluster.run(5_000)
+    assert cluster.truth.broken == []
+    assert len(cluster.truth.list_live("a")) == 4
+
+
+def test_answer_of_an_earlier_life_says_nothing_of_the_next() -> None:
+    cluster = CellCluster(workers=1)
+    cluster.run(500)
+    cluster.late_orders = 1.0
+    cluster.submit(make_spec("a", make_step(1, lasting=True)), POLICY, {0: None})
+    cluster.run(50)
+    born = cluster.cell.book.workers["w0"].entry.born
+    order = StartRun("w0", born, "w0:1", "a.0.0.0", 100_001, "", "", 9_000)
+    cluster.workers["w0"].crash()
+    cluster.revive("w0")
+    while cluster.cell.book.workers["w0"].entry.born == born:
+        cluster.run(5)
+    cluster.cell.answers.note_start(order, "ok", 1_000_000)
+    assert cluster.cell.book.workers["w0"].clock_ms < 1_000
+
+
+def test_earlier_life_stays_in_doubt_until_the_next_shows_its_inventory() -> None:
+    cluster = make_busy_cluster()
+    cluster.workers["w0"].crash()
+    cluster.revive("w0")
+    cluster.workers["w0"].is_cut = True
+    cluster.kill_owner()
+    cluster.take_over()
+    cluster.run(300)
+    assert [worker for worker, _ in cluster.cell.book.doubts] == ["w0"]
+    cluster.workers["w0"].is_cut = False
+    cluster.run(300)
+    assert not cluster.cell.book.doubts
--- a/tests/platform/processes.py
+++ b/tests/platform/processes.py
@@ -67,9 +67,13 @@
         except OSError:
             return 0, ""
 
+    def read_text(self) -> str:
+        """Return all output so far."""
+        return self._log.read_text()
+
     def read_log(self) -> list[dict[str, object]]:
         """Return the structured lines written so far."""
-        lines = self._log.read_text().splitlines()
+        lines = self.read_text().splitlines()
         return [json.loads(line) for line in lines if line.startswith("{")]
 
     def count(self, event: str) -> int:
--- /dev/null
+++ b/tests/soak/test_soak.py
@@ -0,0 +1,67 @@
+"""One short seed with real processes, and a verdict that sees each kind of broken promise."""
+
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from .callers import Job
+from .verdict import list_findings
+
+ID = "0000000000000001"
+TASK = f"{ID}.0.0.0"
+
+
+@pytest.mark.process
+@pytest.mark.xdist_group("soak")
+def test_short_seed_breaks_no_promise(tmp_path: Path) -> None:
+    command = [sys.executable, "-m", "tests.soak.play", "--seed=16", "--seconds=8"]
+    ended = subprocess.run(
+        [*command, f"--keep={tmp_path}"], capture_output=True, text=True, timeout=120, check=False
+    )
+    assert ended.returncode == 0, ended.stdout + ended.stderr
+
+
+def make_record(**fields: Any) -> dict[str, Any]:
+    return {"broken": [], "starts": [], "ends": [], "live": [], **fields}
+
+
+def make_job(kind: str = "short", **fields: Any) -> Job:
+    return Job(ID, kind, (1,), answers=[200], accepted_ms=100.0, **fields)
+
+
+def test_served_job_is_no_finding() -> None:
+    record = make_record(starts=[(110, TASK, 1, "w0")], ends=[(150, TASK, 1, "done")])
+    assert list_findings([make_job(state="completed")], record, 0) == []
+
+
+@pytest.mark.parametrize(
+    ("job", "record"),
+    [
+        (make_job(state="queued"), {}),
+        (make_job(state="completed"), {}),
+        (make_job(state="completed"), {"broken": ["1: also runs"]}),
+        (Job(ID, "short", (1,), answers=[503]), {"starts": [(110, TASK, 1, "w0")]}),
+        (Job("f" * 16, "short", (1,)), {"starts": [(110, TASK, 1, "w0")]}),
+        (make_job("lasting", state="running"), {}),
+        (make_job("cancelled", cancel_sent=True, state="cancelled"), {"live": [TASK]}),
+        (
+            make_job("cancelled", cancel_sent=True, cancelled_ms=200.0, state="cancelled"),
+            {"starts": [(9_000, TASK, 1, "w0")]},
+        ),
+        (make_job("cancelled", cancel_sent=True, state="running"), {}),
+    ],
+)
+def test_broken_promise_is_found(job: Job, record: dict[str, Any]) -> None:
+    assert len(list_findings([job], make_record(**record), 0)) >= 1
+
+
+def test_second_step_before_the_first_is_done_is_found() -> None:
+    job = Job(ID, "chain", (1, 1), answers=[200], accepted_ms=100.0, state="completed")
+    second = f"{ID}.0.1.0"
+    starts = [(110, TASK, 1, "w0"), (140, second, 2, "w0")]
+    ends = [(150, TASK, 1, "done"), (190, second, 2, "done")]
+    findings = list_findings([job], make_record(starts=starts, ends=ends), 0)
+    assert findings == [f"{ID}: its second step began before the first was done"]
