--- a/packages/core/src/quetzallock_core/cells/jobs.py
+++ b/packages/core/src/quetzallock_core/cells/jobs.py
@@ -229,7 +229,9 @@
         ]
 
     def to_progress(self) -> ProgressRecord:
-        """Return what the journal has to hold of its progress."""
+        """Return what the journal has to hold of its progress; of a job that is over, its end."""
+        if self.is_over:
+            return ProgressRecord(self.state, self.has_started, self.ended_ms, ())
         tasks = tuple(
             TaskRecord(
                 task.step.occurrence,
@@ -274,6 +276,8 @@
     job.shown = progress.state
     job.has_started = progress.has_started
     job.ended_ms = progress.ended_ms
+    if job.is_over:
+        return job
     for row in progress.tasks:
         task = job.find_task(row.occurrence, row.step, row.index)
         if task is None:
--- a/packages/daemon/src/quetzallock_daemon/cells/const.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/const.py
@@ -8,6 +8,15 @@
 JOIN_MS: Final = 400
 """Period of the calls that keep a host's membership."""
 
+STANDING_MS: Final = 400
+"""Period of looking whether this host is to be a member, and of listening for the owner."""
+
+LIFE_BITS: Final = 32
+"""Size of the random number that tells a process from earlier ones of its host."""
+
+LEAVE_POLL_MS: Final = 20
+"""Period of looking whether a join is still under way before a host leaves the group."""
+
 JOIN_TIMEOUT_MS: Final = 1_500
 APPEND_TIMEOUT_MS: Final = 1_500
 APPEND_PAUSE_MS: Final = 6
--- a/packages/daemon/src/quetzallock_daemon/cells/router.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/router.py
@@ -186,6 +186,11 @@
             total += outcome.count
         return CallerAnswer(200, pending=total)
 
+    async def hear_owner(self, cell: int) -> bool:
+        """Tell whether the owner of `cell` answers and can prove that it is the owner."""
+        answer = await self._ask_once(PendingAsk(self._next_ticket(), cell, ""), ASK_TIMEOUT_MS)
+        return answer.outcome == "counted"
+
     def _next_ticket(self) -> int:
         self._last_ticket += 1
         return self._last_ticket
--- a/packages/daemon/src/quetzallock_daemon/cells/service.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/service.py
@@ -10,21 +10,23 @@
 from twisted.internet.defer import Deferred
 
 from quetzallock_core.cells import choose_worker_cell
+from quetzallock_core.cells.candidacy import Candidate
 from quetzallock_core.cells.models import Bounds, WorkerEntry
 
 from ..helpers import run_logged
 from ..telemetry.lines import LineHandler
 from ..telemetry.pages import MetricsPage
 from .clocks import BootClock
-from .const import TTL_MS
+from .const import LIFE_BITS, TTL_MS
 from .followers import ConfigurationFollower, EntriesFollower
 from .front import FrontState, ReadRequest, make_caller_factory, make_page_factory
-from .membership import MemberTask, OwnersTask, make_member_name
+from .membership import Member, MemberTask, OwnersTask, StoreContact
 from .messages import Ask, OwnerAnswer
 from .owner import CellOwner
 from .peers import Peers, make_ask_factory
 from .ports import Configuration, Membership, RequestLimits, Store, Workers
 from .router import CallerAnswer, DecodeJob, Router
+from .standing import StandingTask
 
 _LOGGER = logging.getLogger(__name__)
 _TURN_AWAY_MS: Final = 3_000
@@ -44,6 +46,7 @@
         metrics: `ip:port` for metrics, and their path.
         grace_ms: Time between SIGTERM and SIGKILL.
         cells: Number of cells of the deployment.
+        power: Processor that the host has, in thousandths of a core.
     """
 
     host: str
@@ -55,6 +58,7 @@
     grace_ms: int
     cells: int
     bounds: Bounds
+    power: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,22 +98,28 @@
         self._is_draining = False
         self._page = MetricsPage(counters)
         store = adapters.store
-        member = make_member_name(settings.host, settings.peers, SystemRandom().getrandbits(32))
-        self._members = MemberTask(reactor, store, member, self._note_membership)
-        self._owners = OwnersTask(reactor, store)
+        own = Candidate(settings.power, settings.host)
+        member = Member(own, settings.peers, SystemRandom().getrandbits(LIFE_BITS))
+        contact = StoreContact()
+        self._members = MemberTask(reactor, store, member.to_name(), contact, self._note_membership)
+        self._owners = OwnersTask(reactor, store, contact)
         self._configuration = ConfigurationFollower(reactor, store, self._note_configuration)
         self._follower = EntriesFollower(reactor, store, self._note_entries)
+        self._peers = Peers(reactor, counters)
         self.router = Router(
             reactor,
             settings.cells,
             settings.peers,
             self._owners,
-            Peers(reactor, counters),
+            self._peers,
             self._ask,
             adapters.decode_job,
             counters,
             self._page.observe,
-            self._members.is_store_lost,
+            contact.is_lost,
+        )
+        self._standing = StandingTask(
+            reactor, own, self._owners, self._members, contact, self.router, self._withdraw
         )
         self._front = FrontState(
             self.router, adapters.encode_answer, adapters.read_request, RequestLimits()
@@ -127,8 +137,8 @@
         self._listen(settings.front, make_caller_factory(self._front))
         self._listen(settings.ready, make_page_factory(ready_pages))
         self._listen(settings.metrics, make_page_factory(metrics_pages))
-        self._members.start()
         self._owners.start()
+        self._standing.start()
         self._configuration.start()
         self._reactor.addSystemEventTrigger("before", "shutdown", self.drain)
         _LOGGER.info("host is up", extra={"cells": settings.cells})
@@ -199,7 +209,7 @@
         _LOGGER.info("cell is handed over", extra={"cell": owner.number})
         await owner.hand_over()
         self._drop(owner, "handed over")
-        if not self._is_draining:
+        if not self._members.is_stopped:
             await self._members.join()
 
     def _drop(self, owner: CellOwner, reason: str) -> None:
@@ -245,12 +255,14 @@
         self._is_draining = True
         self._front.is_draining = True
         self._drain_began = self._clock.now()
-        self._members.stop()
-        run_logged(self._leave())
+        self._standing.stop()
+        run_logged(self._withdraw())
         self._poll_drain()
         return self._drained
 
-    async def _leave(self) -> None:
+    async def _withdraw(self) -> None:
+        """Hand over what this host owns and leave the group."""
+        self._members.stop()
         for owner in list(self._owned.values()):
             await self._hand_over(owner)
         self._follow_entries()
--- a/tests/platform/processes.py
+++ b/tests/platform/processes.py
@@ -19,7 +19,7 @@
 class EntryHost:
     """One entry host as a process."""
 
-    def __init__(self, name: str, folder: Path, store: str) -> None:
+    def __init__(self, name: str, folder: Path, store: str, power: float = 1.0) -> None:
         self.name = name
         self.front, self.ready, self.peers, self.metrics = find_ports(4)
         self._log = folder / f"{name}.log"
@@ -27,7 +27,8 @@
         self._settings.write_text(
             f'node = "{name}"\nip = "{IP}"\ninternalPorts = [{self.peers}, {self.peers}]\n'
             f'[listenAddresses]\nfrontend = "{IP}:{self.front}"\nready = "{IP}:{self.ready}"\n'
-            f'[bounds]\ngraceS = 6\n[platform]\naddress = "{store}"\n'
+            f"[limits]\ncpuShare = {power}\ncores = 1\n[bounds]\ngraceS = 6\n"
+            f'[platform]\naddress = "{store}"\n'
         )
         self.process: subprocess.Popen[bytes] | None = None
         self.start()
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -12,11 +12,17 @@
 pytestmark = [pytest.mark.process, pytest.mark.xdist_group("platform")]
 
 
+SETTLE_S = 1.0
+"""Time for the cell to find its place after the last host has joined the group."""
+
+
 @pytest.fixture
 def platform(tmp_path: Path) -> Iterator[LocalPlatform]:
     """Three entry hosts and four workers."""
     local = LocalPlatform(tmp_path, hosts=3)
     try:
+        wait_until(lambda: all(host.count("host stands for ownership") for host in local.hosts))
+        time.sleep(SETTLE_S)
         wait_until(lambda: any(host.count("cell is owned") for host in local.hosts))
         wait_until(lambda: local.find_owner().count("worker.known") >= 4)
         yield local
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -17,6 +17,10 @@
 frontend = "10.1.0.13:8161"
 ready = "10.1.0.13:8167"
 
+[limits]
+cpuShare = 0.43
+cores = 5
+
 [bounds]
 graceS = 6
 holdMaxMs = 10000
@@ -35,6 +39,7 @@
     assert settings.store == "10.200.1.7:8169"
     assert settings.host.peers == "10.1.0.13:7720"
     assert settings.host.grace_ms == 6_000
+    assert settings.host.power == 2_150
     assert settings.host.bounds.lease_ms == 6_000
     assert settings.host.bounds.status_ms == 120_000
 
