--- a/packages/core/src/quetzallock_core/cells/batches.py
+++ b/packages/core/src/quetzallock_core/cells/batches.py
@@ -124,7 +124,7 @@
         book = self._book
         entry = worker.entry
         is_held = worker.is_reachable(book.clock.now()) or worker.contact_at < 0
-        lapsed_by = () if is_held else book.find_witnesses(worker.lease_end())
+        lapsed_by = () if is_held else book.doubts.find_witnesses(worker.lease_end())
         record = WorkerRecord(entry.worker, entry.address, entry.born, lapsed_by)
         batch.records.append(Persist(f"worker/{worker.id}", record))
         batch.workers.append((worker, worker.revision, is_held))
@@ -133,10 +133,10 @@
         """Write when the leases of workers that were not heard of have lapsed."""
         book = self._book
         now = book.clock.now()
-        for doubt in book.doubts.values():
+        for doubt in book.doubts.lives.values():
             if doubt.is_written or now - self._restored_at < DOUBT_RECORD_MS:
                 continue
-            witnesses = book.find_witnesses(doubt.lapse_at)
+            witnesses = book.doubts.find_witnesses(doubt.lapse_at)
             if witnesses and not doubt.record.lapsed_by:
                 doubt.is_written = True
                 record = replace(doubt.record, lapsed_by=witnesses)
@@ -168,7 +168,7 @@
     def take_hand_over(self) -> Batch:
         """Return all that waits to be written and, last, what may go on without this owner."""
         batch = self.take_batch()
-        record = self._book.to_hand_over()
+        record = self._book.doubts.to_hand_over()
         if record is not None:
             batch.records.append(Persist(HAND_OVER_KEY, record))
         return batch
--- a/packages/core/src/quetzallock_core/cells/book.py
+++ b/packages/core/src/quetzallock_core/cells/book.py
@@ -2,19 +2,12 @@
 
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass
-from itertools import islice
 from typing import Any
 
 from ..clock import Clock
-from .const import (
-    LEASE_MARGIN_MS,
-    MOST_WITNESSES,
-    PROOF_MS,
-    RETRY_PAUSE_MS,
-    RUNS_PER_EPOCH,
-)
+from .const import RETRY_PAUSE_MS, RUNS_PER_EPOCH
 from .contents import Contents
+from .doubts import Doubts
 from .interference import Interference
 from .jobs import Job, Run, StepRun, Task, make_job, restore_job
 from .lengths import Lengths
@@ -22,44 +15,24 @@
     Bounds,
     Decided,
     Effect,
-    HandOverRecord,
     JobRecord,
     LearnedRecord,
     PaceRun,
     StopRun,
-    Witness,
     WorkerEntry,
-    WorkerRecord,
 )
 from .workers import Worker
 
 
-@dataclass(slots=True)
-class Doubt:
-    """A life of a worker that may run what this owner has not heard of.
-
-    Attributes:
-        record: What the journal says of it.
-        lapse_at: Local ms at which its lease has lapsed at the latest.
-        is_written: The journal has this owner's word on when the lease lapses.
-    """
-
-    record: WorkerRecord
-    lapse_at: int
-    is_written: bool = False
-
-
 class CellBook:
     """The state of one cell under one epoch of ownership.
 
     Attributes:
         clock: Local time that runs on through a suspension of the host.
         read_unix_ms: Returns the Unix time in ms, as well as it is known.
-        doubts: Lives of workers that may run what this owner has not heard of.
+        doubts: What may run where this owner has not heard of it.
         open_steps: Steps with tasks still to do, whose predecessors are done.
         dirty: Jobs whose progress the journal does not hold yet.
-        places: Which life of a worker may run a task, where the last owner gave the cell up
-            in good order; None where that is not known.
         buried: Lives of workers that are surely over, though their entries may still stand.
         due_jobs: Jobs with repetitions that may become due.
         is_start_due: Something has changed that may let a waiting task start.
@@ -82,7 +55,7 @@
         self.read_unix_ms = read_unix_ms
         self.jobs: dict[str, Job] = {}
         self.workers: dict[str, Worker] = {}
-        self.doubts: dict[tuple[str, int], Doubt] = {}
+        self.doubts = Doubts(self.workers, clock)
         self.open_steps: dict[StepRun, None] = {}
         self.dirty: dict[Job, None] = {}
         self.lengths = Lengths()
@@ -94,7 +67,6 @@
         self.due_jobs: dict[Job, None] = {}
         self.is_start_due = False
         self.has_worker_news = False
-        self.places: dict[str, tuple[str, int]] | None = None
         self._effects: list[Effect] = []
         self._last_run = epoch * RUNS_PER_EPOCH
 
@@ -120,16 +92,11 @@
     def restore(self, contents: Contents) -> None:
         """Take in what the journal holds; its workers are in doubt until they are heard of."""
         now = self.clock.now()
-        lapse = int(self.bounds.lease_ms * 1.021) + PROOF_MS + LEASE_MARGIN_MS
-        for record in contents.workers:
-            self.doubts[record.worker, record.born] = Doubt(record, now + lapse)
+        self.doubts.restore(contents, self.bounds.lease_ms)
         learned = contents.learned
         if learned is not None:
             self.interference.restore(learned.coefficients, learned.busy_tails)
             self.lengths.restore(learned.lengths)
-        hand_over = contents.hand_over
-        if hand_over is not None:
-            self.places = {task: (worker, born) for task, worker, born in hand_over.runs}
         unix_ms = self.read_unix_ms()
         for job_id, job_record in contents.jobs.items():
             job = restore_job(job_record, contents.progress.get(job_id), now)
@@ -145,7 +112,7 @@
             epoch=self.epoch,
             jobs=len(contents.jobs),
             doubts=len(contents.workers),
-            handed_over=hand_over is not None,
+            handed_over=contents.hand_over is not None,
         )
 
     def to_learned(self) -> LearnedRecord:
@@ -156,36 +123,6 @@
             self.lengths.list_means(),
         )
 
-    def end_doubts(self, worker_id: str) -> None:
-        """A life of the worker has shown its inventory: it and the ones before hold no secrets.
-
-        Until then an order of the last owner may still reach this life and be obeyed.
-        """
-        for known, born in list(self.doubts):
-            if known == worker_id:
-                del self.doubts[known, born]
-
-    def is_in_doubt(self, task: Task) -> bool:
-        """Tell whether `task` may run where this owner cannot see it."""
-        if not self.doubts or not task.job.is_loaded:
-            return False
-        if self.places is None:
-            return True
-        return self.places.get(task.name) in self.doubts
-
-    def to_hand_over(self) -> HandOverRecord | None:
-        """Return all runs that may go on, for the next owner; None where that is not known."""
-        runs = [
-            (run.task.name, worker.id, worker.entry.born)
-            for worker in self.workers.values()
-            for run in worker.runs.values()
-        ]
-        if self.doubts and self.places is None:
-            return None
-        places = self.places or {}
-        runs += [(task, *place) for task, place in places.items() if place in self.doubts]
-        return HandOverRecord(tuple(runs))
-
     def add_job(self, record: JobRecord) -> Job:
         """Return the job of a new record, entered into the book."""
         job = make_job(record, self.clock.now())
@@ -344,26 +281,6 @@
         if not task.runs:
             self.finish_job(task.job, "fail")
 
-    def find_witnesses(self, lapse_at: int) -> tuple[Witness, ...]:
-        """Return by which clocks of reachable workers the local ms `lapse_at` can be told."""
-        now = self.clock.now()
-        left = max(0, lapse_at - now)
-        reachable = (w for w in self.workers.values() if w.is_reachable(now))
-        return tuple(
-            Witness(worker.id, worker.entry.born, worker.clock_ms + now - worker.clock_at + left)
-            for worker in islice(reachable, MOST_WITNESSES)
-        )
-
-    def is_lapsed(self, record: WorkerRecord) -> bool:
-        """Tell whether a witness says that the lease in `record` has lapsed."""
-        for witness in record.lapsed_by:
-            worker = self.workers.get(witness.worker)
-            if worker is None or worker.entry.born != witness.born:
-                continue
-            if worker.clock_ms > witness.clock_ms:
-                return True
-        return False
-
     def drop_worker(self, worker: Worker, reason: str) -> None:
         """Forget a life of a worker: whatever ran there is over."""
         self.decide("worker.gone", worker=worker.id, reason=reason, runs=len(worker.runs))
--- a/packages/core/src/quetzallock_core/cells/cell.py
+++ b/packages/core/src/quetzallock_core/cells/cell.py
@@ -150,7 +150,7 @@
         """Act on the passing of time."""
         book = self.book
         now = book.clock.now()
-        self._check_doubts(now)
+        self._check_doubts()
         for worker in list(book.workers.values()):
             self._check_worker(worker, now)
         if self.may_order and not book.fenced:
@@ -162,15 +162,12 @@
         self._expire_jobs(now)
         self.book.is_start_due = True
 
-    def _check_doubts(self, now: int) -> None:
+    def _check_doubts(self) -> None:
         book = self.book
-        for key, doubt in list(book.doubts.items()):
-            if now < doubt.lapse_at and not book.is_lapsed(doubt.record):
-                continue
-            del book.doubts[key]
-            book.decide("worker.doubt_over", worker=key[0], born=key[1])
-            if key[0] not in book.workers:
-                book.dropped_workers.append(key[0])
+        for worker, born in book.doubts.take_lapsed():
+            book.decide("worker.doubt_over", worker=worker, born=born)
+            if worker not in book.workers:
+                book.dropped_workers.append(worker)
 
     def _check_worker(self, worker: Worker, now: int) -> None:
         if worker.is_reachable(now):
--- a/packages/core/src/quetzallock_core/cells/inventory.py
+++ b/packages/core/src/quetzallock_core/cells/inventory.py
@@ -51,7 +51,7 @@
             if (run.task.name, run.number) not in listed:
                 changed |= self._check_missing(run, inventory.clock_ms)
         if is_first:
-            book.end_doubts(worker.id)
+            book.doubts.end(worker.id)
         self._relieve(worker, now)
         return changed
 
--- a/packages/core/src/quetzallock_core/cells/schedule.py
+++ b/packages/core/src/quetzallock_core/cells/schedule.py
@@ -42,7 +42,7 @@
         return any(self._may_start(task, now) for task in step.tasks)
 
     def _may_start(self, task: Task, now: int) -> bool:
-        if not task.is_waiting or now < task.not_before or self._book.is_in_doubt(task):
+        if not task.is_waiting or now < task.not_before or self._book.doubts.covers(task):
             return False
         if task.spec.lasting:
             return True
--- a/tests/core/cells/test_takeover.py
+++ b/tests/core/cells/test_takeover.py
@@ -77,7 +77,7 @@
     assert "worker/w1" not in cluster.journal
     cluster.take_over()
     cluster.run(300)
-    assert not cluster.cell.book.doubts
+    assert not cluster.cell.book.doubts.lives
 
 
 def test_learned_coefficients_pass_to_the_next_owner() -> None:
@@ -262,7 +262,7 @@
     cluster.kill_owner()
     cluster.take_over()
     cluster.run(300)
-    assert [worker for worker, _ in cluster.cell.book.doubts] == ["w0"]
+    assert [worker for worker, _ in cluster.cell.book.doubts.lives] == ["w0"]
     cluster.workers["w0"].is_cut = False
     cluster.run(300)
-    assert not cluster.cell.book.doubts
+    assert not cluster.cell.book.doubts.lives
