--- a/packages/daemon/src/quetzallock_daemon/cells/const.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/const.py
@@ -21,7 +21,11 @@
 """Period of looking whether a join is still under way before a host leaves the group."""
 
 JOIN_TIMEOUT_MS: Final = 600
+"""More than twice what a store that is sixty times slower than usual takes for a call."""
+
 APPEND_TIMEOUT_MS: Final = 600
+"""The same for appends; one that has no answer is repeated under its sequence."""
+
 APPEND_PAUSE_MS: Final = 6
 """Pause before an append, so that records of one moment share it."""
 
