--- a/packages/core/src/quetzallock_core/cells/batches.py
+++ b/packages/core/src/quetzallock_core/cells/batches.py
@@ -139,6 +139,9 @@
             witnesses = book.doubts.find_witnesses(doubt.lapse_at)
             if witnesses and not doubt.record.lapsed_by:
                 doubt.is_written = True
+                worker = book.workers.get(doubt.record.worker)
+                if worker is not None and worker.entry.born == doubt.record.born:
+                    worker.is_released = True
                 record = replace(doubt.record, lapsed_by=witnesses)
                 batch.records.append(Persist(f"worker/{record.worker}", record))
 
--- a/tests/core/cells/test_takeover.py
+++ b/tests/core/cells/test_takeover.py
@@ -266,3 +266,18 @@
     cluster.workers["w0"].is_cut = False
     cluster.run(300)
     assert not cluster.cell.book.doubts.lives
+
+
+def test_doubt_that_was_written_down_does_not_outlive_the_worker_s_return() -> None:
+    cluster = make_busy_cluster()
+    cluster.workers["w0"].is_cut = True
+    cluster.kill_owner()
+    cluster.take_over()
+    cluster.run(1_400)
+    cluster.workers["w0"].is_cut = False
+    cluster.run(7_000)
+    cluster.workers["w0"].is_cut = True
+    cluster.kill_owner()
+    cluster.take_over()
+    cluster.run(4_000)
+    assert cluster.truth.broken == []
