--- a/packages/core/src/quetzallock_core/cells/batches.py
+++ b/packages/core/src/quetzallock_core/cells/batches.py
@@ -103,13 +103,13 @@
         for worker_id in book.dropped_workers:
             batch.records.append(Persist(f"worker/{worker_id}", None))
         book.dropped_workers = []
+        self._record_doubts(batch)
         for worker in book.workers.values():
             if not worker.is_recorded:
                 self._record_worker(worker, batch)
             if worker.cursor > worker.acked:
                 batch.cursors.append((worker, worker.cursor))
         book.has_worker_news = False
-        self._record_doubts(batch)
         now = book.clock.now()
         if batch.records and now >= self._learned_at + LEARNED_MS:
             self._learned_at = now
@@ -123,8 +123,11 @@
         """Write what a new owner has to know of a worker."""
         book = self._book
         entry = worker.entry
-        is_held = worker.is_reachable(book.clock.now()) or worker.contact_at < 0
-        lapsed_by = () if is_held else book.doubts.find_witnesses(worker.lease_end())
+        now = book.clock.now()
+        is_unheard = worker.contact_at < 0
+        is_held = not worker.is_released if is_unheard else worker.is_reachable(now)
+        lapse_at = book.doubts.find_lapse(worker, now) if is_unheard else worker.lease_end()
+        lapsed_by = () if is_held else book.doubts.find_witnesses(lapse_at)
         record = WorkerRecord(entry.worker, entry.address, entry.born, lapsed_by)
         batch.records.append(Persist(f"worker/{worker.id}", record))
         batch.workers.append((worker, worker.revision, is_held))
@@ -137,13 +140,15 @@
             if doubt.is_written or now - self._restored_at < DOUBT_RECORD_MS:
                 continue
             witnesses = book.doubts.find_witnesses(doubt.lapse_at)
-            if witnesses and not doubt.record.lapsed_by:
-                doubt.is_written = True
-                worker = book.workers.get(doubt.record.worker)
-                if worker is not None and worker.entry.born == doubt.record.born:
-                    worker.is_released = True
-                record = replace(doubt.record, lapsed_by=witnesses)
-                batch.records.append(Persist(f"worker/{record.worker}", record))
+            if not witnesses or doubt.record.lapsed_by:
+                continue
+            doubt.is_written = True
+            worker = book.workers.get(doubt.record.worker)
+            if worker is not None and worker.entry.born == doubt.record.born:
+                book.release_worker(worker)
+                continue
+            record = replace(doubt.record, lapsed_by=witnesses)
+            batch.records.append(Persist(f"worker/{record.worker}", record))
 
     def withdraw_new(self, batch: Batch) -> None:
         """Refuse the new jobs of a batch of which the store has surely written nothing."""
--- a/packages/core/src/quetzallock_core/cells/book.py
+++ b/packages/core/src/quetzallock_core/cells/book.py
@@ -316,6 +316,11 @@
         worker.change_record()
         self.has_worker_news = True
 
+    def release_worker(self, worker: Worker) -> None:
+        """Renew a worker's lease no more until the journal has said so and it is heard again."""
+        worker.is_released = True
+        self.change_record(worker)
+
     def bury_worker(self, worker: Worker) -> None:
         """Another life answers at the worker's address: this one is over, and so are its runs."""
         self.buried.add((worker.id, worker.entry.born))
--- a/packages/core/src/quetzallock_core/cells/cell.py
+++ b/packages/core/src/quetzallock_core/cells/cell.py
@@ -175,8 +175,7 @@
                 self.book.change_record(worker)
             return
         if worker.contact_at >= 0 and not worker.is_released:
-            worker.is_released = True
-            self.book.change_record(worker)
+            self.book.release_worker(worker)
         if worker.runs and worker.lease_clock and now >= worker.lease_end():
             for run in list(worker.runs.values()):
                 self.book.decide("run.lapsed", task=run.task.name, run=run.number, worker=worker.id)
--- a/packages/core/src/quetzallock_core/cells/doubts.py
+++ b/packages/core/src/quetzallock_core/cells/doubts.py
@@ -93,6 +93,11 @@
                 return True
         return False
 
+    def find_lapse(self, worker: Worker, now: int) -> int:
+        """Return the local ms at which the lease of a worker that was never heard has lapsed."""
+        doubt = self.lives.get((worker.id, worker.entry.born))
+        return now if doubt is None else doubt.lapse_at
+
     def find_witnesses(self, lapse_at: int) -> tuple[Witness, ...]:
         """Return by which clocks of reachable workers the local ms `lapse_at` can be told."""
         now = self._clock.now()
--- a/tests/core/cells/test_takeover.py
+++ b/tests/core/cells/test_takeover.py
@@ -281,3 +281,21 @@
     cluster.take_over()
     cluster.run(4_000)
     assert cluster.truth.broken == []
+
+
+def test_worker_that_is_listed_late_is_not_held_on_the_word_of_its_doubt() -> None:
+    cluster = make_busy_cluster()
+    cluster.workers["w0"].is_cut = True
+    cluster.unlisted.add("w0")
+    cluster.kill_owner()
+    cluster.take_over()
+    cluster.run(1_200)
+    cluster.unlisted.discard("w0")
+    cluster.run(200)
+    cluster.workers["w0"].is_cut = False
+    cluster.run(7_000)
+    cluster.workers["w0"].is_cut = True
+    cluster.kill_owner()
+    cluster.take_over()
+    cluster.run(4_000)
+    assert cluster.truth.broken == []
