Read members' names once; use one name for the loopback address

Each request and each look at the members took the owners' names apart again; now that is done when a reading has changed them. The loopback address stood under four names. No change of behaviour.

--- a/packages/daemon/src/quetzallock_daemon/cells/membership.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/membership.py
@@ -120,6 +120,7 @@
         self._contact = contact
         self._clock = BootClock()
         self._owners: dict[int, str] = {}
+        self._members: dict[int, Member] = {}
         self._read_at = 0
         self._is_reading = False
 
@@ -147,19 +148,21 @@
         finally:
             self._is_reading = False
         self._contact.note_answer()
-        if owners != self._owners:
-            _LOGGER.info("owners changed", extra={"owners": {str(c): m for c, m in owners.items()}})
+        if owners == self._owners:
+            return
+        _LOGGER.info("owners changed", extra={"owners": {str(c): m for c, m in owners.items()}})
         self._owners = owners
+        members = {cell: parse_member(name) for cell, name in owners.items()}
+        self._members = {cell: member for cell, member in members.items() if member is not None}
 
     def find(self, cell: int) -> str | None:
         """Return the peer address of the owner of `cell`, or None."""
-        member = parse_member(self._owners.get(cell, ""))
+        member = self._members.get(cell)
         return None if member is None else member.address
 
     def list_candidates(self) -> list[Candidate]:
         """Return the members that hold something."""
-        members = (parse_member(name) for name in set(self._owners.values()))
-        return [member.candidate for member in members if member is not None]
+        return [member.candidate for member in set(self._members.values())]
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/platform/processes.py
+++ b/tests/platform/processes.py
@@ -11,10 +11,9 @@
 from pathlib import Path
 
 from quetzallock_platform.settings import SETTINGS_VARIABLE
+from quetzallock_standins.const import LOOPBACK
 from quetzallock_standins.ports import find_ports
 
-IP = "127.0.0.1"
-
 
 class EntryHost:
     """One entry host as a process."""
@@ -25,8 +24,9 @@
         self._log = folder / f"{name}.log"
         self._settings = folder / f"{name}.toml"
         self._settings.write_text(
-            f'node = "{name}"\nip = "{IP}"\ninternalPorts = [{self.peers}, {self.peers}]\n'
-            f'[listenAddresses]\nfrontend = "{IP}:{self.front}"\nready = "{IP}:{self.ready}"\n'
+            f'node = "{name}"\nip = "{LOOPBACK}"\ninternalPorts = [{self.peers}, {self.peers}]\n'
+            f'[listenAddresses]\nfrontend = "{LOOPBACK}:{self.front}"\n'
+            f'ready = "{LOOPBACK}:{self.ready}"\n'
             f"[limits]\ncpuShare = {power}\ncores = 1\n[bounds]\ngraceS = 6\n"
             f'[platform]\naddress = "{store}"\n'
         )
@@ -50,7 +50,7 @@
         """Make a caller's request; return status and decoded body."""
         data = None if body is None else json.dumps(body).encode()
         request = urllib.request.Request(
-            f"http://{IP}:{self.front}{path}", data, {"Host": "desk.example"}, method=method
+            f"http://{LOOPBACK}:{self.front}{path}", data, {"Host": "desk.example"}, method=method
         )
         try:
             with urllib.request.urlopen(request, timeout=6) as response:
@@ -61,7 +61,7 @@
     def fetch(self, port: int, path: str) -> tuple[int, str]:
         """Fetch a page of the process."""
         try:
-            with urllib.request.urlopen(f"http://{IP}:{port}{path}", timeout=3) as response:
+            with urllib.request.urlopen(f"http://{LOOPBACK}:{port}{path}", timeout=3) as response:
                 return response.status, response.read().decode()
         except urllib.error.HTTPError as error:
             return error.code, ""
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -7,6 +7,7 @@
 from typing import Any, Final
 
 from quetzallock_daemon.helpers import sleep
+from quetzallock_standins.const import LOOPBACK
 
 from .world import CALL_MS, Host, World, now_ms
 
@@ -103,7 +104,7 @@
         return job, {"spec": payload, "steps": _steps(*tasks, **fields)}
 
     async def _call(self, method: str, job: Job, body: Any = None) -> tuple[int, dict[str, Any]]:
-        address = f"127.0.0.1:{self._host.front}"
+        address = f"{LOOPBACK}:{self._host.front}"
         reply = await self._world.call(address, method, f"/jobs/{job.id}", CALL_MS, body)
         if reply is None or reply.status in (502, 504):
             self._host = self._rng.choice(self._world.hosts)
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -7,7 +7,8 @@
 from twisted.internet.protocol import Factory, Protocol, connectionDone
 from twisted.python.failure import Failure
 
-IP: Final = "127.0.0.1"
+from quetzallock_standins.const import LOOPBACK
+
 MODES: Final = ("open", "slow", "cut", "deaf", "silent", "reset")
 
 
@@ -27,8 +28,8 @@
         self._pairs: set[_Incoming] = set()
         factory: Any = Factory.forProtocol(lambda: _Incoming(self))
         factory.noisy = False
-        self._port = reactor.listenTCP(0, factory, interface=IP)
-        self.address = f"{IP}:{self._port.getHost().port}"
+        self._port = reactor.listenTCP(0, factory, interface=LOOPBACK)
+        self.address = f"{LOOPBACK}:{self._port.getHost().port}"
 
     def set_mode(self, mode: str, delay_ms: int = 0) -> None:
         """Change the mode for all connections, those that are open too."""
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -11,6 +11,7 @@
 
 from quetzallock_daemon.helpers import sleep
 from quetzallock_daemon.transport import CallFailedError, HttpClient, Reply, build_request
+from quetzallock_standins.const import LOOPBACK
 
 from ..platform.processes import EntryHost
 from .proxy import Link
@@ -81,7 +82,7 @@
     async def wait_ready(self, host: Host) -> None:
         """Wait until a host says that it is ready; a finding if it does not."""
         for _ in range(READY_MS // _POLL_MS):
-            reply = await self.call(f"127.0.0.1:{host.ready}", "GET", "/readyz", 500)
+            reply = await self.call(f"{LOOPBACK}:{host.ready}", "GET", "/readyz", 500)
             if reply is not None and reply.status == 200:
                 return
             await sleep(self.reactor, _POLL_MS)
