Let timers follow a steady clock

Ruled out: the store, the reload of settings. Change: the reactor's seconds are time.monotonic, in the one module from which all code takes the reactor. Test: a jump back of 5 s, failed before.

--- a/packages/daemon/src/quetzallock_daemon/helpers.py
+++ b/packages/daemon/src/quetzallock_daemon/helpers.py
@@ -1,6 +1,7 @@
 """Small functions around Twisted."""
 
 import logging
+import time
 from collections.abc import Coroutine
 from io import BytesIO
 from typing import Any
@@ -13,6 +14,8 @@
 
 _LOGGER = logging.getLogger(__name__)
 reactor: Any = _reactor
+# Timers by the time of day would all be late by as much as it is set back.
+reactor.seconds = time.monotonic
 
 
 def with_timeout(deferred: Deferred[Any], timeout_ms: int) -> Deferred[Any]:
