--- a/packages/standins/src/quetzallock_standins/emulator/workers.py
+++ b/packages/standins/src/quetzallock_standins/emulator/workers.py
@@ -1,7 +1,7 @@
 """Emulated worker: a fence, a lease on its own clock, runs, unacknowledged ends, checkpoints."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from quetzallock_core.cells.models import (
     EndRow,
@@ -277,6 +277,10 @@
         self._next_end += 1
         self.ground_truth.record_end(task, run.order.run, outcome)
 
+    def drain(self) -> None:
+        """Announce that the worker is about to leave; it goes on until `crash`."""
+        self.entry = replace(self.entry, is_draining=True)
+
     def crash(self) -> None:
         """Lose all state; the worker does not answer until `revive`."""
         self.is_up = False
--- /dev/null
+++ b/tests/core/cells/test_leaving_workers.py
@@ -0,0 +1,51 @@
+"""Workers that leave after they have announced it, also while owners change: their tasks go on."""
+
+from quetzallock_core.cells.const import CLOCK_DRIFT, LEASE_MARGIN_MS, MAX_LEASE_MS
+from quetzallock_standins.emulator import CellCluster
+from quetzallock_standins.emulator.cluster import make_spec
+
+from .common import POLICY, make_step
+
+MIN_DRAIN_MS = 2_000
+"""Shortest time between the announcement of a worker and its leave."""
+HAND_OVER_INTERVAL_MS = 2_000
+LEASE_LAPSE_MS = int(MAX_LEASE_MS / (1 - CLOCK_DRIFT)) + LEASE_MARGIN_MS
+RESTART_MARGIN_MS = 500
+
+
+def make_cluster(workers: int = 4, tasks: int = 6, **fields: object) -> CellCluster:
+    """Return a cluster with one job of lasting tasks under way."""
+    cluster = CellCluster(workers=workers)
+    cluster.run(500)
+    cluster.submit(make_spec("a", make_step(tasks, lasting=True, **fields)), POLICY, {0: None})
+    cluster.run(1_000)
+    assert len(cluster.ground_truth.list_running("a")) == tasks
+    return cluster
+
+
+def find_busiest_worker(cluster: CellCluster) -> str:
+    """Return the id of the worker that runs the most tasks."""
+    return max(cluster.workers, key=lambda worker: len(cluster.workers[worker].runs))
+
+
+def test_hand_overs_do_not_restart_the_wait_for_the_lease_of_a_gone_worker() -> None:
+    cluster = make_cluster()
+    cluster.workers[find_busiest_worker(cluster)].crash()
+    cluster.run(100)
+    for _ in range(3):
+        cluster.hand_over()
+        cluster.run(HAND_OVER_INTERVAL_MS)
+    cluster.run(LEASE_LAPSE_MS + RESTART_MARGIN_MS - 100 - 3 * HAND_OVER_INTERVAL_MS)
+    assert len(cluster.ground_truth.list_running("a")) == 6
+    assert not cluster.ground_truth.violations
+
+
+def test_lasting_tasks_go_on_elsewhere_before_their_worker_leaves() -> None:
+    cluster = make_cluster()
+    leaving = cluster.workers[find_busiest_worker(cluster)]
+    leaving.drain()
+    cluster.run(MIN_DRAIN_MS)
+    assert not leaving.runs
+    leaving.crash()
+    assert len(cluster.ground_truth.list_running("a")) == 6
+    assert not cluster.ground_truth.violations
