Carry the end of leases across hand-overs, instead of waiting anew

Cause: a new owner counted the wait for an unreachable worker from its own start, and added the time for which an owner that crashed may go on renewing; the owner that handed over knew when each lease ends and renewed none afterwards. Each hand-over began the wait anew. Class: a time limit that each observer counts from when it begins to look. Evidence: worker.doubt_over 9.3 s after the takeover (second task), and after two takeovers 10.3 s (first task). Change: the hand-over record says of each worker's boot in how many ms its lease has lapsed; the next owner waits no longer than that. Sound, as the record is read after it was written and nothing is renewed in between.

--- a/packages/core/src/quetzallock_core/cells/models.py
+++ b/packages/core/src/quetzallock_core/cells/models.py
@@ -232,9 +232,12 @@
 
     Attributes:
         runs: Task, worker and that worker's boot.
+        leases: Worker, its boot and the ms, from the writing of the record, after which its lease
+            has lapsed at the latest. The owner renews no lease after it has written the record.
     """
 
     runs: tuple[tuple[str, str, int], ...]
+    leases: tuple[tuple[str, int, int], ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/quetzallock_core/cells/unverified.py
+++ b/packages/core/src/quetzallock_core/cells/unverified.py
@@ -51,14 +51,23 @@
         self.locations: dict[str, Boot] | None = None
 
     def restore(self, contents: Contents, lease_ms: int) -> None:
-        """Mark every worker in the journal as unverified."""
+        """Mark every worker in the journal as unverified.
+
+        An owner that handed the cell over has recorded when the leases lapse. After any other
+        takeover they may have been renewed until the previous owner's right to order ended.
+        """
+        now = self._clock.now()
         longest_ms = int(lease_ms / (1 - CLOCK_DRIFT)) + OWNERSHIP_VALID_MS + LEASE_MARGIN_MS
-        lapse_at = self._clock.now() + longest_ms
-        for record in contents.workers:
-            self.by_boot[record.worker, record.boot_ms] = UnverifiedWorker(record, lapse_at)
+        remaining_ms: dict[Boot, int] = {}
         if contents.hand_over is not None:
             runs = contents.hand_over.runs
             self.locations = {task: (worker, boot_ms) for task, worker, boot_ms in runs}
+            leases = contents.hand_over.leases
+            remaining_ms = {(worker, boot_ms): left_ms for worker, boot_ms, left_ms in leases}
+        for record in contents.workers:
+            boot = (record.worker, record.boot_ms)
+            lapse_at = now + min(longest_ms, remaining_ms.get(boot, longest_ms))
+            self.by_boot[boot] = UnverifiedWorker(record, lapse_at)
 
     def may_be_running(self, task: Task) -> bool:
         """Return whether an unverified worker may be running `task`."""
@@ -130,4 +139,13 @@
         runs += [
             (task, *location) for task, location in locations.items() if location in self.by_boot
         ]
-        return HandOverRecord(tuple(runs))
+        return HandOverRecord(tuple(runs), tuple(self._list_leases()))
+
+    def _list_leases(self) -> list[tuple[str, int, int]]:
+        """Return worker, boot and the ms until its lease has lapsed, of all that may run tasks."""
+        now = self._clock.now()
+        lapses = {boot: unverified.lapse_at for boot, unverified in self.by_boot.items()}
+        for worker in self._workers.values():
+            if worker.contact_at >= 0:
+                lapses[worker.id, worker.entry.boot_ms] = worker.compute_lapse_at()
+        return [(*boot, max(0, lapse_at - now)) for boot, lapse_at in lapses.items()]
--- a/tests/core/cells/test_leaving_workers.py
+++ b/tests/core/cells/test_leaving_workers.py
@@ -40,6 +40,19 @@
     assert not cluster.ground_truth.violations
 
 
+def test_hand_overs_do_not_shorten_the_wait_for_the_lease_of_a_slow_clock() -> None:
+    cluster = make_cluster()
+    cut_off = cluster.workers[find_busiest_worker(cluster)]
+    cut_off.clock_rate = 1 - CLOCK_DRIFT
+    cut_off.is_isolated = True
+    for _ in range(5):
+        cluster.hand_over()
+        cluster.run(HAND_OVER_INTERVAL_MS)
+    assert not cut_off.runs
+    assert len(cluster.ground_truth.list_running("a")) == 6
+    assert not cluster.ground_truth.violations
+
+
 def test_lasting_tasks_go_on_elsewhere_before_their_worker_leaves() -> None:
     cluster = make_cluster()
     leaving = cluster.workers[find_busiest_worker(cluster)]
