Let random sequences of faults drain workers and run lasting tasks

Change: drain and lasting jobs as rules; the room that a worker has committed is that of its runs and of the tasks that move to it, and each of these has a run that is being stopped; lasting tasks run in the end.

--- a/packages/standins/src/quetzallock_standins/emulator/cluster.py
+++ b/packages/standins/src/quetzallock_standins/emulator/cluster.py
@@ -359,7 +359,8 @@
     def revive(self, worker: str) -> None:
         """Start a crashed worker again, as a new boot."""
         old = self.workers[worker]
-        old.revive(replace(old.entry, boot_ms=old.entry.boot_ms + self.clock.now() + 1))
+        boot_ms = old.entry.boot_ms + self.clock.now() + 1
+        old.revive(replace(old.entry, boot_ms=boot_ms, is_draining=False))
 
 
 def make_entry(worker: str, capacity: Resources, rack: str, boot_ms: int) -> WorkerEntry:
--- a/tests/core/cells/test_faults.py
+++ b/tests/core/cells/test_faults.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
-from quetzallock_core.cells.models import QueuePolicy
+from quetzallock_core.cells.models import QueuePolicy, Resources
 from quetzallock_standins.emulator import CellCluster
 from quetzallock_standins.emulator.cluster import make_spec
 
@@ -22,6 +22,7 @@
         self.cluster = CellCluster(seed=seed)
         self.cluster.run(500)
         self.jobs: list[str] = []
+        self.lasting: list[str] = []
 
     @rule(
         count=st.integers(1, 4),
@@ -46,6 +47,17 @@
         self.cluster.run(200)
         self.cluster.revive(worker)
 
+    @rule(count=st.integers(1, 3))
+    def submit_lasting(self, count: int) -> None:
+        job = f"j{len(self.jobs)}"
+        self.jobs.append(job)
+        self.lasting.append(job)
+        self.cluster.submit(make_spec(job, make_step(count, lasting=True)), POLICY, {0: None})
+
+    @rule(worker=WORKERS)
+    def drain(self, worker: str) -> None:
+        self.cluster.workers[worker].drain()
+
     @rule(worker=WORKERS, is_isolated=st.booleans())
     def cut(self, worker: str, is_isolated: bool) -> None:
         self.cluster.workers[worker].is_isolated = is_isolated
@@ -84,6 +96,18 @@
     def no_promise_is_broken(self) -> None:
         assert not self.cluster.ground_truth.violations
 
+    @invariant()
+    def room_is_committed_to_runs_and_moving_tasks_only(self) -> None:
+        state = self.cluster.cell.state
+        for worker in state.workers.values():
+            expected = Resources()
+            for run in [*worker.runs.values(), *worker.reservations.values()]:
+                expected = expected + run.task.spec.needs
+            assert worker.committed == expected
+            for run in worker.reservations.values():
+                assert run.state == "stopping"
+                assert run.number in run.task.runs
+
     def teardown(self) -> None:
         if not hasattr(self, "cluster"):
             return
@@ -93,10 +117,17 @@
         for worker in cluster.workers.values():
             worker.mode = "sound"
             worker.is_isolated = False
+            if worker.entry.is_draining:
+                worker.crash()
+                cluster.revive(worker.id)
         cluster.run(25_000)
         assert not cluster.ground_truth.violations
         for job in cluster.cell.state.jobs.values():
-            assert job.is_over, f"{job.id} is {job.state}"
+            if job.id not in self.lasting:
+                assert job.is_over, f"{job.id} is {job.state}"
+            elif not job.is_over:
+                running = cluster.ground_truth.list_running(f"{job.id}.")
+                assert len(running) == job.spec.steps[0].count
 
 
 CellFaults.TestCase.settings = settings(max_examples=40, stateful_step_count=15)
