Stop no run whose task an unverified worker keeps from starting again

Cause: moving a run, restarting a stalled one and moving a paused one asked only for room; after a takeover without a hand-over every loaded task waits for the unverified workers. Change: the three ask whether the task may start again. Measured: test_lasting_tasks_are_not_moved_while_... failed before and passes.

--- a/packages/core/src/quetzallock_core/cells/cell.py
+++ b/packages/core/src/quetzallock_core/cells/cell.py
@@ -201,6 +201,8 @@
 
     def _restart_stalled(self, now: int) -> None:
         for run in self._reader.list_stalled(now):
+            if self.state.unverified.may_be_running(run.task):
+                continue
             worker = self.state.workers[run.worker]
             worker.record_failure(run.task.job.id, now)
             run.task.avoid.add(worker.id)
--- a/packages/core/src/quetzallock_core/cells/migration.py
+++ b/packages/core/src/quetzallock_core/cells/migration.py
@@ -26,6 +26,7 @@
                 for run in worker.runs.values()
                 if run.pace == PAUSED_PACE
                 and run.state == "running"
+                and not state.unverified.may_be_running(run.task)
                 and now - run.paced_at >= MIGRATE_PAUSED_AFTER_MS
             ]
             for run in paused:
@@ -45,7 +46,7 @@
         """Stop lasting runs on draining workers, for each of which another worker has room.
 
         A worker that leaves ends its runs, and unless it is known to be gone their tasks then wait
-        for the end of its lease.
+        for the end of its lease. A run whose task could not start again at once stays.
         """
         state = self._state
         now = state.clock.now()
@@ -55,6 +56,7 @@
             if worker.entry.is_draining and worker.is_reachable(now)
             for run in worker.runs.values()
             if run.state == "running" and run.task.spec.lasting and not run.task.spec.gang
+            if not state.unverified.may_be_running(run.task)
         ]
         if not runs:
             return
--- a/tests/core/cells/test_leaving_workers.py
+++ b/tests/core/cells/test_leaving_workers.py
@@ -119,3 +119,15 @@
     assert not leaving.runs
     assert len(cluster.ground_truth.list_running("a")) == 6
     assert not cluster.ground_truth.violations
+
+
+def test_lasting_tasks_are_not_moved_while_an_unverified_worker_keeps_them_from_starting() -> None:
+    cluster = make_cluster()
+    lost = find_busiest_worker(cluster)
+    leaving = next(w for w, worker in cluster.workers.items() if worker.runs and w != lost)
+    cluster.workers[leaving].drain()
+    cluster.kill_owner()
+    cluster.workers[lost].crash()
+    cluster.take_over()
+    cluster.run(3_000)
+    assert not [end for end in cluster.ground_truth.ends if end[3] == "stopped"]
