Take silence of a worker for no lack of progress

Cause: a run counted as hanging by the time since its last report, also while no report could come. Change: the time ends with the worker's last inventory, and only workers that answer are looked at.

--- a/packages/core/src/quetzallock_core/cells/inventory.py
+++ b/packages/core/src/quetzallock_core/cells/inventory.py
@@ -44,6 +44,7 @@
         now = state.clock.now()
         is_first = worker.contact_at < 0
         worker.record_contact(inventory.clock_ms, now)
+        worker.inventory_at = now
         worker.is_poll_unanswered = False
         if is_first:
             worker.lease_end_clock_ms = inventory.clock_ms + state.bounds.lease_ms
@@ -222,14 +223,18 @@
         state.fail_task(task, row.run)
 
     def list_stalled(self, now: int) -> list[Run]:
-        """Return runs that have used no processor for `STALL_TIMEOUT_MS`, although they should."""
+        """Return runs that have used no processor for `STALL_TIMEOUT_MS`, although they should.
+
+        The time ends with the last inventory: a worker that reports nothing shows no hanging run.
+        """
         return [
             run
             for worker in self._state.workers.values()
+            if worker.is_reachable(now)
             for run in worker.runs.values()
             if run.state == "running"
             and run.progressed_at
-            and now - run.progressed_at > STALL_TIMEOUT_MS
+            and worker.inventory_at - run.progressed_at > STALL_TIMEOUT_MS
         ]
 
 
--- a/packages/core/src/quetzallock_core/cells/workers.py
+++ b/packages/core/src/quetzallock_core/cells/workers.py
@@ -66,6 +66,7 @@
         clock_read_at: Local ms at which that reading arrived; it was taken no later.
         lease_end_clock_ms: Latest lease end, on the worker's clock, that any order may have set.
         contact_at: Local ms of its last answer; -1 before the first.
+        inventory_at: Local ms of its last inventory; -1 before the first.
         cursor: Highest number of an end that was processed.
         durable_cursor: Highest number of an end that the journal holds.
         is_poll_unanswered: The last inventory poll got no answer. The next answer may come from
@@ -96,6 +97,7 @@
     clock_read_at: int = 0
     lease_end_clock_ms: int = 0
     contact_at: int = -1
+    inventory_at: int = -1
     cursor: int = 0
     durable_cursor: int = 0
     is_poll_unanswered: bool = True
