Count moving tasks in all limits of the worker that keeps room for them

Cause: a reservation committed resources only; the number of a step's tasks, the processor that best-effort tasks use, and what a suspect worker takes did not count it. Change: a reservation adds the same load as a run, and the two limits count it. Measured: both tests failed before and pass; tests/core/cells pass.

--- a/packages/core/src/quetzallock_core/cells/placement.py
+++ b/packages/core/src/quetzallock_core/cells/placement.py
@@ -47,11 +47,6 @@
 """Share of its processor needs that must be expected idle where a best-effort task starts."""
 
 
-def count_on_worker(step: StepRun, worker: Worker) -> int:
-    """Return the number of runs of `step` that may be going on on `worker`."""
-    return sum(run.task.step is step for run in worker.runs.values())
-
-
 def can_place(task: Task, worker: Worker, now: int) -> bool:
     """Return whether `task` may start on `worker`, which accepts tasks."""
     spec = task.spec
@@ -63,11 +58,11 @@
         return False
     if spec.fills and now < worker.best_effort_blocked_until:
         return False
-    if worker.is_suspect(now) and worker.runs:
+    if worker.is_suspect(now) and not worker.is_idle:
         return False
     if not spec.max_per_worker:
         return True
-    return count_on_worker(task.step, worker) < spec.max_per_worker
+    return worker.count_tasks(task.step) < spec.max_per_worker
 
 
 def _has_capacity(task: Task, worker: Worker) -> bool:
--- a/packages/core/src/quetzallock_core/cells/workers.py
+++ b/packages/core/src/quetzallock_core/cells/workers.py
@@ -12,8 +12,8 @@
     SUSPECT_FAILURES,
     UNREACHABLE_TIMEOUT_MS,
 )
-from .jobs import Run
-from .models import Resources, WorkerEntry
+from .jobs import Run, StepRun
+from .models import Resources, StepSpec, WorkerEntry
 
 INITIAL_SLOWNESS = 1.0
 SLOWNESS_WEIGHT = 0.2
@@ -199,25 +199,31 @@
 
     def add(self, run: Run) -> None:
         """Add a run and commit its resources."""
-        spec = run.task.spec
         self.runs[run.task.name] = run
+        self._add_load(run.task.spec, compute_paced_cpu(run))
+
+    def remove(self, run: Run) -> None:
+        """Remove a run and free its resources."""
+        if self.runs.get(run.task.name) is not run:
+            return
+        del self.runs[run.task.name]
+        self._remove_load(run.task.spec, compute_paced_cpu(run))
+
+    def _add_load(self, spec: StepSpec, paced_cpu: int) -> None:
+        """Commit the resources of a task; `paced_cpu` is the processor of a best-effort one."""
         self.committed = self.committed + compute_commitment(spec.needs, spec.fills)
         if spec.fills:
-            self.expected_extra_cpu += compute_paced_cpu(run)
+            self.expected_extra_cpu += paced_cpu
             self.best_effort_count += 1
         if spec.target_ms:
             self.serving_count += 1
             self.expected_extra_cpu -= int((1 - SERVING_PEAK_LOAD) * spec.needs.cpu)
 
-    def remove(self, run: Run) -> None:
-        """Remove a run and free its resources."""
-        if self.runs.get(run.task.name) is not run:
-            return
-        del self.runs[run.task.name]
-        spec = run.task.spec
+    def _remove_load(self, spec: StepSpec, paced_cpu: int) -> None:
+        """Free what `_add_load` has committed."""
         self.committed = self.committed - compute_commitment(spec.needs, spec.fills)
         if spec.fills:
-            self.expected_extra_cpu -= compute_paced_cpu(run)
+            self.expected_extra_cpu -= paced_cpu
             self.best_effort_count -= 1
         if spec.target_ms:
             self.serving_count -= 1
@@ -225,17 +231,25 @@
 
     def reserve(self, run: Run) -> None:
         """Keep room for the task of `run`, which is being stopped on another worker."""
-        spec = run.task.spec
         self.reservations[run.task.name] = run
-        self.committed = self.committed + compute_commitment(spec.needs, spec.fills)
+        self._add_load(run.task.spec, run.task.spec.needs.cpu)
 
     def release(self, run: Run) -> None:
         """Free the room that was kept for the task of `run`."""
         if self.reservations.get(run.task.name) is not run:
             return
         del self.reservations[run.task.name]
-        spec = run.task.spec
-        self.committed = self.committed - compute_commitment(spec.needs, spec.fills)
+        self._remove_load(run.task.spec, run.task.spec.needs.cpu)
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether nothing runs there, and no task moves there."""
+        return not self.runs and not self.reservations
+
+    def count_tasks(self, step: StepRun) -> int:
+        """Return the number of tasks of `step` that may be running there or that move there."""
+        runs = (*self.runs.values(), *self.reservations.values())
+        return sum(run.task.step is step for run in runs)
 
     def change_pace(self, run: Run, percent: int, now: int) -> None:
         """Record that a best-effort run was ordered to another pace."""
--- a/tests/core/cells/test_leaving_workers.py
+++ b/tests/core/cells/test_leaving_workers.py
@@ -131,3 +131,20 @@
     cluster.take_over()
     cluster.run(3_000)
     assert not [end for end in cluster.ground_truth.ends if end[3] == "stopped"]
+
+
+def test_moving_tasks_do_not_share_the_only_place_that_anti_affinity_leaves() -> None:
+    cluster = make_cluster(workers=3, tasks=2, max_per_worker=1)
+    for worker in cluster.workers.values():
+        if worker.runs:
+            worker.drain()
+    cluster.run(MIN_DRAIN_MS)
+    assert len(cluster.ground_truth.list_running("a")) == 2
+
+
+def test_moving_best_effort_tasks_fit_the_idle_processor_of_their_target() -> None:
+    capacity = Resources(4_000, 64_000, 0)
+    cluster = make_cluster(workers=2, tasks=6, capacity=capacity, fills=True, image="f")
+    cluster.workers[find_busiest_worker(cluster)].drain()
+    cluster.run(MIN_DRAIN_MS)
+    assert len(cluster.ground_truth.list_running("a")) == 6
