Bound what one tick spends on moving tasks off leaving workers

Cause: each run scanned all workers anew, on each tick, whether the step had found room before or not.

--- a/packages/core/src/quetzallock_core/cells/migration.py
+++ b/packages/core/src/quetzallock_core/cells/migration.py
@@ -1,6 +1,13 @@
 """Moves runs to other workers: stops them where another worker has room for their tasks."""
 
-from .const import MAX_LOST_WORK_MS, MIGRATE_PAUSED_AFTER_MS
+from collections import defaultdict
+
+from .const import (
+    MAX_LOST_WORK_MS,
+    MAX_STEPS_MOVED_PER_TICK,
+    MIGRATE_PAUSED_AFTER_MS,
+    ROOM_SEARCH_PAUSE_MS,
+)
 from .jobs import Run, StepRun
 from .pacing import PAUSED_PACE
 from .placement import Placement
@@ -15,6 +22,7 @@
 
     def __init__(self, state: CellState) -> None:
         self._state = state
+        self._search_after: dict[StepRun, int] = {}
 
     def migrate_paused_runs(self) -> None:
         """Stop paused best-effort runs for which there is another worker."""
@@ -50,23 +58,45 @@
         """
         state = self._state
         now = state.clock.now()
-        runs = [
-            run
-            for worker in state.workers.values()
-            if worker.entry.is_draining and worker.is_reachable(now)
-            for run in worker.runs.values()
-            if run.state == "running" and run.task.spec.lasting and not run.task.spec.gang
-            if not state.unverified.may_be_running(run.task)
-        ]
-        if not runs:
+        runs_by_step = self._group_leaving_runs(now)
+        self._search_after = {step: at for step, at in self._search_after.items() if at > now}
+        steps = [step for step in runs_by_step if step not in self._search_after]
+        if not steps:
             return
         placement = Placement(state.workers.values(), state.interference, now)
-        for run in runs:
-            if not may_interrupt(run.task.step):
+        for step in steps[:MAX_STEPS_MOVED_PER_TICK]:
+            runs = runs_by_step[step][: count_movable(step)]
+            if self._migrate_step(runs, placement) < len(runs):
+                self._search_after[step] = now + ROOM_SEARCH_PAUSE_MS
+
+    def _group_leaving_runs(self, now: int) -> dict[StepRun, list[Run]]:
+        """Return the lasting runs on draining workers whose tasks could start again, by step."""
+        runs_by_step: defaultdict[StepRun, list[Run]] = defaultdict(list)
+        for worker in self._state.workers.values():
+            if not worker.entry.is_draining or not worker.is_reachable(now):
                 continue
-            target = placement.choose(run.task, excluded_worker=run.worker)
-            if target is not None:
-                self._migrate(run, target)
+            for run in worker.runs.values():
+                if self._is_movable(run):
+                    runs_by_step[run.task.step].append(run)
+        return runs_by_step
+
+    def _is_movable(self, run: Run) -> bool:
+        task = run.task
+        if run.state != "running" or len(task.runs) > 1:
+            return False
+        if not task.spec.lasting or task.spec.gang:
+            return False
+        return not self._state.unverified.may_be_running(task)
+
+    def _migrate_step(self, runs: list[Run], placement: Placement) -> int:
+        """Stop runs of one step while another worker has room, and return their number."""
+        for number, run in enumerate(runs):
+            target = placement.choose(run.task)
+            if target is None:
+                return number
+            self._migrate(run, target)
+            placement.update_worker(target)
+        return len(runs)
 
     def _migrate(self, run: Run, target: Worker) -> None:
         """Stop a run, and keep room for its task on another worker until the run has ended."""
@@ -75,13 +105,13 @@
         self._state.stop_run(run, "worker is leaving")
 
 
-def may_interrupt(step: StepRun) -> bool:
-    """Return whether a task of `step` may be moved now: one at least, if no other is away."""
+def count_movable(step: StepRun) -> int:
+    """Return how many tasks of `step` may be moved now: one at least, if no other is away."""
     limit = step.spec.max_unavailable
     if limit is None:
-        return True
+        return len(step.tasks)
     available = sum(
         any(run.state == "running" and run.percent >= _FULL_PACE for run in task.runs.values())
         for task in step.tasks
     )
-    return len(step.tasks) - available < max(1, limit)
+    return max(0, max(1, limit) - (len(step.tasks) - available))
--- a/tests/core/cells/test_leaving_workers.py
+++ b/tests/core/cells/test_leaving_workers.py
@@ -1,9 +1,18 @@
 """Workers that leave after they have announced it, also while owners change: their tasks go on."""
 
-from quetzallock_core.cells.const import CLOCK_DRIFT, LEASE_MARGIN_MS, MAX_LEASE_MS
+import pytest
+
+from quetzallock_core.cells.const import (
+    CLOCK_DRIFT,
+    LEASE_MARGIN_MS,
+    MAX_LEASE_MS,
+    MAX_STEPS_MOVED_PER_TICK,
+    ROOM_SEARCH_PAUSE_MS,
+)
 from quetzallock_core.cells.models import Resources
+from quetzallock_core.cells.placement import Placement
 from quetzallock_standins.emulator import CellCluster
-from quetzallock_standins.emulator.cluster import make_spec
+from quetzallock_standins.emulator.cluster import TICK_INTERVAL_MS, make_spec
 
 from .common import POLICY, make_step
 
@@ -148,3 +157,34 @@
     cluster.workers[find_busiest_worker(cluster)].drain()
     cluster.run(MIN_DRAIN_MS)
     assert len(cluster.ground_truth.list_running("a")) == 6
+
+
+def test_one_tick_moves_tasks_of_a_limited_number_of_steps() -> None:
+    jobs = 3 * MAX_STEPS_MOVED_PER_TICK
+    cluster = CellCluster(workers=2, capacity=Resources(jobs * 1_000, 200_000, 0))
+    cluster.run(500)
+    cluster.workers["w1"].drain()
+    cluster.run(200)
+    for number in range(jobs):
+        cluster.submit(make_spec(f"a{number}", make_step(1, lasting=True)), POLICY, {0: None})
+    cluster.run(500)
+    cluster.revive("w1")
+    cluster.run(500)
+    cluster.workers["w0"].drain()
+    cluster.run(TICK_INTERVAL_MS + 20)
+    assert 0 < cluster.cell.state.counters["run.stopped"] <= 2 * MAX_STEPS_MOVED_PER_TICK
+    cluster.run(MIN_DRAIN_MS)
+    assert not cluster.workers["w0"].runs
+    assert len(cluster.ground_truth.list_running("a")) == jobs
+
+
+def test_search_for_room_pauses_after_none_was_found(monkeypatch: pytest.MonkeyPatch) -> None:
+    cluster = make_cluster(workers=3, tasks=6, capacity=Resources(2_000, 8_000, 0))
+    searches = []
+    choose = Placement.choose
+    monkeypatch.setattr(
+        Placement, "choose", lambda *given: searches.append(given) or choose(*given)
+    )
+    cluster.workers["w0"].drain()
+    cluster.run(MIN_DRAIN_MS)
+    assert 0 < len(searches) <= MIN_DRAIN_MS // ROOM_SEARCH_PAUSE_MS + 1
