Keep the record of an unverified worker although its entry has expired

Cause: the worker was dropped as gone, and its record deleted, since this owner knows of no run there; the lease that the owner before had renewed may go on, and the next owner learned nothing of it. Change: the record stays while a boot of the worker is unverified; it is deleted when its lease has lapsed, as before.

--- a/packages/core/src/quetzallock_core/cells/state.py
+++ b/packages/core/src/quetzallock_core/cells/state.py
@@ -291,13 +291,17 @@
             self.finish_job(task.job, "fail")
 
     def drop_worker(self, worker: Worker, reason: str) -> None:
-        """Drop a boot of a worker whose runs are all over."""
+        """Drop a boot of a worker whose runs are all over.
+
+        Its record stays in the journal while a boot of it is unverified, for the next owner.
+        """
         self.log_decision("worker.gone", worker=worker.id, reason=reason, runs=len(worker.runs))
         for run in list(worker.runs.values()):
             self.lapse_run(run)
         if self.workers.get(worker.id) is worker:
             del self.workers[worker.id]
-            self.dropped_workers.append(worker.id)
+            if not self.unverified.has_boot_of(worker.id):
+                self.dropped_workers.append(worker.id)
 
     def replace_worker(self, worker: Worker, entry: WorkerEntry) -> None:
         """Replace a worker by its next boot; the runs of the previous boot are over.
--- a/packages/core/src/quetzallock_core/cells/unverified.py
+++ b/packages/core/src/quetzallock_core/cells/unverified.py
@@ -87,6 +87,10 @@
             if known == worker_id:
                 del self.by_boot[known, boot_ms]
 
+    def has_boot_of(self, worker_id: str) -> bool:
+        """Return whether a boot of the worker is unverified."""
+        return any(known == worker_id for known, _ in self.by_boot)
+
     def pop_lapsed(self) -> list[Boot]:
         """Remove and return the boots whose leases have lapsed."""
         now = self._clock.now()
