Count a worker's clock reading from the sending of its call in clock references

Change: the reading counts as taken when its call was sent; the workers whose readings leave the least open are used.

--- a/packages/core/src/quetzallock_core/cells/answers.py
+++ b/packages/core/src/quetzallock_core/cells/answers.py
@@ -34,8 +34,13 @@
         elif outcome == OTHER_BOOT and worker is not None:
             self._state.end_boot(worker)
 
-    def handle_start_answer(self, order: StartRun, outcome: str, clock_ms: int) -> None:
-        """Process the answer to a start order; `outcome` is empty when there was none."""
+    def handle_start_answer(
+        self, order: StartRun, outcome: str, clock_ms: int, asked_at: int
+    ) -> None:
+        """Process the answer to a start order that was sent at the local ms `asked_at`.
+
+        `outcome` is empty when there was no answer.
+        """
         worker, run = self._find_run(order)
         if worker is None or run is None:
             return
@@ -46,7 +51,7 @@
             self._state.end_boot(worker)
             return
         if outcome:
-            worker.record_contact(clock_ms, now)
+            worker.record_contact(clock_ms, asked_at, now)
         if outcome in ("ok", "old"):
             run.answered_clock_ms = clock_ms
             run.progressed_at = now
@@ -87,15 +92,20 @@
             for run in list(member.runs.values()):
                 self._state.stop_run(run, "worker refused another task of the gang")
 
-    def handle_stop_answer(self, order: StopRun, outcome: str, clock_ms: int) -> None:
-        """Process the answer to a stop order; `outcome` is empty when there was none."""
+    def handle_stop_answer(
+        self, order: StopRun, outcome: str, clock_ms: int, asked_at: int
+    ) -> None:
+        """Process the answer to a stop order that was sent at the local ms `asked_at`.
+
+        `outcome` is empty when there was no answer.
+        """
         worker, run = self._find_run(order)
         if worker is None or not outcome:
             return
         if outcome == OTHER_BOOT:
             self._state.end_boot(worker)
             return
-        worker.record_contact(clock_ms, self._state.clock.now())
+        worker.record_contact(clock_ms, asked_at, self._state.clock.now())
         if outcome == "fence":
             self._state.fenced = True
         elif outcome == "ok" and run is not None:
--- a/packages/core/src/quetzallock_core/cells/cell.py
+++ b/packages/core/src/quetzallock_core/cells/cell.py
@@ -131,9 +131,9 @@
             worker.entry = entry
             worker.is_listed = True
 
-    def handle_inventory(self, worker: str, inventory: Inventory) -> None:
-        """Process a worker's inventory."""
-        if self._reader.process(worker, inventory):
+    def handle_inventory(self, worker: str, inventory: Inventory, asked_at: int) -> None:
+        """Process a worker's inventory, for which it was asked at the local ms `asked_at`."""
+        if self._reader.process(worker, inventory, asked_at):
             self.state.is_start_due = True
 
     def handle_no_answer(self, worker: str) -> None:
--- a/packages/core/src/quetzallock_core/cells/inventory.py
+++ b/packages/core/src/quetzallock_core/cells/inventory.py
@@ -26,7 +26,7 @@
     def __init__(self, state: CellState) -> None:
         self._state = state
 
-    def process(self, worker_id: str, inventory: Inventory) -> bool:
+    def process(self, worker_id: str, inventory: Inventory, asked_at: int) -> bool:
         """Process one inventory and return whether it may allow a waiting task to start.
 
         This is so for the first inventory of a boot, and when a run is over. An inventory of
@@ -43,7 +43,7 @@
             return False
         now = state.clock.now()
         is_first = worker.contact_at < 0
-        worker.record_contact(inventory.clock_ms, now)
+        worker.record_contact(inventory.clock_ms, asked_at, now)
         worker.inventory_at = now
         worker.is_poll_unanswered = False
         if is_first:
--- a/packages/core/src/quetzallock_core/cells/unverified.py
+++ b/packages/core/src/quetzallock_core/cells/unverified.py
@@ -7,7 +7,7 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass
-from itertools import islice
+from heapq import nlargest
 
 from ..clock import Clock
 from .const import CLOCK_DRIFT, LEASE_MARGIN_MS, MAX_CLOCK_REFERENCES, OWNERSHIP_VALID_MS
@@ -119,15 +119,22 @@
         return now if unverified_worker is None else unverified_worker.lapse_at
 
     def make_clock_references(self, lapse_at: int) -> tuple[ClockReference, ...]:
-        """Convert the local ms `lapse_at` to the clocks of some reachable workers."""
+        """Convert the local ms `lapse_at` to the clocks of some reachable workers.
+
+        A reading may have waited here for long before it was processed, so it counts as taken when
+        its call was sent. The workers whose readings leave the least open are used.
+        """
         now = self._clock.now()
         left = max(0, lapse_at - now)
         reachable = (w for w in self._workers.values() if w.is_reachable(now))
+        closest = nlargest(MAX_CLOCK_REFERENCES, reachable, key=lambda w: w.clock_asked_at)
         return tuple(
             ClockReference(
-                worker.id, worker.entry.boot_ms, worker.clock_ms + now - worker.clock_read_at + left
+                worker.id,
+                worker.entry.boot_ms,
+                worker.clock_ms + now - worker.clock_asked_at + left,
             )
-            for worker in islice(reachable, MAX_CLOCK_REFERENCES)
+            for worker in closest
         )
 
     def to_hand_over_record(self) -> HandOverRecord | None:
--- a/packages/core/src/quetzallock_core/cells/workers.py
+++ b/packages/core/src/quetzallock_core/cells/workers.py
@@ -64,6 +64,7 @@
             best-effort tasks, less what the serving tasks leave unused. In thousandths of a core.
         clock_ms: Last reading of the worker's clock.
         clock_read_at: Local ms at which that reading arrived; it was taken no later.
+        clock_asked_at: Local ms at which its call was sent; it was taken no earlier.
         lease_end_clock_ms: Latest lease end, on the worker's clock, that any order may have set.
         contact_at: Local ms of its last answer; -1 before the first.
         inventory_at: Local ms of its last inventory; -1 before the first.
@@ -95,6 +96,7 @@
     expected_extra_cpu: int = 0
     clock_ms: int = 0
     clock_read_at: int = 0
+    clock_asked_at: int = 0
     lease_end_clock_ms: int = 0
     contact_at: int = -1
     inventory_at: int = -1
@@ -179,12 +181,13 @@
         """Return whether it gets only one task at a time after failures of several jobs."""
         return now < self.suspect_until
 
-    def record_contact(self, clock_ms: int, now: int) -> None:
-        """Record an answer with a reading of its clock that arrived at `now`."""
+    def record_contact(self, clock_ms: int, asked_at: int, now: int) -> None:
+        """Record an answer, which arrives at `now`, to a call that was sent at `asked_at`."""
         self.contact_at = now
         if clock_ms >= self.clock_ms:
             self.clock_ms = clock_ms
             self.clock_read_at = now
+            self.clock_asked_at = asked_at
 
     def extend_lease(self, lease_ms: int, now: int) -> int:
         """Extend the lease and return its end on the worker's clock for an order sent at `now`."""
--- a/packages/daemon/src/quetzallock_daemon/cells/inventory.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/inventory.py
@@ -90,7 +90,7 @@
         if owner.is_stopped or owner.is_handing_over:
             return INVENTORY_POLL_RETRY_PAUSE_MS
         if isinstance(answer, Inventory):
-            owner.cell.handle_inventory(worker.id, answer)
+            owner.cell.handle_inventory(worker.id, answer, now)
             owner.run_effects()
             return owner.load_control.choose_pause_ms()
         owner.cell.handle_no_answer(worker.id)
--- a/packages/daemon/src/quetzallock_daemon/cells/owner.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/owner.py
@@ -266,13 +266,16 @@
         answer = await self._workers.start(order, self.epoch)
         self._observe("worker.start", self.clock.now() - started_at)
         if not self.is_stopped:
-            self.cell.answers.handle_start_answer(order, answer.outcome, answer.clock_ms)
+            self.cell.answers.handle_start_answer(
+                order, answer.outcome, answer.clock_ms, started_at
+            )
             self.run_effects()
 
     async def _send_stop(self, order: StopRun) -> None:
+        started_at = self.clock.now()
         answer: OrderAnswer = await self._workers.stop(order, self.epoch)
         if not self.is_stopped:
-            self.cell.answers.handle_stop_answer(order, answer.outcome, answer.clock_ms)
+            self.cell.answers.handle_stop_answer(order, answer.outcome, answer.clock_ms, started_at)
             self.run_effects()
 
     def _place_waiting_tasks(self) -> None:
--- a/packages/standins/src/quetzallock_standins/emulator/busy.py
+++ b/packages/standins/src/quetzallock_standins/emulator/busy.py
@@ -71,15 +71,17 @@
             lease_end = cell_worker.extend_lease(self.bounds.lease_ms, now)
         answer = worker.poll_inventory(owner.epoch, cell_worker.ack_cursor, lease_end)
         delay_ms = self.latency_ms + self.processor.take("inventory", now)
-        self.schedule(delay_ms, partial(self._end_poll, owner, worker, answer))
+        self.schedule(delay_ms, partial(self._end_poll, owner, worker, answer, now))
 
-    def _end_poll(self, owner: Owner, worker: EmulatedWorker, answer: Inventory | Answer) -> None:
-        self._handle_inventory_answer(owner, worker.id, answer)
+    def _end_poll(
+        self, owner: Owner, worker: EmulatedWorker, answer: Inventory | Answer, asked_at: int
+    ) -> None:
+        self._handle_inventory_answer(owner, worker.id, answer, asked_at)
         pause_ms = self.load_control.choose_pause_ms()
         self.schedule(pause_ms, lambda: self._poll_inventory(owner, worker))
 
     def _handle_answer(
-        self, owner: Owner, order: StartRun | StopRun | PaceRun, answer: Answer
+        self, owner: Owner, order: StartRun | StopRun | PaceRun, answer: Answer, sent_at: int
     ) -> None:
         delay_ms = self.processor.take("order", self.clock.now())
-        self.schedule(delay_ms, partial(super()._handle_answer, owner, order, answer))
+        self.schedule(delay_ms, partial(super()._handle_answer, owner, order, answer, sent_at))
--- a/packages/standins/src/quetzallock_standins/emulator/cluster.py
+++ b/packages/standins/src/quetzallock_standins/emulator/cluster.py
@@ -199,22 +199,24 @@
         if worker.is_replaced:
             self.schedule(
                 self.latency_ms,
-                lambda: self._handle_inventory_answer(owner, worker.id, Answer("other boot", 0)),
+                lambda: self._handle_inventory_answer(
+                    owner, worker.id, Answer("other boot", 0), now
+                ),
             )
         if not worker.is_up or worker.is_isolated:
             return
         answer = worker.poll_inventory(owner.epoch, cell_worker.ack_cursor, until)
         self.schedule(
-            self.latency_ms, lambda: self._handle_inventory_answer(owner, worker.id, answer)
+            self.latency_ms, lambda: self._handle_inventory_answer(owner, worker.id, answer, now)
         )
 
     def _handle_inventory_answer(
-        self, owner: Owner, worker: str, answer: Inventory | Answer
+        self, owner: Owner, worker: str, answer: Inventory | Answer, asked_at: int
     ) -> None:
         if not owner.is_running:
             return
         if isinstance(answer, Inventory):
-            owner.cell.handle_inventory(worker, answer)
+            owner.cell.handle_inventory(worker, answer, asked_at)
         else:
             owner.cell.answers.handle_inventory_refusal(worker, answer.outcome)
         self.run_effects(owner)
@@ -254,27 +256,40 @@
     def _send(self, owner: Owner, order: StartRun | StopRun | PaceRun) -> None:
         """Send an order, subject to the injected faults; a call times out after 700 ms."""
         self.counters[type(order).__name__] += 1
+        sent_at = self.clock.now()
         draw = self.rng.random()
         if isinstance(order, PaceRun) and draw < self.pace_loss_rate:
             return
         if draw < self.order_delay_rate:
             delay = self.rng.randrange(2_000, 12_000)
-            self.schedule(delay, lambda: self._execute(owner, order, may_answer=False))
-            self.schedule(700, lambda: self._handle_answer(owner, order, Answer("", 0)))
+            self.schedule(delay, lambda: self._execute(owner, order, sent_at, may_answer=False))
+            self.schedule(700, lambda: self._handle_answer(owner, order, Answer("", 0), sent_at))
         elif draw < self.order_delay_rate + self.order_loss_rate:
-            self.schedule(self.latency_ms, lambda: self._execute(owner, order, may_answer=False))
-            self.schedule(700, lambda: self._handle_answer(owner, order, Answer("", 0)))
+            self.schedule(
+                self.latency_ms, lambda: self._execute(owner, order, sent_at, may_answer=False)
+            )
+            self.schedule(700, lambda: self._handle_answer(owner, order, Answer("", 0), sent_at))
         else:
-            self.schedule(self.latency_ms, lambda: self._execute(owner, order, may_answer=True))
+            self.schedule(
+                self.latency_ms, lambda: self._execute(owner, order, sent_at, may_answer=True)
+            )
 
-    def _execute(self, owner: Owner, order: StartRun | StopRun | PaceRun, may_answer: bool) -> None:
+    def _execute(
+        self,
+        owner: Owner,
+        order: StartRun | StopRun | PaceRun,
+        sent_at: int,
+        may_answer: bool,
+    ) -> None:
         worker = self.workers[order.worker]
         if worker.is_replaced:
-            self._handle_answer(owner, order, Answer("other boot", 0))
+            self._handle_answer(owner, order, Answer("other boot", 0), sent_at)
             return
         if not worker.is_up or worker.is_isolated:
             if may_answer:
-                self.schedule(700, lambda: self._handle_answer(owner, order, Answer("", 0)))
+                self.schedule(
+                    700, lambda: self._handle_answer(owner, order, Answer("", 0), sent_at)
+                )
             return
         if isinstance(order, StartRun):
             answer = worker.start(order, owner.epoch)
@@ -283,18 +298,20 @@
         else:
             answer = worker.pace(order, owner.epoch)
         if may_answer:
-            self.schedule(self.latency_ms, lambda: self._handle_answer(owner, order, answer))
+            self.schedule(
+                self.latency_ms, lambda: self._handle_answer(owner, order, answer, sent_at)
+            )
 
     def _handle_answer(
-        self, owner: Owner, order: StartRun | StopRun | PaceRun, answer: Answer
+        self, owner: Owner, order: StartRun | StopRun | PaceRun, answer: Answer, sent_at: int
     ) -> None:
         if not owner.is_running:
             return
         cell = owner.cell
         if isinstance(order, StartRun):
-            cell.answers.handle_start_answer(order, answer.outcome, answer.clock_ms)
+            cell.answers.handle_start_answer(order, answer.outcome, answer.clock_ms, sent_at)
         elif isinstance(order, StopRun):
-            cell.answers.handle_stop_answer(order, answer.outcome, answer.clock_ms)
+            cell.answers.handle_stop_answer(order, answer.outcome, answer.clock_ms, sent_at)
         self.run_effects(owner)
 
     def submit(
--- a/tests/core/cells/test_guards.py
+++ b/tests/core/cells/test_guards.py
@@ -89,6 +89,6 @@
     run = find_run(cluster)
     entry = find_worker(cluster).entry
     order = StopRun(entry.worker, entry.boot_ms, entry.address, run.task.name, run.number)
-    cluster.cell.answers.handle_stop_answer(order, OTHER_BOOT, 0)
+    cluster.cell.answers.handle_stop_answer(order, OTHER_BOOT, 0, cluster.clock.now())
     assert (entry.worker, entry.boot_ms) in cluster.cell.state.ended_boots
     assert run.task.is_waiting
--- a/tests/core/cells/test_learning.py
+++ b/tests/core/cells/test_learning.py
@@ -51,6 +51,6 @@
 def test_lease_end_allows_for_a_slow_clock() -> None:
     entry = WorkerEntry("w", 1, "s", "w:1", "dc", False, Resources(1, 1), (), "")
     worker = Worker(entry)
-    worker.record_contact(5_000, 100_000)
+    worker.record_contact(5_000, 100_000, 100_000)
     assert worker.extend_lease(6_000, 100_000) == 11_000
     assert worker.compute_lapse_at() >= 100_000 + 6_000 / 0.98
--- a/tests/core/cells/test_takeover.py
+++ b/tests/core/cells/test_takeover.py
@@ -293,7 +293,7 @@
     cluster.revive("w0")
     while cluster.cell.state.workers["w0"].entry.boot_ms == boot_ms:
         cluster.run(5)
-    cluster.cell.answers.handle_start_answer(order, "ok", 1_000_000)
+    cluster.cell.answers.handle_start_answer(order, "ok", 1_000_000, cluster.clock.now())
     assert cluster.cell.state.workers["w0"].clock_ms < 1_000
 
 
