Trust the lease end of a worker only after its first inventory

Cause: any answer counted as contact, though only an inventory tells what runs and how long the lease may last; the hand-over then said that the lease lapses in 150 ms. Introduced with the leases in the hand-over record. Change: first means the first inventory; a worker without one gets no task, and its lease end is not recorded as known.

--- a/packages/core/src/quetzallock_core/cells/batches.py
+++ b/packages/core/src/quetzallock_core/cells/batches.py
@@ -125,11 +125,11 @@
         state = self._state
         entry = worker.entry
         now = state.clock.now()
-        is_uncontacted = worker.contact_at < 0
-        may_renew = not worker.is_lease_suspended if is_uncontacted else worker.is_reachable(now)
+        is_unverified = worker.inventory_at < 0
+        may_renew = not worker.is_lease_suspended if is_unverified else worker.is_reachable(now)
         lapse_at = (
             state.unverified.compute_lapse_at(worker, now)
-            if is_uncontacted
+            if is_unverified
             else worker.compute_lapse_at()
         )
         lapsed_by = () if may_renew else state.unverified.make_clock_references(lapse_at)
--- a/packages/core/src/quetzallock_core/cells/inventory.py
+++ b/packages/core/src/quetzallock_core/cells/inventory.py
@@ -42,12 +42,13 @@
             worker.is_listed = False
             return False
         now = state.clock.now()
-        is_first = worker.contact_at < 0
+        is_first = worker.inventory_at < 0
         worker.record_contact(inventory.clock_ms, asked_at, now)
         worker.inventory_at = now
         worker.is_poll_unanswered = False
         if is_first:
-            worker.lease_end_clock_ms = inventory.clock_ms + state.bounds.lease_ms
+            known_end = worker.lease_end_clock_ms
+            worker.lease_end_clock_ms = max(known_end, inventory.clock_ms + state.bounds.lease_ms)
         changed = is_first
         for row in inventory.ended:
             if row.number > worker.cursor:
--- a/packages/core/src/quetzallock_core/cells/unverified.py
+++ b/packages/core/src/quetzallock_core/cells/unverified.py
@@ -49,6 +49,7 @@
         self._clock = clock
         self.by_boot: dict[Boot, UnverifiedWorker] = {}
         self.locations: dict[str, Boot] | None = None
+        self._longest_wait_ms = 0
 
     def restore(self, contents: Contents, lease_ms: int) -> None:
         """Mark every worker in the journal as unverified.
@@ -58,6 +59,7 @@
         """
         now = self._clock.now()
         longest_ms = int(lease_ms / (1 - CLOCK_DRIFT)) + OWNERSHIP_VALID_MS + LEASE_MARGIN_MS
+        self._longest_wait_ms = longest_ms
         remaining_ms: dict[Boot, int] = {}
         if contents.hand_over is not None:
             runs = contents.hand_over.runs
@@ -114,9 +116,11 @@
         return False
 
     def compute_lapse_at(self, worker: Worker, now: int) -> int:
-        """Return the local ms at which the lease of a worker without any answer has lapsed."""
+        """Return the local ms at which the lease of a worker without any inventory has lapsed."""
         unverified_worker = self.by_boot.get((worker.id, worker.entry.boot_ms))
-        return now if unverified_worker is None else unverified_worker.lapse_at
+        if unverified_worker is not None:
+            return unverified_worker.lapse_at
+        return now + self._longest_wait_ms if worker.runs else now
 
     def make_clock_references(self, lapse_at: int) -> tuple[ClockReference, ...]:
         """Convert the local ms `lapse_at` to the clocks of some reachable workers.
@@ -157,6 +161,6 @@
         now = self._clock.now()
         lapses = {boot: unverified.lapse_at for boot, unverified in self.by_boot.items()}
         for worker in self._workers.values():
-            if worker.contact_at >= 0:
+            if worker.inventory_at >= 0:
                 lapses[worker.id, worker.entry.boot_ms] = worker.compute_lapse_at()
         return [(*boot, max(0, lapse_at - now)) for boot, lapse_at in lapses.items()]
--- a/packages/core/src/quetzallock_core/cells/workers.py
+++ b/packages/core/src/quetzallock_core/cells/workers.py
@@ -157,6 +157,7 @@
         """Return whether it may get a new task."""
         return (
             self.is_listed
+            and self.inventory_at >= 0
             and self.may_renew_lease
             and not self.entry.is_draining
             and self.is_reachable(now)
--- a/tests/core/cells/test_lease_waits.py
+++ b/tests/core/cells/test_lease_waits.py
@@ -1,10 +1,12 @@
 """How long the tasks of a lost worker wait: at least for its lease, and not anew at each owner."""
 
 from quetzallock_core.cells.const import MAX_LEASE_MS
+from quetzallock_core.cells.models import Bounds
 from quetzallock_core.codec import encode
 from quetzallock_standins.emulator import CellCluster
+from quetzallock_standins.emulator.cluster import make_spec
 
-from .common import submit_plain
+from .common import POLICY, make_step, submit_plain
 from .test_leaving_workers import find_busiest_worker, make_cluster
 
 
@@ -87,3 +89,33 @@
     cluster.take_over()
     cluster.run(MAX_LEASE_MS)
     assert not cluster.ground_truth.violations
+
+
+def test_stop_answered_before_the_first_inventory_does_not_shorten_the_wait_at_a_hand_over() -> (
+    None
+):
+    cluster = CellCluster(workers=2, bounds=Bounds(stop_ms=3_000))
+    cluster.run(500)
+    cluster.submit(make_spec("a", make_step(1, lasting=True)), POLICY, {0: None})
+    cluster.order_delay_rate = 1.0
+    cluster.run(100)
+    cluster.order_delay_rate = 0.0
+    task = cluster.cell.state.jobs["a"].list_tasks()[0]
+    worker = cluster.workers[next(iter(task.runs.values())).worker]
+    worker.crash()
+    cluster.unlisted_workers.add(worker.id)
+    cluster.run(100)
+    cluster.revive(worker.id)
+    while not worker.runs:
+        cluster.run(5)
+    poll = cluster._poll_inventory
+    cluster._poll_inventory = (  # type: ignore[method-assign]
+        lambda owner, polled: None if polled is worker else poll(owner, polled)
+    )
+    cluster.unlisted_workers.clear()
+    cluster.run(150)
+    worker.is_isolated = True
+    cluster.run(100)
+    cluster.hand_over()
+    cluster.run(2_500)
+    assert not cluster.ground_truth.violations
