Keep the recorded lease end of an unverified worker, and record it in a quiet cell too

The first batch of a third owner wrote the record of a worker that is still listed anew, without its lease end, and did not record it again; a lease end was due only beside other records, so a cell without changes never wrote it; references to workers that have left meanwhile counted as recorded. Change: a worker whose lease end is recorded is added with its lease suspended and its record kept; due lease ends alone make a batch; a record whose references none can read any more is written again.

--- a/packages/core/src/quetzallock_core/cells/batches.py
+++ b/packages/core/src/quetzallock_core/cells/batches.py
@@ -7,6 +7,7 @@
 from .jobs import Job
 from .models import Persist, TicketOutcome, WorkerRecord
 from .state import CellState
+from .unverified import UnverifiedWorker
 from .workers import Worker
 
 HAND_OVER_KEY: Final = "handover"
@@ -84,6 +85,7 @@
             or self._deleted
             or state.dropped_workers
             or state.has_worker_changes
+            or self._list_due_lapses()
         )
 
     def pop_batch(self) -> Batch:
@@ -137,24 +139,28 @@
         batch.records.append(Persist(f"worker/{worker.id}", record))
         batch.workers.append((worker, worker.record_revision, may_renew))
 
+    def _list_due_lapses(self) -> list[UnverifiedWorker]:
+        """Return the unverified workers whose lease ends are to be written to the journal."""
+        state = self._state
+        if not state.unverified.by_boot:
+            return []
+        now = state.clock.now()
+        if now - self._restored_at < UNVERIFIED_RECORD_AFTER_MS:
+            return []
+        if not any(worker.is_reachable(now) for worker in state.workers.values()):
+            return []
+        return state.unverified.list_unrecorded_lapses()
+
     def _record_unverified(self, batch: Batch) -> None:
         """Add records of when the leases of unverified workers have lapsed."""
         state = self._state
-        now = state.clock.now()
-        for unverified_worker in state.unverified.by_boot.values():
-            if (
-                unverified_worker.is_lapse_recorded
-                or now - self._restored_at < UNVERIFIED_RECORD_AFTER_MS
-            ):
-                continue
-            references = state.unverified.make_clock_references(unverified_worker.lapse_at)
-            if not references or unverified_worker.record.lapsed_by:
-                continue
+        for unverified_worker in self._list_due_lapses():
             unverified_worker.is_lapse_recorded = True
             worker = state.workers.get(unverified_worker.record.worker)
             if worker is not None and worker.entry.boot_ms == unverified_worker.record.boot_ms:
                 state.suspend_lease(worker)
                 continue
+            references = state.unverified.make_clock_references(unverified_worker.lapse_at)
             record = replace(unverified_worker.record, lapsed_by=references)
             batch.records.append(Persist(f"worker/{record.worker}", record))
 
--- a/packages/core/src/quetzallock_core/cells/state.py
+++ b/packages/core/src/quetzallock_core/cells/state.py
@@ -350,5 +350,8 @@
             self.dropped_workers.remove(entry.worker)
         self.workers[entry.worker] = worker
         self.has_worker_changes = True
+        if self.unverified.has_recorded_lapse((entry.worker, entry.boot_ms)):
+            worker.is_recorded = True
+            worker.is_lease_suspended = True
         self.log_decision("worker.known", worker=entry.worker, born=entry.boot_ms, rack=entry.rack)
         return worker
--- a/packages/core/src/quetzallock_core/cells/unverified.py
+++ b/packages/core/src/quetzallock_core/cells/unverified.py
@@ -93,6 +93,30 @@
         """Return whether a boot of the worker is unverified."""
         return any(known == worker_id for known, _ in self.by_boot)
 
+    def has_recorded_lapse(self, boot: Boot) -> bool:
+        """Return whether the journal says when the lease of an unverified boot has lapsed."""
+        unverified_worker = self.by_boot.get(boot)
+        return unverified_worker is not None and bool(unverified_worker.record.lapsed_by)
+
+    def _is_readable(self, record: WorkerRecord) -> bool:
+        """Return whether a clock that the record refers to is known to this owner."""
+        return any(self._find_reference(reference) for reference in record.lapsed_by)
+
+    def _find_reference(self, reference: ClockReference) -> Worker | None:
+        worker = self._workers.get(reference.worker)
+        if worker is None or worker.entry.boot_ms != reference.boot_ms:
+            return None
+        return worker
+
+    def list_unrecorded_lapses(self) -> list[UnverifiedWorker]:
+        """Return the unverified workers of which the journal has no lease end that can be read."""
+        return [
+            unverified_worker
+            for unverified_worker in self.by_boot.values()
+            if not unverified_worker.is_lapse_recorded
+            and not self._is_readable(unverified_worker.record)
+        ]
+
     def pop_lapsed(self) -> list[Boot]:
         """Remove and return the boots whose leases have lapsed."""
         now = self._clock.now()
@@ -108,10 +132,8 @@
     def _is_lapsed(self, record: WorkerRecord) -> bool:
         """Return whether the lease in `record` has lapsed by any of its clock references."""
         for reference in record.lapsed_by:
-            worker = self._workers.get(reference.worker)
-            if worker is None or worker.entry.boot_ms != reference.boot_ms:
-                continue
-            if worker.clock_ms > reference.clock_ms:
+            worker = self._find_reference(reference)
+            if worker is not None and worker.clock_ms > reference.clock_ms:
                 return True
         return False
 
--- a/tests/core/cells/test_lease_waits.py
+++ b/tests/core/cells/test_lease_waits.py
@@ -1,14 +1,22 @@
 """How long the tasks of a lost worker wait: at least for its lease, and not anew at each owner."""
 
-from quetzallock_core.cells.const import MAX_LEASE_MS
+from quetzallock_core.cells.const import (
+    CLOCK_DRIFT,
+    LEASE_MARGIN_MS,
+    MAX_LEASE_MS,
+    OWNERSHIP_VALID_MS,
+)
 from quetzallock_core.cells.models import Bounds
-from quetzallock_core.codec import encode
+from quetzallock_core.codec import decode, encode
 from quetzallock_standins.emulator import CellCluster
 from quetzallock_standins.emulator.cluster import make_spec
 
 from .common import POLICY, make_step, submit_plain
 from .test_leaving_workers import find_busiest_worker, make_cluster
 
+LONGEST_WAIT_MS = int(MAX_LEASE_MS / (1 - CLOCK_DRIFT)) + OWNERSHIP_VALID_MS + LEASE_MARGIN_MS
+"""Wait for a worker of which no more is known than that it had a lease before the takeover."""
+
 
 def lose_entry_of_unverified_worker(cluster: CellCluster, cut_off: str) -> None:
     """Let the lease end of a cut off worker be recorded, and its entry expire after that."""
@@ -119,3 +127,63 @@
     cluster.hand_over()
     cluster.run(2_500)
     assert not cluster.ground_truth.violations
+
+
+def test_third_owner_keeps_the_recorded_lease_end_of_a_worker_that_is_still_listed() -> None:
+    cluster = make_cluster()
+    lost = find_busiest_worker(cluster)
+    cluster.kill_owner()
+    cluster.workers[lost].is_isolated = True
+    for job in ("b", "c"):
+        cluster.take_over()
+        cluster.run(1_300)
+        submit_plain(cluster, job)
+        cluster.run(700)
+        assert decode(cluster.journal[f"worker/{lost}"]).lapsed_by
+        cluster.kill_owner()
+
+
+def test_quick_crashes_do_not_restart_the_wait_for_a_worker_that_is_still_listed() -> None:
+    cluster = make_cluster()
+    lost = find_busiest_worker(cluster)
+    cluster.kill_owner()
+    cluster.workers[lost].is_isolated = True
+    started_at = cluster.clock.now()
+    for number in range(4):
+        cluster.take_over()
+        cluster.run(1_300)
+        submit_plain(cluster, f"b{number}")
+        cluster.run(700)
+        cluster.kill_owner()
+    cluster.take_over()
+    cluster.run(started_at + LONGEST_WAIT_MS + 1_000 - cluster.clock.now())
+    assert len(cluster.ground_truth.list_running("a")) == 6
+    assert not cluster.ground_truth.violations
+
+
+def test_lease_end_of_an_unverified_worker_is_recorded_in_a_cell_without_other_changes() -> None:
+    cluster = make_cluster()
+    lost = find_busiest_worker(cluster)
+    cluster.kill_owner()
+    cluster.workers[lost].crash()
+    cluster.take_over()
+    cluster.run(MAX_LEASE_MS)
+    cluster.kill_owner()
+    cluster.take_over()
+    cluster.run(OWNERSHIP_VALID_MS + 1_500)
+    assert len(cluster.ground_truth.list_running("a")) == 6
+
+
+def test_hand_overs_after_a_crash_do_not_restart_the_wait() -> None:
+    cluster = make_cluster()
+    lost = find_busiest_worker(cluster)
+    cluster.kill_owner()
+    cluster.workers[lost].crash()
+    started_at = cluster.clock.now()
+    cluster.take_over()
+    for _ in range(4):
+        cluster.run(900)
+        cluster.hand_over()
+    cluster.run(started_at + LONGEST_WAIT_MS + 500 - cluster.clock.now())
+    assert len(cluster.ground_truth.list_running("a")) == 6
+    assert not cluster.ground_truth.violations
