Record the leases at a hand-over also while runs are unknown

Cause: while runs on an unverified worker are unknown no hand-over record was written, and with it no lease end. Change: a record of its own takes its place then.

--- a/packages/core/src/quetzallock_core/cells/batches.py
+++ b/packages/core/src/quetzallock_core/cells/batches.py
@@ -191,8 +191,7 @@
         """Return all records that wait to be written, and last the hand-over record."""
         batch = self.pop_batch()
         record = self._state.unverified.to_hand_over_record()
-        if record is not None:
-            batch.records.append(Persist(HAND_OVER_KEY, record))
+        batch.records.append(Persist(HAND_OVER_KEY, record))
         return batch
 
     def handle_durable(self, batch: Batch) -> None:
--- a/packages/core/src/quetzallock_core/cells/contents.py
+++ b/packages/core/src/quetzallock_core/cells/contents.py
@@ -5,7 +5,14 @@
 
 from ..codec import decode
 from ..exceptions import CodecError
-from .models import HandOverRecord, JobRecord, LearnedRecord, ProgressRecord, WorkerRecord
+from .models import (
+    HandOverRecord,
+    JobRecord,
+    LearnedRecord,
+    LeasesRecord,
+    ProgressRecord,
+    WorkerRecord,
+)
 
 
 @dataclass(slots=True)
@@ -17,7 +24,7 @@
         progress: Progress of the jobs, by id.
         workers: Workers that orders may have gone to.
         learned: Estimates of earlier owners, if recorded.
-        hand_over: The runs left by a planned hand-over, if nothing was recorded since.
+        hand_over: What a planned hand-over left, if nothing was recorded since.
         unreadable: Keys of records that cannot be decoded.
     """
 
@@ -25,7 +32,7 @@
     progress: dict[str, ProgressRecord] = field(default_factory=dict)
     workers: list[WorkerRecord] = field(default_factory=list)
     learned: LearnedRecord | None = None
-    hand_over: HandOverRecord | None = None
+    hand_over: HandOverRecord | LeasesRecord | None = None
     unreadable: list[str] = field(default_factory=list)
 
 
@@ -51,7 +58,7 @@
         contents.workers.append(record)
     elif isinstance(record, LearnedRecord):
         contents.learned = record
-    elif isinstance(record, HandOverRecord):
+    elif isinstance(record, HandOverRecord | LeasesRecord):
         contents.hand_over = record
     else:
         contents.unreadable.append(key)
--- a/packages/core/src/quetzallock_core/cells/models.py
+++ b/packages/core/src/quetzallock_core/cells/models.py
@@ -240,6 +240,18 @@
     leases: tuple[tuple[str, int, int], ...] = ()
 
 
+@message(228)
+@dataclass(frozen=True, slots=True)
+class LeasesRecord:
+    """Journal record that an owner writes, instead of a `HandOverRecord`, if it knows not all runs.
+
+    Attributes:
+        leases: As in `HandOverRecord`.
+    """
+
+    leases: tuple[tuple[str, int, int], ...]
+
+
 @dataclass(frozen=True, slots=True)
 class WorkerEntry:
     """Entry of a worker in the platform's list.
--- a/packages/core/src/quetzallock_core/cells/unverified.py
+++ b/packages/core/src/quetzallock_core/cells/unverified.py
@@ -13,7 +13,7 @@
 from .const import CLOCK_DRIFT, LEASE_MARGIN_MS, MAX_CLOCK_REFERENCES, OWNERSHIP_VALID_MS
 from .contents import Contents
 from .jobs import Task
-from .models import ClockReference, HandOverRecord, WorkerRecord
+from .models import ClockReference, HandOverRecord, LeasesRecord, WorkerRecord
 from .workers import Worker
 
 Boot = tuple[str, int]
@@ -61,9 +61,10 @@
         longest_ms = int(lease_ms / (1 - CLOCK_DRIFT)) + OWNERSHIP_VALID_MS + LEASE_MARGIN_MS
         self._longest_wait_ms = longest_ms
         remaining_ms: dict[Boot, int] = {}
-        if contents.hand_over is not None:
+        if isinstance(contents.hand_over, HandOverRecord):
             runs = contents.hand_over.runs
             self.locations = {task: (worker, boot_ms) for task, worker, boot_ms in runs}
+        if contents.hand_over is not None:
             leases = contents.hand_over.leases
             remaining_ms = {(worker, boot_ms): left_ms for worker, boot_ms, left_ms in leases}
         for record in contents.workers:
@@ -163,10 +164,11 @@
             for worker in closest
         )
 
-    def to_hand_over_record(self) -> HandOverRecord | None:
-        """Return the record of all runs that may be going on, or None if some are unknown."""
+    def to_hand_over_record(self) -> HandOverRecord | LeasesRecord:
+        """Return the record of the leases, with all runs that may be going on if they are known."""
+        leases = tuple(self._list_leases())
         if self.by_boot and self.locations is None:
-            return None
+            return LeasesRecord(leases)
         runs = [
             (run.task.name, worker.id, worker.entry.boot_ms)
             for worker in self._workers.values()
@@ -176,7 +178,7 @@
         runs += [
             (task, *location) for task, location in locations.items() if location in self.by_boot
         ]
-        return HandOverRecord(tuple(runs), tuple(self._list_leases()))
+        return HandOverRecord(tuple(runs), leases)
 
     def _list_leases(self) -> list[tuple[str, int, int]]:
         """Return worker, boot and the ms until its lease has lapsed, of all that may run tasks."""
