Split the capacity measurements and the worker's model by job

Cause: `capacity/measures.py` (403 lines) held the measurements of six roles with their set-up, and `workers/model.py` (401 lines) the constants, records, tasks and commands of a worker.

Change: one module a role in `capacity/measures/`, with `hosts`, `memory` and `const` beside it; `workers/` has `const`, `models`, `tasks` and `worker`. A task knows its name, so that pairs of name and task are gone. No other behaviour changes.

--- a/packages/standins/src/quetzallock_standins/capacity/loop.py
+++ b/packages/standins/src/quetzallock_standins/capacity/loop.py
@@ -25,7 +25,7 @@
 )
 
 from ..log.model import LogModel
-from ..workers.model import WorkerModel
+from ..workers.worker import WorkerModel
 
 FRAME_HEADER_BYTES = 4
 
--- a/packages/standins/src/quetzallock_standins/workers/server.py
+++ b/packages/standins/src/quetzallock_standins/workers/server.py
@@ -20,7 +20,8 @@
 from ..const import NOT_STARTED_HEADER, REQUEST_HEADER, SECOND_MS, WORK_HEADER
 from ..deployment import Deployment
 from ..server import serve, write, write_json
-from .model import WorkerModel, WorkerShape
+from .models import WorkerShape
+from .worker import WorkerModel
 
 _TICK_INTERVAL_MS = 100
 _INTERFERENCE_PERCENT = 3
--- a/packages/standins/src/quetzallock_standins/workers/model.py
+++ b/packages/standins/src/quetzallock_standins/workers/worker.py
@@ -5,7 +5,6 @@
 """
 
 from dataclasses import dataclass, field, replace
-from typing import Final
 
 from quetzallock_core.workers.const import (
     CLOSED,
@@ -35,75 +34,9 @@
     WorkerState,
 )
 
-CHECKPOINT_INTERVAL_MS: Final = 1_000
-USAGE_REPORT_INTERVAL_MS: Final = 10_000
-MAX_TICK_GAP_MS: Final = 1_500
-"""A longer gap between calls of `advance` means that the process of the worker was paused."""
-CLOSED_RETENTION_MS: Final = 3_600_000
-"""How long the highest closed attempt of a task is kept, so that delayed starts are refused."""
-
-
-@dataclass(frozen=True, slots=True)
-class WorkerShape:
-    """Resources of a worker and the faults that are injected into it.
-
-    Attributes:
-        fails_all: Whether every task fails as soon as it starts.
-        slowdown_percent: Increase of run times over the declared ones.
-        usage_percent: Usage of tasks as a share of their declared demand.
-    """
-
-    capacity: Resources
-    slots: int = 8
-    fails_all: bool = False
-    slowdown_percent: int = 0
-    usage_percent: int = 100
-
-
-@dataclass(frozen=True, slots=True)
-class RunRecord:
-    """A period in which an attempt ran; the ground truth that checks compare with."""
-
-    worker: str
-    task: str
-    attempt: int
-    started_at: int
-    ended_at: int
-    start_progress_ms: int
-    end_progress_ms: int
-    ending: str
-
-
-@dataclass(slots=True)
-class _Task:
-    attempt: int
-    state: str
-    demand: Resources
-    run_ms: int
-    progress_ms: int
-    checkpoint_ms: int
-    until: int
-    started_at: int
-    start_progress_ms: int
-    version: int
-    throttle_percent: int = 100
-
-
-@dataclass(slots=True)
-class WorkerCounters:
-    """Numbers of violations, and the highest use of the worker.
-
-    Attributes:
-        over_committed: Starts after which declared demands exceeded the capacity.
-        two_attempts: Starts of a task while another attempt of it ran.
-        over_slots: Requests above the number of slots.
-    """
-
-    over_committed: int = 0
-    two_attempts: int = 0
-    over_slots: int = 0
-    peak: Resources = NOTHING
-    peak_slots: int = 0
+from .const import MAX_TICK_GAP_MS, USAGE_REPORT_INTERVAL_MS
+from .models import RunRecord, WorkerCounters, WorkerShape
+from .tasks import ClosedAttempts, Task, make_task
 
 
 @dataclass(slots=True)
@@ -131,8 +64,8 @@
     _version: int = 0
     _advanced_at: int = 0
     _usage_due_at: int = 0
-    _tasks: dict[str, _Task] = field(default_factory=dict)
-    _closed: dict[str, tuple[int, int]] = field(default_factory=dict)
+    _tasks: dict[str, Task] = field(default_factory=dict)
+    _closed: ClosedAttempts = field(default_factory=ClosedAttempts)
 
     def handle(self, command: WorkerCommand, now: int) -> WorkerAnswer:
         """Execute a command."""
@@ -155,18 +88,14 @@
 
     def advance(self, now: int) -> None:
         """Advance tasks to `now`; a long gap counts as a pause of the worker, without progress."""
-        elapsed_ms = now - self._advanced_at
-        was_paused = elapsed_ms > MAX_TICK_GAP_MS
-        for name, task in self._tasks.items():
+        was_paused = now - self._advanced_at > MAX_TICK_GAP_MS
+        for task in self._tasks.values():
             if task.state != RUNNING:
                 continue
-            progress_ms = (
-                0
-                if was_paused
-                else self._compute_progress(task, min(now, task.until) - self._advanced_at)
-            )
-            task.progress_ms += max(0, progress_ms)
-            self._end_if_over(name, task, now)
+            if not was_paused:
+                elapsed_ms = min(now, task.until) - self._advanced_at
+                task.advance(elapsed_ms, self.shape.slowdown_percent)
+            self._end_if_over(task, now)
         if now >= self._usage_due_at:
             self._publish_usage(now)
         self._advanced_at = max(self._advanced_at, now)
@@ -187,67 +116,50 @@
 
     def crash(self, now: int, boot: str) -> None:
         """Lose all state and start again under another boot id."""
-        for name, task in self._tasks.items():
+        for task in self._tasks.values():
             if task.state == RUNNING:
-                self._record_run(name, task, now, "crashed")
+                self._record_run(task, now, "crashed")
             elif task.state == FINISHED:
-                self._mark_result_lost(name, task)
+                self._mark_result_lost(task)
         self.boot, self.epoch, self.holder, self.lease_until = boot, 0, "", 0
         self.booted_at = now
         self._tasks.clear()
         self._closed.clear()
         self.busy_slots = 0
 
-    def _mark_result_lost(self, name: str, task: _Task) -> None:
+    def _mark_result_lost(self, task: Task) -> None:
         """Record that the crash lost a result before it was acknowledged."""
         for index, run in enumerate(self.history):
-            if (run.task, run.attempt, run.ending) == (name, task.attempt, FINISHED):
+            if (run.task, run.attempt, run.ending) == (task.name, task.attempt, FINISHED):
                 self.history[index] = replace(run, ending="result lost")
 
-    def _compute_progress(self, task: _Task, elapsed_ms: int) -> int:
-        return elapsed_ms * task.throttle_percent // (100 + self.shape.slowdown_percent)
-
-    def _end_if_over(self, name: str, task: _Task, now: int) -> None:
+    def _end_if_over(self, task: Task, now: int) -> None:
         if task.progress_ms >= task.run_ms:
             task.progress_ms = task.checkpoint_ms = task.run_ms
-            self._end_attempt(name, task, FINISHED, min(now, task.until))
+            self._end_attempt(task, FINISHED, min(now, task.until))
             return
-        task.checkpoint_ms = max(
-            task.checkpoint_ms, task.progress_ms // CHECKPOINT_INTERVAL_MS * CHECKPOINT_INTERVAL_MS
-        )
+        task.save_checkpoint()
         if now >= task.until:
             task.checkpoint_ms = task.progress_ms
-            self._end_attempt(name, task, LAPSED, task.until)
+            self._end_attempt(task, LAPSED, task.until)
 
-    def _end_attempt(self, name: str, task: _Task, state: str, at: int) -> None:
+    def _end_attempt(self, task: Task, state: str, at: int) -> None:
         task.state = state
         self._mark_changed(task)
-        self._record_run(name, task, at, state)
+        self._record_run(task, at, state)
 
     def list_open_runs(self, now: int) -> list[RunRecord]:
         """Return the running attempts, ended at the latest when their task lease expires."""
         return [
-            self._make_run_record(name, task, max(task.started_at, min(now, task.until)), RUNNING)
-            for name, task in self._tasks.items()
+            task.make_run_record(self.name, max(task.started_at, min(now, task.until)), RUNNING)
+            for task in self._tasks.values()
             if task.state == RUNNING
         ]
 
-    def _record_run(self, name: str, task: _Task, at: int, ending: str) -> None:
-        self.history.append(self._make_run_record(name, task, at, ending))
-
-    def _make_run_record(self, name: str, task: _Task, at: int, ending: str) -> RunRecord:
-        return RunRecord(
-            self.name,
-            name,
-            task.attempt,
-            task.started_at,
-            at,
-            task.start_progress_ms,
-            task.checkpoint_ms,
-            ending,
-        )
+    def _record_run(self, task: Task, at: int, ending: str) -> None:
+        self.history.append(task.make_run_record(self.name, at, ending))
 
-    def _mark_changed(self, task: _Task) -> None:
+    def _mark_changed(self, task: Task) -> None:
         self._version += 1
         task.version = self._version
 
@@ -270,8 +182,8 @@
             self._renew(sync.leases)
             self._acknowledge(sync)
         tasks = tuple(
-            self._make_status(name, task)
-            for name, task in self._tasks.items()
+            task.make_status(self.shape)
+            for task in self._tasks.values()
             if since == 0 or task.version >= since
         )
         return self._make_state(True, now, tasks, since == 0)
@@ -306,23 +218,16 @@
             task = self._tasks.get(end.task)
             if task is not None and task.attempt == end.attempt and task.state != RUNNING:
                 del self._tasks[end.task]
-                self._close(end.task, end.attempt, self._advanced_at)
-
-    def _close(self, task: str, attempt: int, now: int) -> None:
-        newest = max(attempt, self._closed.get(task, (0, 0))[0])
-        self._closed[task] = (newest, now)
-        for name, (_, at) in list(self._closed.items())[:2]:
-            if now - at >= CLOSED_RETENTION_MS:
-                del self._closed[name]
+                self._closed.add(end.task, end.attempt, self._advanced_at)
 
     def _start(self, start: StartTask, now: int) -> CommandResult:
         task = self._tasks.get(start.task)
         if task is not None and task.attempt == start.attempt:
-            return CommandResult(True, "", self._make_status(start.task, task))
-        if start.attempt <= self._closed.get(start.task, (0, 0))[0]:
+            return CommandResult(True, "", task.make_status(self.shape))
+        if self._closed.includes(start.task, start.attempt):
             return CommandResult(False, REFUSED_CLOSED, _make_closed_status(start))
         if now >= start.until:
-            self._close(start.task, start.attempt, now)
+            self._closed.add(start.task, start.attempt, now)
             return CommandResult(False, REFUSED_LATE, _make_closed_status(start))
         if task is not None and task.state == RUNNING:
             self.counters.two_attempts += 1
@@ -330,24 +235,13 @@
         return CommandResult(True, "", self._start_attempt(start, now))
 
     def _start_attempt(self, start: StartTask, now: int) -> TaskStatus:
-        task = _Task(
-            start.attempt,
-            RUNNING,
-            start.demand,
-            start.run_ms,
-            start.progress_ms,
-            start.progress_ms,
-            start.until,
-            now,
-            start.progress_ms,
-            0,
-        )
+        task = make_task(start, now)
         self._tasks[start.task] = task
         self._mark_changed(task)
         if self.shape.fails_all:
-            self._end_attempt(start.task, task, FAILED, now)
+            self._end_attempt(task, FAILED, now)
         self._count_over_commitment()
-        return self._make_status(start.task, task)
+        return task.make_status(self.shape)
 
     def _count_over_commitment(self) -> None:
         """Count a violation if the declared demands exceed the capacity."""
@@ -362,39 +256,21 @@
     def _stop(self, stop: StopTask, now: int) -> CommandResult:
         task = self._tasks.get(stop.task)
         if task is None or task.attempt < stop.attempt:
-            self._close(stop.task, stop.attempt, now)
+            self._closed.add(stop.task, stop.attempt, now)
             status = TaskStatus(stop.task, stop.attempt, CLOSED, NOTHING)
             return CommandResult(True, "", status)
         if task.attempt == stop.attempt and task.state == RUNNING:
             task.checkpoint_ms = task.progress_ms
-            self._end_attempt(stop.task, task, STOPPED, now)
-            self._close(stop.task, stop.attempt, now)
-        return CommandResult(True, "", self._make_status(stop.task, task))
+            self._end_attempt(task, STOPPED, now)
+            self._closed.add(stop.task, stop.attempt, now)
+        return CommandResult(True, "", task.make_status(self.shape))
 
     def _throttle(self, command: ThrottleTask) -> CommandResult:
         task = self._tasks.get(command.task)
         if task is None or task.attempt != command.attempt:
             return CommandResult(False, REFUSED_CLOSED)
         task.throttle_percent = command.percent
-        return CommandResult(True, "", self._make_status(command.task, task))
-
-    def _compute_usage(self, task: _Task) -> Resources:
-        share = self.shape.usage_percent
-        return Resources(
-            task.demand.cpu_milli * share * task.throttle_percent // 10_000,
-            task.demand.memory_mb * share // 100,
-            task.demand.accelerators,
-        )
-
-    def _make_status(self, name: str, task: _Task) -> TaskStatus:
-        return TaskStatus(
-            name,
-            task.attempt,
-            task.state,
-            task.demand,
-            task.checkpoint_ms,
-            self._compute_usage(task) if task.state == RUNNING else NOTHING,
-        )
+        return CommandResult(True, "", task.make_status(self.shape))
 
 
 def _make_closed_status(start: StartTask) -> TaskStatus:
--- a/tests/common.py
+++ b/tests/common.py
@@ -19,7 +19,8 @@
 from quetzallock_core.requests.models import RequestArrived
 from quetzallock_core.workers.models import Resources, WorkerInfo
 from quetzallock_standins.log.model import LogModel
-from quetzallock_standins.workers.model import RunRecord, WorkerModel, WorkerShape
+from quetzallock_standins.workers.models import RunRecord, WorkerShape
+from quetzallock_standins.workers.worker import WorkerModel
 
 from .effects import TICK_MS, Execution, FakeEffects
 
--- a/tests/core/jobs/test_ends.py
+++ b/tests/core/jobs/test_ends.py
@@ -1,6 +1,6 @@
 """Tests of how attempts end and when a task is started again."""
 
-from quetzallock_standins.workers.model import RunRecord
+from quetzallock_standins.workers.models import RunRecord
 from tests.common import FakeCluster, make_spec
 from tests.runs import count_endings
 
@@ -87,7 +87,7 @@
 
 
 def test_task_that_fails_on_all_workers_is_parked() -> None:
-    from quetzallock_standins.workers.model import WorkerShape
+    from quetzallock_standins.workers.models import WorkerShape
     from tests.common import CAPACITY
 
     shapes = {index: WorkerShape(CAPACITY, fails_all=True) for index in range(4)}
--- a/tests/proofs/scenario.py
+++ b/tests/proofs/scenario.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from quetzallock_standins.workers.model import WorkerShape
+from quetzallock_standins.workers.models import WorkerShape
 from tests.common import CAPACITY, PRESET, FakeCluster, make_spec
 from tests.effects import Execution
 
--- a/tests/runs.py
+++ b/tests/runs.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from quetzallock_standins.workers.model import RunRecord
+from quetzallock_standins.workers.models import RunRecord
 
 
 def find_overlapping_runs(runs: Iterable[RunRecord]) -> list[tuple[RunRecord, RunRecord]]:
