Share the queries of all hosts between presets and reports

Change: `members/queries.py` holds `HostQueries`; both use it. The time limit of 1 s, the messages and the order of the steps within a tick stay.

--- a/packages/core/src/quetzallock_core/presets/sync.py
+++ b/packages/core/src/quetzallock_core/presets/sync.py
@@ -11,6 +11,7 @@
 from ..helpers.hashing import choose_owner
 from ..members import Members
 from ..members.models import PeerPresetSeen
+from ..members.queries import HostQueries
 from .catalog import EMPTY, apply_record, find_preset
 from .const import STREAM, PresetSettings
 from .models import (
@@ -27,7 +28,6 @@
 from .schema import parse_preset
 
 _LOGGER = logging.getLogger(__name__)
-_QUERY_TIMEOUT_MS = 1_000
 _RETRY_AFTER_MS = 1_000
 
 
@@ -37,13 +37,6 @@
     deadline: int
 
 
-@dataclass(slots=True)
-class _Query:
-    ticket: int
-    deadline: int
-    answers: dict[str, HostPreset]
-
-
 class Presets:
     """The preset state of one host; it never reverts to an older switch."""
 
@@ -59,8 +52,7 @@
         self._is_reading = False
         self._log_ok = False
         self._changes: dict[int, _PendingChange] = {}
-        self._queries: dict[int, _Query] = {}
-        self._next_query = 0
+        self._queries: HostQueries[HostPreset] = HostQueries(core, members, self._answer_query)
         self._rewrite_at = core.clock.now() + settings.rewrite_ms
         core.listen(ReadDone, self._on_read)
         core.listen(Appended, self._on_appended)
@@ -92,11 +84,7 @@
 
     def query_all_hosts(self, ticket: int) -> None:
         """Query the preset of each host; the answer for `ticket` is a tuple of `HostPreset`."""
-        self._next_query += 1
-        deadline = self._core.clock.now() + _QUERY_TIMEOUT_MS
-        self._queries[self._next_query] = _Query(ticket, deadline, {})
-        for host in self._members.reachable:
-            self._core.send(host, QueryInForce(self._next_query))
+        self._queries.send(ticket, QueryInForce)
 
     def _submit_change(self, ticket: int, nonce: int, record: PublishPreset | UsePreset) -> None:
         if not self._log_ok:
@@ -116,9 +104,7 @@
             if now >= change.deadline:
                 del self._changes[nonce]
                 self._core.answer(change.ticket, ChangeOutcome("unknown"))
-        for number, query in list(self._queries.items()):
-            if now >= query.deadline:
-                self._close_query(number)
+        self._queries.close_overdue(now)
 
     def _read(self, now: int) -> None:
         self._next_read = now + self._settings.read_ms
@@ -240,17 +226,12 @@
         self._core.send(source, answer)
 
     def _on_in_force(self, answer: InForce, source: str) -> None:
-        query = self._queries.get(answer.query)
-        if query is None:
-            return
-        query.answers[source] = HostPreset(source, answer.name, answer.switched_at)
-        if len(query.answers) == len(self._members.reachable):
-            self._close_query(answer.query)
+        preset = HostPreset(source, answer.name, answer.switched_at)
+        self._queries.record_answer(answer.query, source, preset)
 
-    def _close_query(self, number: int) -> None:
-        query = self._queries.pop(number)
+    def _answer_query(self, ticket: int, answers: dict[str, HostPreset]) -> None:
         missing = HostPreset("", None, NO_OFFSET)
         rows = tuple(
-            query.answers.get(host, replace(missing, host=host)) for host in self._members.reachable
+            answers.get(host, replace(missing, host=host)) for host in self._members.reachable
         )
-        self._core.answer(query.ticket, rows)
+        self._core.answer(ticket, rows)
--- a/packages/core/src/quetzallock_core/reports/collector.py
+++ b/packages/core/src/quetzallock_core/reports/collector.py
@@ -1,19 +1,18 @@
 """Collects the counts of this host and merges the reports of all hosts."""
 
 from collections import Counter
-from dataclasses import dataclass
 
 from hdrh.histogram import HdrHistogram
 
 from ..core import Core
 from ..members import Members
+from ..members.queries import HostQueries
 from ..presets.models import PresetChanged
 from ..requests.models import RequestEnded
 from .const import (
     MAX_RECORDED_MS,
     MIN_RECORDED_MS,
     PEAK_WINDOW_MS,
-    QUERY_TIMEOUT_MS,
     SIGNIFICANT_DIGITS,
 )
 from .models import Count, HostReport, QueryReport, Report
@@ -24,13 +23,6 @@
     return HdrHistogram(MIN_RECORDED_MS, MAX_RECORDED_MS, SIGNIFICANT_DIGITS)
 
 
-@dataclass(slots=True)
-class _Query:
-    ticket: int
-    deadline: int
-    answers: dict[str, HostReport]
-
-
 class Reports:
     """Collects this host's counts and queries those of other hosts."""
 
@@ -45,8 +37,7 @@
         # Numbers of requests, and of those answered in time.
         self._window = (0, 0)
         self._peak = (0, 0)
-        self._queries: dict[int, _Query] = {}
-        self._next_query = 0
+        self._queries: HostQueries[HostReport] = HostQueries(core, members, self._answer_query)
         core.listen(RequestEnded, self._on_ended)
         core.listen(PresetChanged, self._on_preset)
         core.listen(QueryReport, self._on_query)
@@ -55,11 +46,7 @@
 
     def query_all_hosts(self, ticket: int) -> None:
         """Query all hosts; the answer for `ticket` is the merged `Report`."""
-        self._next_query += 1
-        deadline = self._core.clock.now() + QUERY_TIMEOUT_MS
-        self._queries[self._next_query] = _Query(ticket, deadline, {})
-        for host in self._members.reachable:
-            self._core.send(host, QueryReport(self._next_query))
+        self._queries.send(ticket, QueryReport)
 
     def _on_ended(self, event: RequestEnded, _source: str) -> None:
         if event.outcome == "whole":
@@ -77,9 +64,7 @@
         if now - self._window_started_at >= PEAK_WINDOW_MS:
             self._peak = max(self._peak, self._window)
             self._window_started_at, self._window = now, (0, 0)
-        for number, query in list(self._queries.items()):
-            if now >= query.deadline:
-                self._close(number)
+        self._queries.close_overdue(now)
 
     def _on_query(self, query: QueryReport, source: str) -> None:
         peak = max(self._peak, self._window)
@@ -97,18 +82,12 @@
         self._core.send(source, report)
 
     def _on_report(self, report: HostReport, source: str) -> None:
-        query = self._queries.get(report.query)
-        if query is None:
-            return
-        query.answers[source] = report
-        if len(query.answers) == len(self._members.reachable):
-            self._close(report.query)
-
-    def _close(self, number: int) -> None:
-        query = self._queries.pop(number)
-        missing = tuple(host for host in self._members.reachable if host not in query.answers)
-        reports = tuple(query.answers.values())
-        self._core.answer(query.ticket, merge_reports(reports, missing, self._preset))
+        self._queries.record_answer(report.query, source, report)
+
+    def _answer_query(self, ticket: int, answers: dict[str, HostReport]) -> None:
+        missing = tuple(host for host in self._members.reachable if host not in answers)
+        reports = tuple(answers.values())
+        self._core.answer(ticket, merge_reports(reports, missing, self._preset))
 
 
 def merge_reports(reports: tuple[HostReport, ...], missing: tuple[str, ...], preset: str) -> Report:
--- a/packages/core/src/quetzallock_core/reports/const.py
+++ b/packages/core/src/quetzallock_core/reports/const.py
@@ -10,7 +10,6 @@
 """Number of significant decimal digits of the histograms."""
 PEAK_WINDOW_MS: Final = 10_000
 """Length of the windows of which the one with the most requests is reported as the peak."""
-QUERY_TIMEOUT_MS: Final = 1_000
 """Time after which a host that has not answered is reported as missing."""
 MAX_LINES: Final = 12
 MAX_COLUMNS: Final = 40
