Name the play's findings and the workers' counters plainly

Cause: `Verdict.lies` and `find_lies` were a metaphor for requests that were answered `not_run` and ran; the ground truth called the counters of violations "guards".

Change: `executed_rejections`, `find_executed_rejections` and the key `counters`. The texts of the verdict stay.

--- a/packages/standins/src/quetzallock_standins/play/verdict.py
+++ b/packages/standins/src/quetzallock_standins/play/verdict.py
@@ -16,7 +16,7 @@
     """Outcome of a play, as seen from outside the daemons.
 
     Attributes:
-        lies: Requests that were answered `not_run` and ran.
+        executed_rejections: Requests that were answered `not_run` and ran.
         doubled_orders: Non-idempotent requests that ran more than once.
         foreign: Requests that got the answer to another request.
         lost: Tasks of accepted jobs that neither finished nor were cancelled.
@@ -34,7 +34,7 @@
     jobs: int
     tasks: int
     finished: int
-    lies: tuple[str, ...]
+    executed_rejections: tuple[str, ...]
     doubled_orders: tuple[str, ...]
     foreign: tuple[str, ...]
     lost: tuple[str, ...]
@@ -51,7 +51,7 @@
         """Return the names of the broken promises; lateness counts only if `checks_time`."""
         promises = {
             "in time": checks_time and self.in_time_percent < IN_TIME_PERCENT,
-            "not run": bool(self.lies),
+            "not run": bool(self.executed_rejections),
             "at most once": bool(self.doubled_orders),
             "own answer": bool(self.foreign),
             "nothing lost": bool(self.lost),
@@ -110,7 +110,7 @@
         len(accepted),
         len(expected),
         sum(finishes[task] > 0 for task in expected),
-        find_lies(calls, executions),
+        find_executed_rejections(calls, executions),
         find_doubled_orders(calls, executions),
         tuple(call.request_id for call in calls if not call.is_own_answer),
         tuple(task for task in expected if not finishes[task]),
@@ -118,12 +118,14 @@
         tuple(sorted(find_overlaps(runs))),
         sum(
             counters["over_committed"] + counters["over_slots"] + counters["two_attempts"]
-            for counters in ground_truth["guards"].values()
+            for counters in ground_truth["counters"].values()
         ),
     )
 
 
-def find_lies(calls: Iterable[CallResult], executions: Counter[str]) -> tuple[str, ...]:
+def find_executed_rejections(
+    calls: Iterable[CallResult], executions: Counter[str]
+) -> tuple[str, ...]:
     """Return requests that were answered `not_run` and ran."""
     return tuple(
         call.request_id
@@ -168,7 +170,8 @@
         f"jobs {verdict.jobs}: {verdict.finished} of {verdict.tasks} tasks finished"
         f"  lost {len(verdict.lost)}  doubled {len(verdict.doubled)}"
         f"  in two places {len(verdict.overlapping)}",
-        f"orders doubled {len(verdict.doubled_orders)}  told not run but ran {len(verdict.lies)}"
+        f"orders doubled {len(verdict.doubled_orders)}"
+        f"  told not run but ran {len(verdict.executed_rejections)}"
         f"  foreign answers {len(verdict.foreign)}  over-committed {verdict.over_committed}",
         f"verdict: BROKEN: {', '.join(broken)}" if broken else "verdict: all held",
     ]
--- a/packages/standins/src/quetzallock_standins/workers/server.py
+++ b/packages/standins/src/quetzallock_standins/workers/server.py
@@ -136,7 +136,7 @@
         body = {
             "now": now,
             "runs": [asdict(run) for run in runs],
-            "guards": counters,
+            "counters": counters,
             "executions": self._executions,
         }
         write_json(request, 200, body)
--- a/tests/standins/test_verdict.py
+++ b/tests/standins/test_verdict.py
@@ -31,7 +31,7 @@
     """Return the ground truth as the workers stand-in reports it."""
     return {
         "runs": list(runs),
-        "guards": {},
+        "counters": {},
         "executions": [(request_id, "w") for request_id in executions],
     }
 
@@ -114,9 +114,9 @@
 
 
 def test_not_run_that_ran_and_orders_that_ran_twice_are_seen() -> None:
-    ground_truth = make_ground_truth(executions=("lie", "twice", "twice"))
+    ground_truth = make_ground_truth(executions=("rejected", "twice", "twice"))
     verdict = make_verdict(
-        [make_call("lie", "not_run"), make_call("twice", "whole")], [], ground_truth
+        [make_call("rejected", "not_run"), make_call("twice", "whole")], [], ground_truth
     )
-    assert verdict.lies == ("lie",)
+    assert verdict.executed_rejections == ("rejected",)
     assert verdict.doubled_orders == ("twice",)
