--- a/packages/standins/src/quetzallock_standins/workers/server.py
+++ b/packages/standins/src/quetzallock_standins/workers/server.py
@@ -20,7 +20,8 @@
 from ..const import NOT_STARTED_HEADER, REQUEST_HEADER, SECOND_MS, WORK_HEADER
 from ..deployment import Deployment
 from ..server import serve, write, write_json
-from .model import WorkerModel, WorkerShape
+from .models import WorkerShape
+from .worker import WorkerModel
 
 _TICK_INTERVAL_MS = 100
 _INTERFERENCE_PERCENT = 3
@@ -135,7 +136,7 @@
         body = {
             "now": now,
             "runs": [asdict(run) for run in runs],
-            "guards": counters,
+            "counters": counters,
             "executions": self._executions,
         }
         write_json(request, 200, body)
