Reproduce starts that overload a worker whose capacity shrinks

Some workers start whatever they are told, and a worker's capacity may shrink and grow again while it runs. The emulated worker can do both now: `guards_capacity` and `resize`, which its entry shows after a delay. The ground truth records a start that brings a worker over what it offers, or has offered within the last 600 ms.

--- a/packages/standins/src/quetzallock_standins/emulator/cluster.py
+++ b/packages/standins/src/quetzallock_standins/emulator/cluster.py
@@ -356,6 +356,12 @@
         self.run_effects(self.owner)
         return self._ticket
 
+    def resize(self, worker: str, capacity: Resources, entry_delay_ms: int = 0) -> None:
+        """Let a worker offer another capacity, which its entry shows after a delay."""
+        resized = self.workers[worker]
+        resized.resize(capacity)
+        self.schedule(entry_delay_ms, resized.publish_capacity)
+
     def revive(self, worker: str) -> None:
         """Start a crashed worker again, as a new boot."""
         old = self.workers[worker]
--- a/packages/standins/src/quetzallock_standins/emulator/ground_truth.py
+++ b/packages/standins/src/quetzallock_standins/emulator/ground_truth.py
@@ -50,6 +50,10 @@
         running.add(run)
         self.starts.append((now, task, run, worker))
 
+    def record_overload(self, task: str, run: int, worker: str) -> None:
+        """Record a start that brings a worker over the capacity it offers."""
+        self.violations.append(f"{self.read_ms()}: {task} run {run} on {worker}: over its capacity")
+
     def record_end(self, task: str, run: int, outcome: str) -> None:
         """Record the end of a run and its outcome."""
         self._running_by_task.get(task, set()).discard(run)
--- a/packages/standins/src/quetzallock_standins/emulator/workers.py
+++ b/packages/standins/src/quetzallock_standins/emulator/workers.py
@@ -20,6 +20,8 @@
 FULL_PACE = 100
 MAX_ENDS_PER_INVENTORY = 500
 TAIL_SMOOTHING_MS = 250
+SHRINK_TOLERANCE_MS = 600
+"""How long after a shrink a start that fits into the larger capacity breaks no promise."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,6 +89,7 @@
         mode: `sound`, `grey` (all runs but those without a duration fail), `hang` (runs make no
             progress) or `slow` (runs take five times as long).
         is_isolated: Whether no calls reach it; its runs go on until the lease lapses.
+        guards_capacity: Whether it refuses a start that does not fit into its capacity.
         is_replaced: Whether it is down and another worker answers at its address.
         has_broken_connections: Whether the next call finds its connection broken by a crash.
         interference: For a pair of images, the relative increase of the first one's tail latency
@@ -96,6 +99,8 @@
         fence: Highest epoch seen; orders of a lower one are refused.
         highest_closed_runs: For each task, the highest run that has ended or was stopped; a start
             of it or of an earlier one is refused.
+        capacity: Resources that it offers, which its entry shows with a delay.
+        processor_cpu: Its real processor, whatever it offers, in thousandths of a core.
     """
 
     entry: WorkerEntry
@@ -105,6 +110,7 @@
     stop_ms: int = 200
     clock_rate: float = 1.0
     mode: str = "sound"
+    guards_capacity: bool = True
     is_up: bool = True
     is_isolated: bool = False
     is_replaced: bool = False
@@ -116,8 +122,16 @@
     runs: dict[str, EmulatedRun] = field(default_factory=dict)
     ends: list[EndRow] = field(default_factory=list)
     highest_closed_runs: dict[str, int] = field(default_factory=dict)
+    capacity: Resources = field(init=False)
+    processor_cpu: int = field(init=False)
     _next_end: int = 1
     _clock: float = 1_000.0
+    _former_capacities: list[tuple[int, Resources]] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        """Offer the whole processor."""
+        self.capacity = self.entry.capacity
+        self.processor_cpu = self.entry.capacity.cpu
 
     @property
     def id(self) -> str:
@@ -161,11 +175,28 @@
             return Answer("late", self.clock_ms)
         behaviour = self.behaviours[order.task]
         committed = self.committed + compute_commitment(behaviour.needs, behaviour.is_best_effort)
-        if not committed.fits_in(self.entry.capacity):
+        if self.guards_capacity and not committed.fits_in(self.capacity):
             return Answer("room", self.clock_ms)
+        if not committed.fits_in(self._get_tolerated_capacity()):
+            self.ground_truth.record_overload(order.task, order.run, self.id)
         self._start_run(order, behaviour)
         return Answer("ok", self.clock_ms)
 
+    def _get_tolerated_capacity(self) -> Resources:
+        """Return the largest capacity that it has offered within `SHRINK_TOLERANCE_MS`."""
+        now = self.ground_truth.read_ms()
+        recent = [
+            capacity
+            for until, capacity in self._former_capacities
+            if now - until < SHRINK_TOLERANCE_MS
+        ]
+        recent.append(self.capacity)
+        return Resources(
+            max(capacity.cpu for capacity in recent),
+            max(capacity.memory_mb for capacity in recent),
+            max(capacity.gpus for capacity in recent),
+        )
+
     def _start_run(self, order: StartRun, behaviour: TaskBehaviour) -> None:
         left = behaviour.duration_ms
         if left is not None and order.checkpoint:
@@ -229,7 +260,7 @@
         """Return the tail latency in ms: 35 % of the target, increased by the interference."""
         factor = 1.0
         for other in self.runs.values():
-            share = other.needs.cpu * other.pace / FULL_PACE / self.entry.capacity.cpu
+            share = other.needs.cpu * other.pace / FULL_PACE / self.processor_cpu
             factor += self.interference.get((run.image, other.image), 0.0) * share
         return 0.35 * run.target_ms * factor * self.compute_load(self._clock)
 
@@ -277,6 +308,15 @@
         self._next_end += 1
         self.ground_truth.record_end(task, run.order.run, outcome)
 
+    def resize(self, capacity: Resources) -> None:
+        """Offer another capacity from now on; what runs goes on."""
+        self._former_capacities.append((self.ground_truth.read_ms(), self.capacity))
+        self.capacity = capacity
+
+    def publish_capacity(self) -> None:
+        """Show the current capacity in the entry."""
+        self.entry = replace(self.entry, capacity=self.capacity)
+
     def drain(self) -> None:
         """Announce that the worker is about to leave; it goes on until `crash`."""
         self.entry = replace(self.entry, is_draining=True)
@@ -290,6 +330,7 @@
         self.runs.clear()
         self.ends.clear()
         self.highest_closed_runs.clear()
+        self._former_capacities.clear()
         self.fence = 0
         self._next_end = 1
         self.lease_until = 0
@@ -297,5 +338,6 @@
     def revive(self, entry: WorkerEntry) -> None:
         """Start again as a new boot under the same id."""
         self.entry = entry
+        self.capacity = entry.capacity
         self._clock = 0.0
         self.is_up = True
