Don't repeat a start to a worker that has shrunk below it

Callers would see: tasks on an overloaded worker, where it doesn't guard its capacity; where it does, a task that waits for refusals. Cause: a start order that got no answer was repeated every 700 ms to the worker it was first sent to, whatever capacity the worker offers by now. Placement asks for free capacity, the repetition didn't. Class: a decision that is carried out again without being checked again. Change: where more is committed than a worker offers, an unanswered start is stopped instead of repeated, and the task starts elsewhere. The stop also closes the worker to copies of the order that are still on their way. A gang is stopped as a whole, as the others would wait for that member. What runs goes on: only starts may not exceed the capacity.

--- a/packages/core/src/quetzallock_core/cells/cell.py
+++ b/packages/core/src/quetzallock_core/cells/cell.py
@@ -196,6 +196,8 @@
                     continue
                 if run.state == "stopping":
                     state.send_stop(run)
+                elif run.state == "ordered" and worker.is_overcommitted:
+                    state.stop_with_gang(run, "worker has shrunk")
                 elif run.state == "ordered" and worker.can_accept_task(now):
                     self._scheduler.send_start(run, worker, now)
 
--- a/packages/core/src/quetzallock_core/cells/state.py
+++ b/packages/core/src/quetzallock_core/cells/state.py
@@ -195,6 +195,15 @@
         self.log_decision("run.stopped", task=run.task.name, run=run.number, reason=reason)
         self.send_stop(run)
 
+    def stop_with_gang(self, run: Run, reason: str) -> None:
+        """Stop a run, and with it the other runs of its gang, which cannot go on alone."""
+        self.stop_run(run, reason)
+        if not run.task.spec.gang:
+            return
+        for member in run.task.step.tasks:
+            for other in list(member.runs.values()):
+                self.stop_run(other, reason)
+
     def send_stop(self, run: Run) -> None:
         """Send the order to stop a run, or send it again."""
         worker = self.workers.get(run.worker)
--- a/packages/core/src/quetzallock_core/cells/workers.py
+++ b/packages/core/src/quetzallock_core/cells/workers.py
@@ -122,6 +122,11 @@
         """Resources that are not committed."""
         return self.entry.capacity - self.committed
 
+    @property
+    def is_overcommitted(self) -> bool:
+        """Whether more is committed than it offers, since its capacity has shrunk."""
+        return not self.committed.fits_in(self.entry.capacity)
+
     @property
     def idle_cpu(self) -> int:
         """Processor that no task is expected to use, in thousandths of a core."""
