Start no best-effort task on a worker that is overcommitted

Callers would see: best-effort tasks beside serving tasks on a worker that has shrunk below what it runs; where it guards its capacity, a best-effort task that is refused every 250 ms while others have room for it. Cause: best-effort tasks commit no processor, so only memory, accelerators and the processor expected idle were checked. Of serving tasks 40 % count as idle, so a shrunk worker can have idle processor below its commitments. Change: what a task commits must fit in every resource, also where it adds nothing to that resource.

--- a/packages/core/src/quetzallock_core/cells/placement.py
+++ b/packages/core/src/quetzallock_core/cells/placement.py
@@ -9,7 +9,7 @@
 from .interference import ColocationProfile, Interference
 from .jobs import StepRun, Task
 from .models import Resources
-from .workers import Worker
+from .workers import Worker, compute_commitment
 
 REMOTE_COST: Final = 3.0
 """Cost of a worker outside the rack that holds the task's data."""
@@ -71,10 +71,10 @@
 
 
 def _has_capacity(task: Task, worker: Worker) -> bool:
-    needs = task.spec.needs
-    if not task.spec.fills:
-        return worker.has_capacity_for(needs)
-    return worker.idle_cpu >= MIN_IDLE_SHARE * needs.cpu and worker.has_memory_for(needs)
+    spec = task.spec
+    if not worker.has_capacity_for(compute_commitment(spec.needs, spec.fills)):
+        return False
+    return not spec.fills or worker.idle_cpu >= MIN_IDLE_SHARE * spec.needs.cpu
 
 
 def compute_cost(task: Task, worker: Worker, now: int) -> float:
--- a/packages/core/src/quetzallock_core/cells/workers.py
+++ b/packages/core/src/quetzallock_core/cells/workers.py
@@ -132,19 +132,15 @@
         """Processor that no task is expected to use, in thousandths of a core."""
         return self.entry.capacity.cpu - self.committed.cpu - self.expected_extra_cpu
 
-    def has_memory_for(self, needs: Resources) -> bool:
-        """Return whether memory and accelerators for `needs` are free."""
+    def has_capacity_for(self, commitment: Resources) -> bool:
+        """Return whether all of `commitment` is free; nothing is while it is overcommitted."""
         capacity = self.entry.capacity
         committed = self.committed
-        if committed.memory_mb + needs.memory_mb > capacity.memory_mb:
+        if committed.cpu + commitment.cpu > capacity.cpu:
             return False
-        return committed.gpus + needs.gpus <= capacity.gpus
-
-    def has_capacity_for(self, needs: Resources) -> bool:
-        """Return whether all of `needs` is free."""
-        if self.committed.cpu + needs.cpu > self.entry.capacity.cpu:
+        if committed.memory_mb + commitment.memory_mb > capacity.memory_mb:
             return False
-        return self.has_memory_for(needs)
+        return committed.gpus + commitment.gpus <= capacity.gpus
 
     @property
     def ack_cursor(self) -> int:
