Don't wait forever for the stop of a run that never started

Callers would see: a task that stays away for as long as its worker lists its runs but answers no stop (errors, lost answers). Cause: a run whose start got no answer is dropped once the lease in its start order has ended, but only while it isn't being stopped. A stopping run that no inventory has listed waited for the answer to the stop. Change: the end of the lease in the start order settles both. The worker refuses every copy of the order from then on, and would list the run.

--- a/packages/core/src/quetzallock_core/cells/inventory.py
+++ b/packages/core/src/quetzallock_core/cells/inventory.py
@@ -141,11 +141,11 @@
     def _check_missing(self, run: Run, clock_ms: int) -> bool:
         """Drop a run that the worker neither runs nor lists as ended.
 
-        A run whose start order is unanswered is kept until the lease in the order has ended, as the
-        order may still arrive.
+        A run whose start or stop order is unanswered is kept until the lease in the start order has
+        ended, as that order may still arrive.
         """
         is_answered = 0 <= run.answered_clock_ms < clock_ms
-        is_late = run.state == "ordered" and run.until_ms and clock_ms > run.until_ms
+        is_late = run.state != "running" and run.until_ms and clock_ms > run.until_ms
         if not (run.is_listed or is_answered or is_late):
             return False
         state = self._state
--- a/tests/core/cells/test_changing_capacity.py
+++ b/tests/core/cells/test_changing_capacity.py
@@ -68,6 +68,19 @@
     assert not cluster.ground_truth.violations
 
 
+def test_task_does_not_wait_forever_for_a_stop_that_gets_no_answer(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    cluster = make_cluster()
+    monkeypatch.setattr(cluster, "_send", lambda *_: None)
+    cluster.submit(make_spec("a", make_step(1)), POLICY, {0: LONG_MS})
+    cluster.run(50)
+    shrunk = find_ordered_on(cluster)
+    cluster.resize(shrunk.id, NOTHING)
+    cluster.run(SETTLE_MS)
+    assert find_ordered_on(cluster) is not shrunk
+
+
 @pytest.mark.parametrize("seed", range(4))
 def test_task_does_not_run_twice_when_a_repeated_start_is_refused_and_the_first_is_late(
     seed: int,
