Don't start a task twice when a repeated start is refused

Callers would see: a task that runs twice at the same time, and a worker over its capacity. Cause: a start that got no answer is repeated. If the worker refuses the repetition (its capacity has shrunk, it is overloaded), the run was taken for over and the task started elsewhere. The first copy may still be on its way; it is carried out when the worker has room again. Change: a run whose repetition is refused is stopped while an earlier copy is unanswered, and counts until the stop is confirmed. A worker that says `late` has closed itself to the earlier copies, whose leases end sooner.

--- a/packages/core/src/quetzallock_core/cells/answers.py
+++ b/packages/core/src/quetzallock_core/cells/answers.py
@@ -77,15 +77,12 @@
             run.task.not_before = now + RETRY_PAUSE_MS
         if run.state == "running":
             return
+        if run.unanswered and outcome != "late":
+            state.stop_with_gang(run, "an earlier copy of the refused order may arrive")
+            return
         state.end_run(run, "refuse")
-        if run.task.spec.gang:
-            self._break_gang(run)
-        self._state.is_start_due = True
-
-    def _break_gang(self, refused: Run) -> None:
-        for member in refused.task.step.tasks:
-            for run in list(member.runs.values()):
-                self._state.stop_run(run, "worker refused another task of the gang")
+        state.stop_gang(run.task.step, "worker refused another task of the gang")
+        state.is_start_due = True
 
     def handle_stop_answer(self, order: StopRun, outcome: str, clock_ms: int) -> None:
         """Process the answer to a stop order; `outcome` is empty when there was none."""
--- a/packages/core/src/quetzallock_core/cells/state.py
+++ b/packages/core/src/quetzallock_core/cells/state.py
@@ -196,13 +196,17 @@
         self.send_stop(run)
 
     def stop_with_gang(self, run: Run, reason: str) -> None:
-        """Stop a run, and with it the other runs of its gang, which cannot go on alone."""
+        """Stop a run, and with it the other runs of its gang."""
         self.stop_run(run, reason)
-        if not run.task.spec.gang:
+        self.stop_gang(run.task.step, reason)
+
+    def stop_gang(self, step: StepRun, reason: str) -> None:
+        """Stop all runs of a gang, which cannot go on without one of them; no other step's."""
+        if not step.spec.gang:
             return
-        for member in run.task.step.tasks:
-            for other in list(member.runs.values()):
-                self.stop_run(other, reason)
+        for member in step.tasks:
+            for run in list(member.runs.values()):
+                self.stop_run(run, reason)
 
     def send_stop(self, run: Run) -> None:
         """Send the order to stop a run, or send it again."""
