Log and count changes of a worker's capacity

On-call could not see that a worker had shrunk: the new capacity replaced the old one without a word, and tasks just waited. Change: one line `worker.resized` for each change, with the capacity before and after, what is committed and the number of runs; counted under the same name. A worker that changes its entry with each heartbeat writes one line for each, not more. Measured: the new test failed before and passes, with the other tests of tests/core/cells/test_changing_capacity.py.

--- a/packages/core/src/quetzallock_core/cells/cell.py
+++ b/packages/core/src/quetzallock_core/cells/cell.py
@@ -16,6 +16,7 @@
     Effect,
     Inventory,
     JobRecord,
+    Resources,
     StepSpec,
     TicketOutcome,
     WorkerEntry,
@@ -128,9 +129,21 @@
             worker = state.workers.get(entry.worker) or state.add_worker(entry)
             if entry.is_draining and not worker.entry.is_draining:
                 state.log_decision("worker.draining", worker=worker.id)
+            if entry.capacity != worker.entry.capacity:
+                self._log_resize(worker, entry)
             worker.entry = entry
             worker.is_listed = True
 
+    def _log_resize(self, worker: Worker, entry: WorkerEntry) -> None:
+        self.state.log_decision(
+            "worker.resized",
+            worker=worker.id,
+            before=describe_resources(worker.entry.capacity),
+            after=describe_resources(entry.capacity),
+            committed=describe_resources(worker.committed),
+            runs=len(worker.runs),
+        )
+
     def handle_inventory(self, worker: str, inventory: Inventory) -> None:
         """Process a worker's inventory."""
         if self._reader.process(worker, inventory):
@@ -239,11 +252,15 @@
 
 def describe_step(step: StepSpec) -> str:
     """Return a short description of a step for the log."""
-    needs = step.needs
     marks = [
         name
         for name in ("saves", "gang", "speculative", "lasting", "fills", "one_rack")
         if getattr(step, name)
     ]
-    size = f"{step.count}x{needs.cpu}/{needs.memory_mb}/{needs.gpus}"
+    size = f"{step.count}x{describe_resources(step.needs)}"
     return " ".join([size, f"{step.estimate_ms}ms", f"after{list(step.after)}", *marks])
+
+
+def describe_resources(resources: Resources) -> str:
+    """Return processor, memory in MB and accelerators for the log."""
+    return f"{resources.cpu}/{resources.memory_mb}/{resources.gpus}"
--- a/tests/core/cells/test_changing_capacity.py
+++ b/tests/core/cells/test_changing_capacity.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from quetzallock_core.cells.models import QueuePolicy, Resources, StepSpec
+from quetzallock_core.cells.models import Decision, QueuePolicy, Resources, StepSpec
 from quetzallock_standins.emulator import CellCluster, EmulatedWorker
 from quetzallock_standins.emulator.cluster import make_spec
 
@@ -203,6 +203,29 @@
     assert len(cluster.workers["w0"].runs) == 2
 
 
+def test_change_of_capacity_is_logged_once_with_what_is_committed() -> None:
+    cluster = make_cluster(workers=1)
+    cluster.submit(make_spec("a", make_step(2)), POLICY, {0: LONG_MS})
+    cluster.run(500)
+    cluster.resize("w0", ONE_TASK)
+    cluster.workers["w0"].publish_capacity()
+    cluster.cell.handle_entries(cluster._list_entries())
+    assert cluster.cell.pop_effects() == [
+        Decision(
+            "worker.resized",
+            {
+                "worker": "w0",
+                "before": "2000/4000/0",
+                "after": "1000/2000/0",
+                "committed": "2000/4000/0",
+                "runs": 2,
+            },
+        )
+    ]
+    cluster.run(2_000)
+    assert cluster.cell.state.counters["worker.resized"] == 1
+
+
 def submit_random_job(cluster: CellCluster, job: str, rng: Random) -> None:
     """Submit a job of one of several kinds."""
     kind = rng.choice(("plain", "gang", "fills", "speculative", "lasting"))
