Check that an entry with an unusable capacity is ignored

No change of the code: a capacity that is missing, no object, negative, no whole number or of another type makes the entry unreadable, and one line names the field. Its worker gets no new task until a readable entry comes; what runs there goes on, as for a worker that the list lacks. A field that is left out counts as 0, so no task starts there either. Measured: 8 new tests pass. With the minimum of `read_int` ignored, the case of a negative capacity fails.

--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -79,6 +79,33 @@
     assert decode_entry("i-2", json.dumps({**ENTRY, **change}).encode()) is None
 
 
+@pytest.mark.parametrize(
+    ("capacity", "field"),
+    [
+        (None, "capacity"),
+        ("16000", "capacity"),
+        ({"cpu": -1000}, "capacity.cpu"),
+        ({"cpu": "16000"}, "capacity.cpu"),
+        ({"cpu": 0.5}, "capacity.cpu"),
+        ({"cpu": 16000, "memMb": True}, "capacity.memMb"),
+        ({"cpu": 16000, "memMb": 32768, "gpu": None}, "capacity.gpu"),
+    ],
+)
+def test_entry_with_an_unusable_capacity_is_ignored_and_the_field_is_logged(
+    capacity: object, field: str, caplog: pytest.LogCaptureFixture
+) -> None:
+    worker = f"i-{capacity}"
+    assert decode_entry(worker, json.dumps({**ENTRY, "capacity": capacity}).encode()) is None
+    (record,) = caplog.records
+    assert record.__dict__["worker"] == worker
+    assert record.__dict__["error"].startswith(f"{field}:")
+
+
+def test_entry_without_a_capacity_is_ignored() -> None:
+    entry = {name: value for name, value in ENTRY.items() if name != "capacity"}
+    assert decode_entry("i-4", json.dumps(entry).encode()) is None
+
+
 @given(st.binary(max_size=40))
 def test_arbitrary_bytes_do_not_raise(data: bytes) -> None:
     assert decode_entry("i-3", data) is None
