Reproduce a late start order that the next boot of a worker carries out

Cause: a start that gets no answer is repeated. Once its run is over the owner forgets that a copy may be on its way. A worker that crashes and starts again under its id knows nothing of the run, and carries it out. Runs that are still open at the restart are stopped at the next boot; runs that are over are not.

--- a/tests/core/cells/test_changing_capacity.py
+++ b/tests/core/cells/test_changing_capacity.py
@@ -97,6 +97,18 @@
     assert not cluster.ground_truth.violations
 
 
+def test_late_order_of_a_finished_run_is_not_carried_out_by_the_next_boot() -> None:
+    cluster = make_cluster(workers=1)
+    submit_with_late_order(cluster, make_step(1), duration_ms=200)
+    cluster.run(1_200)
+    assert cluster.cell.find_state("a") == "completed"
+    cluster.workers["w0"].crash()
+    cluster.run(200)
+    cluster.revive("w0")
+    cluster.run(SETTLE_MS)
+    assert not cluster.ground_truth.violations
+
+
 def test_best_effort_task_does_not_join_a_worker_over_its_shrunk_capacity() -> None:
     cluster = make_cluster(workers=1, capacity=Resources(9_000, 64_000, 0))
     serving = make_step(3, needs=Resources(3_000, 2_000, 0), lasting=True, target_ms=20)
