Let the test of a shrunk worker's next owner fail without its adopted runs

It started the other task while the capacity before the shrink still counted, and passed if adopted runs committed nothing. It fails then now.

--- a/tests/core/cells/test_changing_capacity.py
+++ b/tests/core/cells/test_changing_capacity.py
@@ -143,11 +143,13 @@
     cluster.submit(make_spec("a", make_step(3)), POLICY, {0: 6_000})
     cluster.run(500)
     cluster.resize("w0", ONE_TASK)
+    cluster.run(1_000)
     cluster.kill_owner()
     cluster.take_over()
     cluster.submit(make_spec("b", make_step(1)), POLICY, {0: 500})
     cluster.run(3_000)
     assert len(cluster.workers["w0"].runs) == 3
+    assert cluster.cell.find_state("b") == "queued"
     cluster.run(6_000)
     assert cluster.cell.find_state("a") == "completed"
     assert cluster.cell.find_state("b") == "completed"
