--- a/packages/core/src/quetzallock_core/cells/state.py
+++ b/packages/core/src/quetzallock_core/cells/state.py
@@ -195,6 +195,19 @@
         self.log_decision("run.stopped", task=run.task.name, run=run.number, reason=reason)
         self.send_stop(run)
 
+    def stop_with_gang(self, run: Run, reason: str) -> None:
+        """Stop a run, and with it the other runs of its gang."""
+        self.stop_run(run, reason)
+        self.stop_gang(run.task.step, reason)
+
+    def stop_gang(self, step: StepRun, reason: str) -> None:
+        """Stop all runs of a gang, which cannot go on without one of them; no other step's."""
+        if not step.spec.gang:
+            return
+        for member in step.tasks:
+            for run in list(member.runs.values()):
+                self.stop_run(run, reason)
+
     def send_stop(self, run: Run) -> None:
         """Send the order to stop a run, or send it again."""
         worker = self.workers.get(run.worker)
