--- a/packages/core/src/quetzallock_core/cells/batches.py
+++ b/packages/core/src/quetzallock_core/cells/batches.py
@@ -156,6 +156,12 @@
         state = self._state
         for unverified_worker in self._list_due_lapses():
             unverified_worker.is_lapse_recorded = True
+            state.log_decision(
+                "worker.unverified",
+                worker=unverified_worker.record.worker,
+                born=unverified_worker.record.boot_ms,
+                lapses_in_ms=unverified_worker.lapse_at - state.clock.now(),
+            )
             worker = state.workers.get(unverified_worker.record.worker)
             if worker is not None and worker.entry.boot_ms == unverified_worker.record.boot_ms:
                 state.suspend_lease(worker)
--- a/packages/core/src/quetzallock_core/cells/cell.py
+++ b/packages/core/src/quetzallock_core/cells/cell.py
@@ -181,7 +181,7 @@
     def _drop_lapsed_unverified(self) -> None:
         state = self.state
         for worker, boot_ms in state.unverified.pop_lapsed():
-            state.log_decision("worker.doubt_over", worker=worker, born=boot_ms)
+            state.log_decision("worker.lease_lapsed", worker=worker, born=boot_ms)
             if worker not in state.workers:
                 state.dropped_workers.append(worker)
 
--- a/packages/core/src/quetzallock_core/cells/state.py
+++ b/packages/core/src/quetzallock_core/cells/state.py
@@ -115,7 +115,7 @@
             cell=self.number,
             epoch=self.epoch,
             jobs=len(contents.jobs),
-            doubts=len(contents.workers),
+            unverified=len(contents.workers),
             handed_over=contents.hand_over is not None,
         )
 
