Log late renewals of the membership and why a cell is handed over

Change: `membership is renewed late` with the time since the last call, from 1 s on; the reason of `cell is handed over`; `reading_ms` in `cell is owned`. No decision changes.

--- a/packages/daemon/src/quetzallock_daemon/cells/const.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/const.py
@@ -8,6 +8,9 @@
 JOIN_INTERVAL_MS: Final = 400
 """Interval of the join calls that keep up a host's membership."""
 
+LATE_JOIN_MS: Final = 1_000
+"""Time between two join calls from which on the later one is logged as late."""
+
 CANDIDACY_CHECK_INTERVAL_MS: Final = 400
 """How often a host decides whether to join or leave the group of cell owners."""
 
--- a/packages/daemon/src/quetzallock_daemon/cells/membership.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/membership.py
@@ -11,6 +11,7 @@
 from .clocks import BootClock
 from .const import (
     JOIN_INTERVAL_MS,
+    LATE_JOIN_MS,
     LEAVE_POLL_INTERVAL_MS,
     MEMBERSHIP_TTL_MS,
     MIN_OWNERS_READ_INTERVAL_MS,
@@ -76,11 +77,13 @@
         self._generation = 0
         self.is_stopped = True
         self._is_joining = False
+        self._sent_at = 0
         self._timer: Any = None
 
     def start(self) -> None:
         """Join now, and repeat this at an interval."""
         self.is_stopped = False
+        self._sent_at = self._clock.now()
         self._tick()
 
     def _tick(self) -> None:
@@ -98,6 +101,8 @@
             return
         self._is_joining = True
         sent_at = self._clock.now()
+        self._log_late_join(sent_at - self._sent_at)
+        self._sent_at = sent_at
         try:
             membership = await self._store.join(self._member, self._generation, MEMBERSHIP_TTL_MS)
         except StoreUnavailableError as error:
@@ -112,6 +117,10 @@
         if is_applied:
             self._generation = membership.generation
 
+    def _log_late_join(self, gap_ms: int) -> None:
+        if gap_ms >= LATE_JOIN_MS:
+            _LOGGER.warning("membership is renewed late", extra={"after_ms": gap_ms})
+
     def stop(self) -> None:
         """Stop joining."""
         self.is_stopped = True
--- a/packages/daemon/src/quetzallock_daemon/cells/owner.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/owner.py
@@ -142,6 +142,7 @@
                 await self.pause(STORE_RETRY_PAUSE_MS)
         if self.is_stopped:
             return
+        read_at = self.clock.now()
         self._restore(records)
         self.is_active = True
         _LOGGER.info(
@@ -151,6 +152,7 @@
                 "epoch": self.epoch,
                 "records": len(records),
                 "after_ms": self.clock.now() - started_at,
+                "reading_ms": read_at - started_at,
             },
         )
         self._tick()
--- a/packages/daemon/src/quetzallock_daemon/cells/service.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/service.py
@@ -191,7 +191,7 @@
             elif cell in assigned:
                 self._stop_owner(owner, "membership had lapsed")
             else:
-                run_in_background(self._hand_over(owner))
+                run_in_background(self._hand_over(owner, "assigned to another host"))
         for cell in sorted(assigned - set(self._owned)):
             if membership.generation > self._lost_epochs.get(cell, -1):
                 self._take_over(cell, membership.generation, sent_at)
@@ -220,11 +220,11 @@
         await owner.take_over()
         owner.handle_entries(self._select_entries(owner.number))
 
-    async def _hand_over(self, owner: CellOwner) -> None:
+    async def _hand_over(self, owner: CellOwner, reason: str) -> None:
         """Write the last records of a cell, then give it up."""
         if owner.is_handing_over:
             return
-        _LOGGER.info("cell is handed over", extra={"cell": owner.number})
+        _LOGGER.info("cell is handed over", extra={"cell": owner.number, "reason": reason})
         await owner.hand_over()
         self._stop_owner(owner, "handed over")
         if not self._membership.is_stopped:
@@ -289,7 +289,7 @@
         """Hand over the owned cells, then leave the group."""
         self._membership.stop()
         for owner in list(self._owned.values()):
-            await self._hand_over(owner)
+            await self._hand_over(owner, "host leaves the group")
         self._update_entries_follower()
         await self._membership.leave()
 
