--- /dev/null
+++ b/tests/daemon/emulated_hosts.py
@@ -0,0 +1,206 @@
+"""Entry hosts in one process: emulated time, store and network, and hosts that can be busy."""
+
+from collections import Counter
+from collections.abc import Callable, Iterable
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
+
+from quetzallock_core.cells.models import Bounds, JobSpec
+from quetzallock_daemon.cells import service as service_module
+from quetzallock_daemon.cells.clocks import BootClock
+from quetzallock_daemon.cells.const import OWNER_REQUEST_TIMEOUT_MS
+from quetzallock_daemon.cells.messages import OwnerAnswer, OwnerRequest
+from quetzallock_daemon.cells.peers import PeerLostError
+from quetzallock_daemon.cells.ports import ConfigPage, EntryPage, Membership
+from quetzallock_daemon.cells.service import Adapters, HostService, HostSettings
+from quetzallock_daemon.helpers import sleep
+from quetzallock_platform_standin import store as store_module
+from quetzallock_platform_standin.store import PARTITION_COUNT, StandinStore
+
+STEP_MS = 20
+CALL_MS = 5
+LAST_PARTITION = PARTITION_COUNT - 1
+TOPIC = "keyed.cells"
+GROUP = "owners"
+
+
+class HostReactor(Clock):
+    """Timers of one host, which fire in its turns."""
+
+    def __init__(self, hosts: "EmulatedHosts", name: str) -> None:
+        super().__init__()
+        self._hosts = hosts
+        self._name = name
+
+    def listenTCP(self, port: int, factory: Any, **_: Any) -> None:  # noqa: N802
+        if callable(factory):
+            self._hosts.request_handlers[self._name] = factory
+
+    def addSystemEventTrigger(self, *_: Any) -> None:  # noqa: N802
+        """Ignore the trigger: the reactor is never shut down."""
+
+
+class EmulatedPeers:
+    """Requests to the owners of cells; `hosts` delivers them in turns of the receiving host."""
+
+    hosts: "EmulatedHosts"
+
+    def __init__(self, reactor: HostReactor, _counters: Counter[str]) -> None:
+        self._reactor = reactor
+
+    def send(self, address: str, request: OwnerRequest) -> "Deferred[OwnerAnswer]":
+        answered: Deferred[OwnerAnswer] = Deferred()
+        name = address.partition(":")[0]
+
+        def reply(answer: OwnerAnswer) -> None:
+            self._reactor.callLater(CALL_MS / 1_000, complete, answer)
+
+        def complete(answer: OwnerAnswer) -> None:
+            if not answered.called:
+                answered.callback(answer)
+
+        def time_out() -> None:
+            if not answered.called:
+                answered.errback(PeerLostError("no answer"))
+
+        handler = self.hosts.request_handlers[name]
+        self.hosts.reactors[name].callLater(CALL_MS / 1_000, handler, request, reply)
+        self._reactor.callLater(OWNER_REQUEST_TIMEOUT_MS / 1_000, time_out)
+        return answered
+
+
+class EmulatedStore:
+    """The store as one host sees it: it acts at once, and the host reads the answer in its turn."""
+
+    def __init__(self, hosts: "EmulatedHosts", name: str) -> None:
+        self._hosts = hosts
+        self._name = name
+        self._reactor = hosts.reactors[name]
+
+    async def _pause(self) -> None:
+        await sleep(self._reactor, CALL_MS)
+
+    async def join(self, member: str, generation: int, ttl_ms: int) -> Membership:
+        body = {"group": GROUP, "member": member, "topics": [TOPIC]}
+        answer = self._hosts.store.join(body | {"ttlMs": ttl_ms, "generation": generation})
+        await self._pause()
+        cells = frozenset(LAST_PARTITION - row[1] for row in answer["parts"])
+        return Membership(answer["generation"], cells)
+
+    async def leave(self, member: str) -> None:
+        self._hosts.store.leave({"group": GROUP, "member": member})
+        await self._pause()
+
+    async def read_owners(self) -> dict[int, str]:
+        rows = self._hosts.store.list_owners({"group": GROUP}, TOPIC)["parts"]
+        await self._pause()
+        return {LAST_PARTITION - part: owner for _, part, owner, _ in rows}
+
+    async def fence(self, cell: int, epoch: int) -> None:
+        await self._pause()
+        self._hosts.takeovers.append(self._name)
+
+    async def load(self, cell: int) -> dict[str, bytes]:
+        self._hosts.keep_busy(self._name, self._hosts.loading_ms)
+        await self._pause()
+        return {}
+
+    async def append(self, *_: Any) -> None:
+        await self._pause()
+
+    async def read_entries(self) -> EntryPage:
+        await self._pause()
+        return EntryPage((), 0)
+
+    async def read_entry_changes(self, offset: int) -> EntryPage:
+        await self._pause()
+        return EntryPage((), offset)
+
+    async def read_configuration(self) -> ConfigPage:
+        await self._pause()
+        return ConfigPage(None, 0)
+
+    async def read_configuration_changes(self, offset: int, wait_ms: int) -> ConfigPage:
+        await sleep(self._reactor, wait_ms)
+        return ConfigPage(None, offset)
+
+
+class EmulatedHosts:
+    """Hosts that share one cell.
+
+    Attributes:
+        now: Time in ms.
+        loading_ms: How long a host that loads the cell does nothing else.
+        owner_turn_ms: How long the owner is busy with each turn, in which it handles all input.
+        takeovers: Names of the hosts that have taken the cell over, in order.
+    """
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch, powers: Iterable[int]) -> None:
+        monkeypatch.setattr(BootClock, "now", lambda _: self.now)
+        monkeypatch.setattr(store_module, "_now_ms", lambda: self.now)
+        monkeypatch.setattr(service_module, "make_request_factory", lambda handler: handler)
+        peers = type("BoundPeers", (EmulatedPeers,), {"hosts": self})
+        monkeypatch.setattr(service_module, "Peers", peers)
+        self.now = 1_000_000
+        self.loading_ms = 0
+        self.owner_turn_ms = 0
+        self.takeovers: list[str] = []
+        self.store = StandinStore()
+        self.request_handlers: dict[str, Callable[..., None]] = {}
+        self.reactors: dict[str, HostReactor] = {}
+        self._busy_until: dict[str, int] = {}
+        for number, power in enumerate(powers):
+            self._start(f"h{number}", power)
+
+    def _start(self, name: str, power: int) -> None:
+        reactor = self.reactors[name] = HostReactor(self, name)
+        reactor.advance(self.now / 1_000)
+        store: Any = EmulatedStore(self, name)
+        unused: Any = SimpleNamespace()
+        settings = HostSettings(
+            host=name,
+            front=f"{name}:1",
+            ready=f"{name}:2",
+            peers=f"{name}:3",
+            metrics=f"{name}:4",
+            metrics_path="/metrics",
+            grace_ms=6_000,
+            cells=1,
+            bounds=Bounds(),
+            power=power,
+        )
+        adapters = Adapters(
+            store=store,
+            workers=unused,
+            decode_job=lambda job, _: JobSpec(job, "", ()),
+            read_request=unused,
+            encode_answer=unused,
+            ready_path="/ready",
+        )
+        HostService(reactor, settings, adapters, Counter(), unused).start()
+
+    @property
+    def owner(self) -> str:
+        """Name of the host to which the store has assigned the cell."""
+        rows = self.store.list_owners({"group": GROUP}, TOPIC)["parts"]
+        return next((str(row[2]).partition("|")[0] for row in rows if row[1] == LAST_PARTITION), "")
+
+    def keep_busy(self, name: str, ms: int) -> None:
+        """Let a host take no turn for `ms` milliseconds."""
+        self._busy_until[name] = max(self._busy_until.get(name, 0), self.now + ms)
+
+    def run(self, ms: int) -> None:
+        """Let time pass; each host takes a turn whenever it is not busy."""
+        until = self.now + ms
+        while self.now < until:
+            self.now += STEP_MS
+            for name, reactor in self.reactors.items():
+                if self._busy_until.get(name, 0) > self.now:
+                    continue
+                if name == self.owner:
+                    self.keep_busy(name, self.owner_turn_ms)
+                reactor.advance(self.now / 1_000 - reactor.seconds())
