Let hosts that are late stay members for longer, instead of moving the cell

Cause: a membership ends 1.5 s after the last join call, however late its host is. The owner's calls wait behind loading (1.2 to 1.6 s) and behind the turns after it, the next host loads as long and is as late. A limit for the silence of dead hosts was applied to the lateness of busy ones. Change: a host asks to stay a member for 1.5 s and twice its expected delay, 6 s at most; before it loads a cell it renews at once for the longest time, and what loading took is the first delay that it expects. A host on time asks for 1.5 s as before. Whether the membership may have ended is judged by what was asked for; calls without an answer may have shortened it.

--- a/packages/daemon/src/quetzallock_daemon/cells/const.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/const.py
@@ -2,9 +2,6 @@
 
 from typing import Final
 
-MEMBERSHIP_TTL_MS: Final = 1_500
-"""Time without a join call after which the store assigns a host's cells to another host."""
-
 JOIN_INTERVAL_MS: Final = 400
 """Interval of the join calls that keep up a host's membership."""
 
--- a/packages/daemon/src/quetzallock_daemon/cells/membership.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/membership.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from quetzallock_core.cells.candidacy import Candidate
+from quetzallock_core.cells.renewal import MembershipDuration
 
 from ..helpers import run_in_background, sleep
 from .clocks import BootClock
@@ -13,7 +14,6 @@
     JOIN_INTERVAL_MS,
     LATE_JOIN_MS,
     LEAVE_POLL_INTERVAL_MS,
-    MEMBERSHIP_TTL_MS,
     MIN_OWNERS_READ_INTERVAL_MS,
     OWNERS_READ_INTERVAL_MS,
     STORE_UNAVAILABLE_AFTER_MS,
@@ -56,8 +56,9 @@
 class MembershipTask:
     """Renews the membership by join calls while this host is to be a member.
 
-    `on_membership` gets each answer and the time at which its call was sent, and returns whether it
-    was fully applied. Until then the calls carry the previous generation.
+    `on_membership` gets each answer with the time at which its call was sent and whether the
+    membership may have ended before, and returns whether the answer was fully applied. Until then
+    the calls carry the previous generation.
     """
 
     def __init__(
@@ -66,7 +67,7 @@
         store: Store,
         member: str,
         contact: StoreContact,
-        on_membership: Callable[[Membership, int], bool],
+        on_membership: Callable[[Membership, int, bool], bool],
     ) -> None:
         self._reactor = reactor
         self._store = store
@@ -78,17 +79,23 @@
         self.is_stopped = True
         self._is_joining = False
         self._sent_at = 0
+        self._due_at = 0
+        self._ends_at = 0
+        self._duration = MembershipDuration()
         self._timer: Any = None
 
     def start(self) -> None:
         """Join now, and repeat this at an interval."""
         self.is_stopped = False
-        self._sent_at = self._clock.now()
+        self._sent_at = self._due_at = self._clock.now()
         self._tick()
 
     def _tick(self) -> None:
         if self.is_stopped:
             return
+        now = self._clock.now()
+        self._duration.record_delay(now - self._due_at)
+        self._due_at = now + JOIN_INTERVAL_MS
         self._timer = self._reactor.callLater(JOIN_INTERVAL_MS / 1_000, self._tick)
         run_in_background(self.join())
 
@@ -103,8 +110,11 @@
         sent_at = self._clock.now()
         self._log_late_join(sent_at - self._sent_at)
         self._sent_at = sent_at
+        may_have_ended = sent_at > self._ends_at
+        ttl_ms = self._duration.choose_ttl_ms()
+        self._ends_at = min(self._ends_at, sent_at + ttl_ms)
         try:
-            membership = await self._store.join(self._member, self._generation, MEMBERSHIP_TTL_MS)
+            membership = await self._store.join(self._member, self._generation, ttl_ms)
         except StoreUnavailableError as error:
             self._contact.record_failure(str(error))
             return
@@ -113,10 +123,20 @@
         self._contact.record_answer()
         if self.is_stopped:
             return
-        is_applied = self._on_membership(membership, sent_at)
+        self._ends_at = sent_at + ttl_ms
+        is_applied = self._on_membership(membership, sent_at, may_have_ended)
         if is_applied:
             self._generation = membership.generation
 
+    def hold_for_loading(self) -> None:
+        """Renew the membership now for as long as loading a cell may take."""
+        self._duration.expect_long_work()
+        run_in_background(self.join())
+
+    def handle_loaded(self, took_ms: int) -> None:
+        """Record how long loading a cell took."""
+        self._duration.handle_work_done(took_ms)
+
     def _log_late_join(self, gap_ms: int) -> None:
         if gap_ms >= LATE_JOIN_MS:
             _LOGGER.warning("membership is renewed late", extra={"after_ms": gap_ms})
--- a/packages/daemon/src/quetzallock_daemon/cells/service.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/service.py
@@ -18,7 +18,7 @@
 from ..telemetry.metrics_page import MetricsPage
 from .candidacy import CandidacyTask
 from .clocks import BootClock
-from .const import INCARNATION_BITS, MEMBERSHIP_TTL_MS
+from .const import INCARNATION_BITS
 from .followers import ConfigurationFollower, EntriesFollower
 from .front import FrontState, ReadRequest, make_caller_factory, make_page_factory
 from .membership import Member, MembershipTask, OwnersTask, StoreContact
@@ -100,7 +100,6 @@
         self._owned: dict[int, CellOwner] = {}
         self._lost_epochs: dict[int, int] = {}
         self._entries: dict[str, WorkerEntry] = {}
-        self._confirmed_at = 0
         self._generation = 0
         self._is_draining = False
         self._metrics_page = MetricsPage(counters)
@@ -172,16 +171,16 @@
         self.router.configuration = configuration
         self._front.limits = configuration.limits
 
-    def _handle_membership(self, membership: Membership, sent_at: int) -> bool:
+    def _handle_membership(
+        self, membership: Membership, sent_at: int, may_have_ended: bool
+    ) -> bool:
         """Take over newly assigned cells, and give up those no longer assigned.
 
         Returns whether all owned cells are assigned to this host. A cell being handed over still
         counts as owned. If the membership had lapsed, the cells are given up and loaded again, as
         another host may have owned them in between.
         """
-        gap_ms = sent_at - self._confirmed_at
-        has_lapsed = membership.generation != self._generation and gap_ms > MEMBERSHIP_TTL_MS
-        self._confirmed_at = sent_at
+        has_lapsed = membership.generation != self._generation and may_have_ended
         self._generation = membership.generation
         assigned = {cell for cell in membership.cells if cell < self._settings.cells}
         for cell in list(self._owned):
@@ -217,7 +216,12 @@
         run_in_background(self._load(owner))
 
     async def _load(self, owner: CellOwner) -> None:
-        await owner.take_over()
+        started_at = self._clock.now()
+        self._membership.hold_for_loading()
+        try:
+            await owner.take_over()
+        finally:
+            self._membership.handle_loaded(self._clock.now() - started_at)
         owner.handle_entries(self._select_entries(owner.number))
 
     async def _hand_over(self, owner: CellOwner, reason: str) -> None:
