Keep the owner of a cell a member beside hosts that are only as strong

Cause: while no owner answers all hosts join, and one of them gets the cell; once it is loaded and answers, those with four stronger members leave, the owner included. Hosts of equal power are told apart by their names, so that the owner left with the cell to a host that had to load it as slowly, was silent meanwhile and let all hosts join again. Change: a host that owns a cell leaves only if four members are clearly stronger, by the factor at which a member is replaced. Hosts without a cell leave as before. Measured: test_loaded_cell_is_not_given_up_to_hosts_as_strong and test_owner_is_not_replaced_by_hosts_as_strong failed before and pass; test_owner_is_replaced_by_clearly_stronger_hosts bounds the change.

--- a/packages/core/src/quetzallock_core/cells/candidacy.py
+++ b/packages/core/src/quetzallock_core/cells/candidacy.py
@@ -85,18 +85,22 @@
         """Return whether no owner has answered within the time limit."""
         return now - self._answered_at >= OWNER_TIMEOUT_MS
 
-    def should_be_member(self, members: Iterable[Candidate], is_member: bool, now: int) -> bool:
+    def should_be_member(
+        self, members: Iterable[Candidate], is_member: bool, now: int, owns_cell: bool = False
+    ) -> bool:
         """Return whether this host should be a member.
 
         Args:
             members: The known members that own something.
             is_member: This host is a member now.
             now: Local ms.
+            owns_cell: This host owns a cell now, which another host would have to load.
         """
         others = [member for member in members if member.host != self._own.host]
         if is_member:
             self._eligible_since = None
-            return self.is_owner_unresponsive(now) or self._count_stronger(others) < MAX_MEMBERS
+            stronger_count = self._count_stronger(others, is_clearly=owns_cell)
+            return self.is_owner_unresponsive(now) or stronger_count < MAX_MEMBERS
         if not self._is_eligible(others, now):
             self._eligible_since = None
             return False
@@ -106,7 +110,10 @@
         delay_ms = self._vacancy_delay_ms if is_vacancy else self._power_delay_ms
         return now - self._eligible_since >= delay_ms
 
-    def _count_stronger(self, others: list[Candidate]) -> int:
+    def _count_stronger(self, others: list[Candidate], is_clearly: bool) -> int:
+        if is_clearly:
+            power = REPLACEMENT_POWER_FACTOR * self._own.power
+            return sum(other.power > power for other in others)
         return sum(other > self._own for other in others)
 
     def _is_eligible(self, others: list[Candidate], now: int) -> bool:
--- a/packages/daemon/src/quetzallock_daemon/cells/candidacy.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/candidacy.py
@@ -18,7 +18,8 @@
 class CandidacyTask:
     """Probes the owner of the first cell, and applies the decisions on this host's membership.
 
-    Leaving is left to `leave_group`, which hands over the owned cells first.
+    Leaving is left to `leave_group`, which hands over the owned cells first. `owns_cell` returns
+    whether there are any.
     """
 
     def __init__(
@@ -30,6 +31,7 @@
         contact: StoreContact,
         router: Router,
         leave_group: Callable[[], Coroutine[Any, Any, None]],
+        owns_cell: Callable[[], bool],
     ) -> None:
         self._reactor = reactor
         self._owners = owners
@@ -37,6 +39,7 @@
         self._contact = contact
         self._router = router
         self._leave_group = leave_group
+        self._owns_cell = owns_cell
         self._clock = BootClock()
         self._candidacy = Candidacy(own, self._clock.now())
         self._probe_at = 0
@@ -77,7 +80,9 @@
             return
         is_member = not self._membership.is_stopped
         members = self._owners.list_candidates()
-        should_be_member = self._candidacy.should_be_member(members, is_member, self._clock.now())
+        should_be_member = self._candidacy.should_be_member(
+            members, is_member, self._clock.now(), self._owns_cell()
+        )
         if should_be_member == is_member:
             return
         extra = {
--- a/packages/daemon/src/quetzallock_daemon/cells/service.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/service.py
@@ -129,7 +129,14 @@
             contact.is_lost,
         )
         self._candidacy = CandidacyTask(
-            reactor, own, self._owners, self._membership, contact, self.router, self._leave_group
+            reactor,
+            own,
+            self._owners,
+            self._membership,
+            contact,
+            self.router,
+            self._leave_group,
+            lambda: bool(self._owned),
         )
         self._front = FrontState(
             self.router, adapters.encode_answer, adapters.read_request, RequestLimits()
--- a/tests/core/cells/test_candidacy.py
+++ b/tests/core/cells/test_candidacy.py
@@ -106,6 +106,23 @@
     assert len(hosts.group.members) >= MAX_MEMBERS
 
 
+def is_owner_kept(own_power: int) -> bool:
+    """Return whether an owner stays a member beside as many others as the group has."""
+    candidacy = Candidacy(Candidate(own_power, "a"), 0)
+    candidacy.handle_owner_answer(0)
+    others = [Candidate(430, f"h{number}") for number in range(MAX_MEMBERS)]
+    return candidacy.should_be_member(others, True, 0, owns_cell=True)
+
+
+def test_owner_is_not_replaced_by_hosts_as_strong() -> None:
+    assert is_owner_kept(430)
+    assert is_owner_kept(400)
+
+
+def test_owner_is_replaced_by_clearly_stronger_hosts() -> None:
+    assert not is_owner_kept(300)
+
+
 def test_another_host_owns_the_cell_soon_after_all_members_have_died() -> None:
     hosts = Hosts([300, 2_000, 430, 2_000, 1_000, 2_000, 900, 2_000])
     hosts.run(10_000)
--- a/tests/daemon/emulated_hosts.py
+++ b/tests/daemon/emulated_hosts.py
@@ -189,6 +189,17 @@
         rows = self.store.list_owners({"group": GROUP}, TOPIC)["parts"]
         return next((str(row[2]).partition("|")[0] for row in rows if row[1] == LAST_PARTITION), "")
 
+    def assign_cell(self, name: str) -> None:
+        """Assign the cell to a member, which gives its other partitions up for it."""
+        group = self.store.get_group(GROUP)
+        member = next(member for member in group.members if member.startswith(f"{name}|"))
+        previous = group.owners[LAST_PARTITION]
+        for part, owner in group.owners.items():
+            if owner == member:
+                group.owners[part] = previous
+        group.owners[LAST_PARTITION] = member
+        group.generation += 1
+
     def keep_busy(self, name: str, ms: int) -> None:
         """Let a host take no turn for `ms` milliseconds."""
         self._busy_until[name] = max(self._busy_until.get(name, 0), self.now + ms)
--- a/tests/daemon/test_busy_owners.py
+++ b/tests/daemon/test_busy_owners.py
@@ -6,6 +6,7 @@
 
 LOADING_MS = 2_400
 TURN_MS = 1_800
+JOINING_MS = 1_300
 SETTLING_MS = 10_000
 PLAY_MS = 30_000
 
@@ -40,3 +41,12 @@
     hosts.run(2_500)
     assert hosts.takeovers
     assert stopped not in hosts.takeovers
+
+
+def test_loaded_cell_is_not_given_up_to_hosts_as_strong(monkeypatch: pytest.MonkeyPatch) -> None:
+    """All hosts have joined; the one whose name counts as the weakest gets the cell."""
+    hosts = EmulatedHosts(monkeypatch, [70] * 8)
+    hosts.run(JOINING_MS)
+    hosts.assign_cell("h0")
+    hosts.run(SETTLING_MS)
+    assert hosts.owner == "h0"
