--- a/packages/daemon/src/quetzallock_daemon/cells/const.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/const.py
@@ -2,12 +2,12 @@
 
 from typing import Final
 
-MEMBERSHIP_TTL_MS: Final = 1_500
-"""Time without a join call after which the store assigns a host's cells to another host."""
-
 JOIN_INTERVAL_MS: Final = 400
 """Interval of the join calls that keep up a host's membership."""
 
+LATE_JOIN_MS: Final = 1_000
+"""Time between two join calls from which on the later one is logged as late."""
+
 CANDIDACY_CHECK_INTERVAL_MS: Final = 400
 """How often a host decides whether to join or leave the group of cell owners."""
 
--- a/packages/daemon/src/quetzallock_daemon/cells/service.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/service.py
@@ -18,11 +18,11 @@
 from ..telemetry.metrics_page import MetricsPage
 from .candidacy import CandidacyTask
 from .clocks import BootClock
-from .const import INCARNATION_BITS, MEMBERSHIP_TTL_MS
+from .const import INCARNATION_BITS
 from .followers import ConfigurationFollower, EntriesFollower
 from .front import FrontState, ReadRequest, make_caller_factory, make_page_factory
 from .membership import Member, MembershipTask, OwnersTask, StoreContact
-from .messages import OwnerAnswer, OwnerRequest
+from .messages import AssignmentNotice, OwnerAnswer, OwnerRequest, PeerRequest
 from .owner import CellOwner
 from .peers import Peers, make_request_factory
 from .ports import Configuration, Membership, RequestLimits, Store, Workers
@@ -100,7 +100,6 @@
         self._owned: dict[int, CellOwner] = {}
         self._lost_epochs: dict[int, int] = {}
         self._entries: dict[str, WorkerEntry] = {}
-        self._confirmed_at = 0
         self._generation = 0
         self._is_draining = False
         self._metrics_page = MetricsPage(counters)
@@ -130,7 +129,14 @@
             contact.is_lost,
         )
         self._candidacy = CandidacyTask(
-            reactor, own, self._owners, self._membership, contact, self.router, self._leave_group
+            reactor,
+            own,
+            self._owners,
+            self._membership,
+            contact,
+            self.router,
+            self._leave_group,
+            lambda: bool(self._owned),
         )
         self._front = FrontState(
             self.router, adapters.encode_answer, adapters.read_request, RequestLimits()
@@ -144,7 +150,7 @@
         settings = self._settings
         ready_pages = {self._adapters.ready_path.encode(): self._render_readiness}
         metrics_pages = {settings.metrics_path.encode(): self._metrics_page.render}
-        self._listen(settings.peers, make_request_factory(self._handle_owner_request))
+        self._listen(settings.peers, make_request_factory(self._handle_peer_request))
         self._listen(settings.front, make_caller_factory(self._front))
         self._listen(settings.ready, make_page_factory(ready_pages))
         self._listen(settings.metrics, make_page_factory(metrics_pages))
@@ -172,16 +178,16 @@
         self.router.configuration = configuration
         self._front.limits = configuration.limits
 
-    def _handle_membership(self, membership: Membership, sent_at: int) -> bool:
+    def _handle_membership(
+        self, membership: Membership, sent_at: int, may_have_ended: bool
+    ) -> bool:
         """Take over newly assigned cells, and give up those no longer assigned.
 
         Returns whether all owned cells are assigned to this host. A cell being handed over still
         counts as owned. If the membership had lapsed, the cells are given up and loaded again, as
         another host may have owned them in between.
         """
-        gap_ms = sent_at - self._confirmed_at
-        has_lapsed = membership.generation != self._generation and gap_ms > MEMBERSHIP_TTL_MS
-        self._confirmed_at = sent_at
+        has_lapsed = membership.generation != self._generation and may_have_ended
         self._generation = membership.generation
         assigned = {cell for cell in membership.cells if cell < self._settings.cells}
         for cell in list(self._owned):
@@ -191,7 +197,7 @@
             elif cell in assigned:
                 self._stop_owner(owner, "membership had lapsed")
             else:
-                run_in_background(self._hand_over(owner))
+                run_in_background(self._hand_over(owner, "assigned to another host"))
         for cell in sorted(assigned - set(self._owned)):
             if membership.generation > self._lost_epochs.get(cell, -1):
                 self._take_over(cell, membership.generation, sent_at)
@@ -217,18 +223,24 @@
         run_in_background(self._load(owner))
 
     async def _load(self, owner: CellOwner) -> None:
-        await owner.take_over()
+        started_at = self._clock.now()
+        self._membership.hold_for_loading()
+        try:
+            await owner.take_over()
+        finally:
+            self._membership.handle_loaded(self._clock.now() - started_at)
         owner.handle_entries(self._select_entries(owner.number))
 
-    async def _hand_over(self, owner: CellOwner) -> None:
+    async def _hand_over(self, owner: CellOwner, reason: str) -> None:
         """Write the last records of a cell, then give it up."""
         if owner.is_handing_over:
             return
-        _LOGGER.info("cell is handed over", extra={"cell": owner.number})
+        _LOGGER.info("cell is handed over", extra={"cell": owner.number, "reason": reason})
         await owner.hand_over()
         self._stop_owner(owner, "handed over")
         if not self._membership.is_stopped:
             await self._membership.join()
+            self.router.notify_members()
 
     def _stop_owner(self, owner: CellOwner, reason: str) -> None:
         owner.stop()
@@ -261,6 +273,15 @@
             if choose_worker_cell(entry.rack, cells) == cell
         }
 
+    def _handle_peer_request(
+        self, request: PeerRequest, reply: Callable[[OwnerAnswer], None]
+    ) -> None:
+        if isinstance(request, AssignmentNotice):
+            run_in_background(self._membership.join_again())
+            reply(OwnerAnswer(request.ticket, "noted"))
+            return
+        self._handle_owner_request(request, reply)
+
     def _handle_owner_request(
         self, request: OwnerRequest, reply: Callable[[OwnerAnswer], None]
     ) -> None:
@@ -289,9 +310,10 @@
         """Hand over the owned cells, then leave the group."""
         self._membership.stop()
         for owner in list(self._owned.values()):
-            await self._hand_over(owner)
+            await self._hand_over(owner, "host leaves the group")
         self._update_entries_follower()
         await self._membership.leave()
+        self.router.notify_members()
 
     def _poll_drain(self) -> None:
         elapsed_ms = self._clock.now() - self._drain_started_at
