--- a/packages/core/src/quetzallock_core/cells/models.py
+++ b/packages/core/src/quetzallock_core/cells/models.py
@@ -240,7 +240,7 @@
     leases: tuple[tuple[str, int, int], ...] = ()
 
 
-@message(228)
+@message(229)
 @dataclass(frozen=True, slots=True)
 class LeasesRecord:
     """Journal record that an owner writes, instead of a `HandOverRecord`, if it knows not all runs.
