--- a/packages/daemon/src/quetzallock_daemon/cells/membership.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/membership.py
@@ -140,9 +140,8 @@
         run_in_background(self.join())
 
     def handle_loaded(self, took_ms: int) -> None:
-        """Record how long loading a cell took, and stay a member no longer than a dead host may."""
+        """Record how long loading a cell took; the next renewal is no longer for a loading host."""
         self._duration.handle_work_done(took_ms)
-        run_in_background(self.join())
 
     def _log_late_join(self, gap_ms: int) -> None:
         if gap_ms >= LATE_JOIN_MS:
--- a/packages/daemon/src/quetzallock_daemon/cells/service.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/service.py
@@ -229,6 +229,7 @@
             await owner.take_over()
         finally:
             self._membership.handle_loaded(self._clock.now() - started_at)
+        run_in_background(self._membership.join())
         owner.handle_entries(self._select_entries(owner.number))
 
     async def _hand_over(self, owner: CellOwner, reason: str) -> None:
