Reproduce tasks that crash their workers on the emulator, known red

Change: tests only; emulated tasks may crash the worker that starts them, which returns after 3 s as a new boot.

--- a/packages/standins/src/quetzallock_standins/emulator/cluster.py
+++ b/packages/standins/src/quetzallock_standins/emulator/cluster.py
@@ -30,6 +30,8 @@
 
 STEP_MS = 5
 INVENTORY_POLL_INTERVAL_MS = 60
+REVIVE_DELAY_MS = 3_000
+"""Time from a crash that a task has caused to the worker's next boot."""
 TICK_INTERVAL_MS = 100
 UNIX_START_MS = 1_700_000_000_000
 
@@ -130,10 +132,16 @@
         while self.clock.now() < until:
             self.clock.advance(STEP_MS)
             for worker in self.workers.values():
-                worker.advance(STEP_MS)
+                self._advance_worker(worker)
             while self._events and self._events[0][0] <= self.clock.now():
                 heapq.heappop(self._events)[2]()
 
+    def _advance_worker(self, worker: EmulatedWorker) -> None:
+        was_up = worker.is_up
+        worker.advance(STEP_MS)
+        if was_up and worker.is_crashed_by_task:
+            self.schedule(REVIVE_DELAY_MS, lambda: self.revive(worker.id))
+
     def take_over(self) -> Owner:
         """Start a new owner from the journal; former ones run until their epoch is refused."""
         epoch = len(self.owners) + 1
--- a/packages/standins/src/quetzallock_standins/emulator/workers.py
+++ b/packages/standins/src/quetzallock_standins/emulator/workers.py
@@ -20,6 +20,8 @@
 FULL_PACE = 100
 MAX_ENDS_PER_INVENTORY = 500
 TAIL_SMOOTHING_MS = 250
+CRASH_DELAY_MS = 10
+"""Time from the start of a task that crashes its worker to the crash."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,6 +43,7 @@
         left_ms: Work still to do at full pace, None for a task that runs until it is stopped.
         stops_at: The worker's clock at which a stopped run ends.
         mean_tail: Smoothed tail latency, if the task has a target for it.
+        crashes_at: The worker's clock at which the run crashes the worker.
     """
 
     order: StartRun
@@ -53,6 +56,7 @@
     pace: int = FULL_PACE
     stops_at: int | None = None
     mean_tail: float = 0.0
+    crashes_at: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,6 +67,7 @@
         duration_ms: Its duration on a worker without faults, None if it runs until it is stopped.
         fails: Whether it fails on every worker; of no effect without a duration.
         is_best_effort: Whether it uses only processor time that others leave.
+        crashes_worker: Whether it crashes each worker that starts it.
     """
 
     needs: Resources
@@ -71,6 +76,7 @@
     is_best_effort: bool = False
     image: str = ""
     target_ms: int = 0
+    crashes_worker: bool = False
 
 
 def _compute_even_load(_clock_ms: float) -> float:
@@ -89,6 +95,7 @@
         is_isolated: Whether no calls reach it; its runs go on until the lease lapses.
         is_replaced: Whether it is down and another worker answers at its address.
         has_broken_connections: Whether the next call finds its connection broken by a crash.
+        is_crashed_by_task: Whether a task has crashed it since its last start.
         interference: For a pair of images, the relative increase of the first one's tail latency
             if tasks of the second use the whole processor.
         compute_load: Returns, for a time on its clock, the factor by which the load of the serving
@@ -109,6 +116,7 @@
     is_isolated: bool = False
     is_replaced: bool = False
     has_broken_connections: bool = False
+    is_crashed_by_task: bool = False
     interference: dict[tuple[str, str], float] = field(default_factory=dict)
     compute_load: Callable[[float], float] = _compute_even_load
     fence: int = 0
@@ -178,6 +186,7 @@
             behaviour.target_ms,
             left,
             behaviour.fails or self.mode == "grey",
+            crashes_at=self.clock_ms + CRASH_DELAY_MS if behaviour.crashes_worker else None,
         )
         self.ground_truth.record_start(order.task, order.run, self.id, self.entry.boot_ms)
 
@@ -247,10 +256,16 @@
             return
         for run in list(self.runs.values()):
             self._advance_run(run, ms)
+        if any(self._is_crash_due(run) for run in self.runs.values()):
+            self.crash()
+            self.is_crashed_by_task = True
         if self.runs and self.clock_ms > self.lease_until:
             for run in list(self.runs.values()):
                 self._end_run(run, "lapsed")
 
+    def _is_crash_due(self, run: EmulatedRun) -> bool:
+        return run.crashes_at is not None and self.clock_ms >= run.crashes_at
+
     def _advance_run(self, run: EmulatedRun, ms: int) -> None:
         if run.target_ms:
             tail = self._compute_tail(run)
@@ -299,3 +314,4 @@
         self.entry = entry
         self._clock = 0.0
         self.is_up = True
+        self.is_crashed_by_task = False
--- /dev/null
+++ b/tests/core/cells/test_crashing_tasks.py
@@ -0,0 +1,197 @@
+"""Tasks that crash the workers that start them, and workers that are lost for other causes."""
+
+from dataclasses import replace
+
+import pytest
+
+from quetzallock_core.cells.models import QueuePolicy, Resources, StepSpec
+from quetzallock_standins.emulator import CellCluster
+from quetzallock_standins.emulator.cluster import make_spec
+
+from .common import POLICY, make_step, submit_plain
+
+MAX_CRASHES = 3
+INNOCENT_JOBS = 20
+WORKER_RETURN_MS = 3_000
+SETTLE_MS = 40_000
+
+
+def make_cluster(workers: int = 6, capacity: Resources | None = None) -> CellCluster:
+    """Return a cluster whose inventories were read."""
+    cluster = CellCluster(workers=workers, capacity=capacity)
+    cluster.run(500)
+    return cluster
+
+
+def submit_crashing(
+    cluster: CellCluster, job: str, step: StepSpec, policy: QueuePolicy = POLICY
+) -> None:
+    """Submit a job whose first task crashes each worker that starts it."""
+    cluster.submit(make_spec(job, step), policy, {0: None if step.lasting else 600})
+    name = f"{job}.0.0.0"
+    cluster.behaviours[name] = replace(cluster.behaviours[name], crashes_worker=True)
+
+
+def submit_innocents(cluster: CellCluster, count: int = INNOCENT_JOBS) -> list[str]:
+    """Submit jobs of tasks that do their work, and return their ids."""
+    jobs = [f"innocent{number}" for number in range(count)]
+    for job in jobs:
+        submit_plain(cluster, job, count=2, duration_ms=900)
+    return jobs
+
+
+def count_crashes(cluster: CellCluster, task: str) -> int:
+    """Return how often a worker has crashed under `task`."""
+    return sum(
+        name == task and outcome == "crashed" for _, name, _, outcome in cluster.ground_truth.ends
+    )
+
+
+def list_states(cluster: CellCluster, jobs: list[str]) -> set[str | None]:
+    """Return the states of `jobs`."""
+    return {cluster.cell.find_state(job) for job in jobs}
+
+
+def run_until_crash(cluster: CellCluster, task: str, known: int, within_ms: int) -> bool:
+    """Run until a worker has crashed under `task` more than `known` times."""
+    for _ in range(within_ms // 5):
+        if count_crashes(cluster, task) > known:
+            return True
+        cluster.run(5)
+    return False
+
+
+@pytest.mark.parametrize("workers", [2, 6, 20])
+def test_crashing_task_is_given_up_and_no_other_job_fails(workers: int) -> None:
+    cluster = make_cluster(workers)
+    submit_crashing(cluster, "deadly", make_step(1))
+    jobs = submit_innocents(cluster)
+    cluster.run(SETTLE_MS)
+    assert 2 <= count_crashes(cluster, "deadly.0.0.0") <= MAX_CRASHES
+    assert cluster.cell.find_state("deadly") == "failed"
+    assert list_states(cluster, jobs) == {"completed"}
+    assert not cluster.ground_truth.violations
+
+
+def test_several_crashing_tasks_are_given_up_and_no_other_job_fails() -> None:
+    cluster = make_cluster(workers=8)
+    deadly = [f"deadly{number}" for number in range(4)]
+    for job in deadly:
+        submit_crashing(cluster, job, make_step(3))
+    jobs = submit_innocents(cluster)
+    cluster.run(2 * SETTLE_MS)
+    assert max(count_crashes(cluster, f"{job}.0.0.0") for job in deadly) <= MAX_CRASHES
+    assert list_states(cluster, deadly) == {"failed"}
+    assert list_states(cluster, jobs) == {"completed"}
+
+
+@pytest.mark.parametrize(
+    "fields", [{"lasting": True}, {"gang": True}, {"speculative": True}, {"saves": True}]
+)
+def test_crashing_task_of_any_kind_is_given_up(fields: dict[str, bool]) -> None:
+    cluster = make_cluster()
+    submit_crashing(cluster, "deadly", make_step(3, **fields))
+    cluster.run(SETTLE_MS)
+    assert count_crashes(cluster, "deadly.0.0.0") <= MAX_CRASHES
+    assert cluster.cell.find_state("deadly") == "failed"
+    assert not cluster.ground_truth.list_running("deadly")
+
+
+@pytest.mark.parametrize("delay_ms", [200, 1_000, WORKER_RETURN_MS + 60, WORKER_RETURN_MS + 300])
+@pytest.mark.parametrize("is_killed", [True, False])
+def test_crashes_count_on_under_the_next_owner(delay_ms: int, is_killed: bool) -> None:
+    cluster = make_cluster()
+    submit_crashing(cluster, "deadly", make_step(1))
+    jobs = submit_innocents(cluster)
+    crashes = 0
+    while run_until_crash(cluster, "deadly.0.0.0", crashes, SETTLE_MS // 2):
+        crashes += 1
+        assert crashes <= MAX_CRASHES
+        cluster.run(delay_ms)
+        if is_killed:
+            cluster.kill_owner()
+            cluster.take_over()
+        else:
+            cluster.hand_over()
+    assert cluster.cell.find_state("deadly") == "failed"
+    assert list_states(cluster, jobs) == {"completed"}
+    assert not cluster.ground_truth.violations
+
+
+def test_owner_lost_with_each_crash_costs_one_crash_more_at_most() -> None:
+    """An owner that is lost within ms of a crash takes the knowledge of a first start with it."""
+    cluster = make_cluster()
+    submit_crashing(cluster, "deadly", make_step(1))
+    crashes = 0
+    while run_until_crash(cluster, "deadly.0.0.0", crashes, SETTLE_MS // 2):
+        crashes += 1
+        assert crashes <= MAX_CRASHES + 1
+        cluster.kill_owner()
+        cluster.take_over()
+    assert cluster.cell.find_state("deadly") == "failed"
+
+
+def test_rack_that_loses_power_repeatedly_fails_no_job() -> None:
+    cluster = make_cluster()
+    cluster.submit(make_spec("lasting", make_step(12, lasting=True)), POLICY, {0: None})
+    cluster.submit(make_spec("long", make_step(12)), POLICY, {0: 9_000})
+    rack = [worker for worker in cluster.workers.values() if worker.entry.rack == "rack0"]
+    for _ in range(4):
+        cluster.run(3_000)
+        for worker in rack:
+            worker.crash()
+        cluster.run(WORKER_RETURN_MS)
+        for worker in rack:
+            cluster.revive(worker.id)
+            cluster.run(200)
+    cluster.run(SETTLE_MS)
+    assert cluster.cell.find_state("long") == "completed"
+    assert cluster.cell.find_state("lasting") == "running"
+    assert len(cluster.ground_truth.list_running("lasting")) == 12
+    assert not cluster.ground_truth.violations
+
+
+def test_worker_that_was_cut_off_makes_no_crash_suspects() -> None:
+    cluster = make_cluster()
+    cluster.submit(make_spec("lasting", make_step(6, lasting=True)), POLICY, {0: None})
+    cluster.run(1_000)
+    cut_off = cluster.workers[cluster.ground_truth.starts[0][3]]
+    cut_off.is_isolated = True
+    cluster.unlisted_workers.add(cut_off.id)
+    cluster.run(12_000)
+    cut_off.is_isolated = False
+    cluster.unlisted_workers.clear()
+    cluster.run(2_000)
+    assert not cluster.cell.state.counters["task.crash_suspect"]
+    assert len(cluster.ground_truth.list_running("lasting")) == 6
+
+
+@pytest.mark.parametrize("is_handed_over", [True, False])
+def test_worker_that_announced_its_leave_makes_no_crash_suspects(is_handed_over: bool) -> None:
+    cluster = make_cluster()
+    cluster.submit(make_spec("long", make_step(12)), POLICY, {0: 15_000})
+    cluster.run(1_000)
+    leaving = cluster.workers[cluster.ground_truth.starts[0][3]]
+    leaving.drain()
+    cluster.run(1_000)
+    leaving.crash()
+    if is_handed_over:
+        cluster.hand_over()
+    cluster.run(12_000)
+    assert not cluster.cell.state.counters["task.crash_suspect"]
+    cluster.run(SETTLE_MS)
+    assert cluster.cell.find_state("long") == "completed"
+
+
+def test_single_crash_under_lasting_tasks_is_forgotten_after_they_have_worked() -> None:
+    cluster = make_cluster()
+    cluster.submit(make_spec("lasting", make_step(6, lasting=True)), POLICY, {0: None})
+    for _ in range(4):
+        cluster.run(1_000)
+        victim = cluster.workers["w0"]
+        victim.crash()
+        cluster.run(WORKER_RETURN_MS)
+        cluster.revive(victim.id)
+        cluster.run(30_000)
+    assert cluster.cell.find_state("lasting") == "running"
+    assert len(cluster.ground_truth.list_running("lasting")) == 6
