Give up tasks that crash the workers that start them

Cause: a run that is lost with its worker was requeued and nothing of the crash was kept; max_attempts counts ends `failed` alone. Steps with copies crashed a second worker before the first crash was known. Class: a retry without limit, since the failure of the host was never charged to the work. Change: cells/crashes.py. A hand-over record serves the same purpose for first starts, and an unanswered poll has the runs recorded. After a takeover that was not planned all loaded tasks start so. A job is given up at two crashes if nothing else unproven ran at the second, else at three; its crashes are then taken back from the others. A task that works for 10 to 30 s is cleared. Workers that announced their leave, racks of which most workers are lost together, and boots that answer again make no suspects. Tests: the guard for workers that were cut off now has two forms. One that stays listed makes no suspect, as before; one that is off the list and silent beyond its lease looks like a crash, so there the suspects must be cleared on its return. One test at least fails without the recorded starts, the hand-over's locations, the common cause, the exception for announced leaves, or the rule against sharing.

--- a/packages/core/src/quetzallock_core/cells/batches.py
+++ b/packages/core/src/quetzallock_core/cells/batches.py
@@ -22,7 +22,8 @@
     Attributes:
         records: The records to write.
         stored_jobs: Jobs whose acceptance is among the records.
-        durable_states: States of jobs that callers may get.
+        durable_states: Jobs, their states, which callers may get, and the revisions of the crashes
+            under their tasks.
         tickets: Calls that get their outcome.
         cursors: Numbers up to which the ends of workers may be acknowledged.
         ends_hand_over: The previous owner's hand-over record is deleted.
@@ -32,7 +33,7 @@
 
     records: list[Persist] = field(default_factory=list)
     stored_jobs: list[Job] = field(default_factory=list)
-    durable_states: list[tuple[Job, str]] = field(default_factory=list)
+    durable_states: list[tuple[Job, str, int]] = field(default_factory=list)
     tickets: list[tuple[Job, TicketOutcome]] = field(default_factory=list)
     cursors: list[tuple[Worker, int]] = field(default_factory=list)
     ends_hand_over: bool = False
@@ -97,7 +98,7 @@
             batch.stored_jobs.append(job)
         for job in state.dirty:
             batch.records.append(Persist(f"progress/{job.id}", job.to_progress()))
-            batch.durable_states.append((job, job.state))
+            batch.durable_states.append((job, job.state, job.crash_revision))
         for job_id in self._deleted:
             batch.records.append(Persist(f"job/{job_id}", None))
             batch.records.append(Persist(f"progress/{job_id}", None))
@@ -199,8 +200,9 @@
             if job.spec.repetitions:
                 state.due_jobs[job] = None
             state.open_job(job)
-        for job, stored_state in batch.durable_states:
+        for job, stored_state, crash_revision in batch.durable_states:
             job.durable_state = stored_state
+            job.durable_crash_revision = crash_revision
         for worker, cursor in batch.cursors:
             worker.durable_cursor = max(worker.durable_cursor, cursor)
         for worker, record_revision, may_renew in batch.workers:
--- a/packages/core/src/quetzallock_core/cells/cell.py
+++ b/packages/core/src/quetzallock_core/cells/cell.py
@@ -141,6 +141,7 @@
         known = self.state.workers.get(worker)
         if known is not None:
             known.is_poll_unanswered = True
+            self.state.crashes.expose_runs(known)
 
     def start_waiting_tasks(self) -> None:
         """Start the waiting tasks for which there is a worker."""
@@ -155,6 +156,7 @@
         self._drop_lapsed_unverified()
         for worker in list(state.workers.values()):
             self._check_worker(worker, now)
+        state.crashes.judge()
         if self.may_order and not state.fenced:
             self._repeat_orders(now)
             self._restart_stalled(now)
@@ -171,6 +173,7 @@
             state.log_decision("worker.doubt_over", worker=worker, born=boot_ms)
             if worker not in state.workers:
                 state.dropped_workers.append(worker)
+                state.crashes.handle_unseen_end((worker, boot_ms))
 
     def _check_worker(self, worker: Worker, now: int) -> None:
         if worker.is_reachable(now):
@@ -180,6 +183,7 @@
         if worker.contact_at >= 0 and not worker.is_lease_suspended:
             self.state.suspend_lease(worker)
         if worker.runs and worker.lease_end_clock_ms and now >= worker.compute_lapse_at():
+            self.state.crashes.expose_runs(worker)
             for run in list(worker.runs.values()):
                 self.state.log_decision(
                     "run.lapsed", task=run.task.name, run=run.number, worker=worker.id
@@ -196,7 +200,7 @@
                     continue
                 if run.state == "stopping":
                     state.send_stop(run)
-                elif run.state == "ordered" and worker.can_accept_task(now):
+                elif run.state == "ordered" and not run.is_unsent and worker.can_accept_task(now):
                     self._scheduler.send_start(run, worker, now)
 
     def _restart_stalled(self, now: int) -> None:
--- a/packages/core/src/quetzallock_core/cells/const.py
+++ b/packages/core/src/quetzallock_core/cells/const.py
@@ -70,3 +70,30 @@
 
 METRIC_WINDOW_MS: Final = 500
 """Time that the metrics in a worker's inventory cover."""
+
+MAX_CRASHES: Final = 3
+"""Workers that may crash under one task; its job is then given up."""
+
+MIN_CRASHES_TO_GIVE_UP: Final = 2
+"""Crashes under one task from which on its job may be given up."""
+
+VERDICT_DELAY_MS: Final = 500
+"""Pause after a repeated crash, in which other workers may prove to be lost for the same cause."""
+
+PROVEN_AFTER_MS: Final = 500
+"""Time at work after which a run is not expected to crash its worker."""
+
+CLEARED_AFTER_MS: Final = 10_000
+"""Minimum time at work after which the crashes under a task are forgotten."""
+
+CLEARED_AT_MOST_AFTER_MS: Final = 30_000
+"""Time at work after which they are forgotten, however long the runs that were lost had worked."""
+
+ISOLATION_WAIT_MS: Final = 2_000
+"""How long a suspect waits for a worker on which a crash would tell who has caused it."""
+
+COMMON_CAUSE_WINDOW_MS: Final = 1_500
+"""Longest time between the last answers of workers that are lost for the same cause."""
+
+COMMON_CAUSE_MIN_WORKERS: Final = 3
+"""Workers of a rack that must be lost together to count as lost for a cause outside the tasks."""
--- /dev/null
+++ b/packages/core/src/quetzallock_core/cells/crashes.py
@@ -0,0 +1,338 @@
+"""Tasks that may crash the workers that start them, and the jobs that are given up for it.
+
+A crash makes each task that ran on the worker a suspect of it. The crashes under a task are kept in
+the journal. A task that is a suspect already starts only when the journal names the worker's boot,
+so that the next owner finds out what became of that boot.
+"""
+
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Any, Final, Protocol
+
+from ..clock import Clock
+from .const import (
+    CLEARED_AFTER_MS,
+    CLEARED_AT_MOST_AFTER_MS,
+    COMMON_CAUSE_MIN_WORKERS,
+    COMMON_CAUSE_WINDOW_MS,
+    ISOLATION_WAIT_MS,
+    MAX_CRASHES,
+    MIN_CRASHES_TO_GIVE_UP,
+    PROVEN_AFTER_MS,
+    VERDICT_DELAY_MS,
+)
+from .jobs import Job, Run, Task, parse_task_name
+from .models import Boot, CrashRecord
+from .workers import Worker
+
+LOSSES_KEPT_MS: Final = 10_000
+"""How long a lost worker is remembered to tell whether its rack was lost with it."""
+
+LASTING_RUN_COST: Final = 5.0
+OTHER_RUN_COST: Final = 1.0
+UNPROVEN_RUN_COST: Final = 6.0
+"""Added for a run that may itself crash the worker, since then the crash tells less."""
+
+
+class SuspectingState(Protocol):
+    """What the crash suspects need of the state of a cell."""
+
+    jobs: dict[str, Job]
+    workers: dict[str, Worker]
+    dirty: dict[Job, None]
+    clock: Clock
+
+    def log_decision(self, event: str, **inputs: Any) -> None:
+        """Count a decision and emit it for the log."""
+
+    def finish_job(self, job: Job, event: str) -> None:
+        """End `job` by the chart's `event`, and stop its runs."""
+
+
+@dataclass(frozen=True, slots=True)
+class WorkerLoss:
+    """A boot that has crashed; `at` is the local ms of its last answer."""
+
+    boot: Boot
+    rack: str
+    at: int
+
+
+class CrashSuspects:
+    """The tasks under which workers have crashed.
+
+    Attributes:
+        by_task: The tasks with at least one crash that was neither cleared nor withdrawn.
+    """
+
+    def __init__(self, state: SuspectingState) -> None:
+        self._state = state
+        self.by_task: dict[Task, None] = {}
+        self._exposed: dict[Boot, dict[Task, None]] = {}
+        self._losses: deque[WorkerLoss] = deque()
+        self._are_earlier_starts_unknown = False
+
+    def restore(self, locations: dict[str, Boot] | None) -> None:
+        """Load the suspects of the journal.
+
+        Args:
+            locations: The boots of the tasks that ran at a planned hand-over; None after any other
+                takeover, where only the recorded starts are known.
+        """
+        self._are_earlier_starts_unknown = locations is None
+        for job in self._state.jobs.values():
+            for task in job.list_tasks():
+                if task.crashes:
+                    self.by_task[task] = None
+                for boot in task.exposures:
+                    self._exposed.setdefault(boot, {})[task] = None
+        for name, boot in (locations or {}).items():
+            running_task = self._find_task(name)
+            if running_task is not None and boot not in running_task.exposures:
+                self._add_exposure(running_task, boot)
+
+    def _find_task(self, name: str) -> Task | None:
+        parts = parse_task_name(name)
+        if parts is None:
+            return None
+        job = self._state.jobs.get(parts[0])
+        return None if job is None or job.is_over else job.find_task(*parts[1:])
+
+    def must_record_start(self, task: Task) -> bool:
+        """Return whether the journal must name the worker before `task` is started there."""
+        return bool(task.crashes) or (task.job.is_loaded and self._are_earlier_starts_unknown)
+
+    def may_start(self, task: Task, now: int) -> bool:
+        """Return whether a waiting task may be started, as far as crashes go."""
+        if not task.crashes:
+            return True
+        if len(task.crashes) >= MAX_CRASHES or now < task.verdict_at:
+            return False
+        return task.are_crashes_durable
+
+    def expose(self, task: Task, worker: Worker) -> None:
+        """Record in the journal that a run of `task` may be going on on this boot."""
+        boot = worker.boot
+        if boot in task.exposures or task.job.is_over:
+            return
+        self._add_exposure(task, boot)
+        self._mark_changed(task)
+
+    def expose_runs(self, worker: Worker) -> None:
+        """Record all runs on a worker that does not answer, before its end is known."""
+        for run in worker.runs.values():
+            if run.was_sent:
+                self.expose(run.task, worker)
+
+    def _add_exposure(self, task: Task, boot: Boot) -> None:
+        task.exposures = (*task.exposures, boot)[-MAX_CRASHES:]
+        self._exposed.setdefault(boot, {})[task] = None
+
+    def end_exposure(self, task: Task, boot: Boot) -> None:
+        """Record that a run of `task` on this boot has ended without a crash."""
+        if boot not in task.exposures:
+            return
+        self._remove_exposure(task, boot)
+        self._exposed.get(boot, {}).pop(task, None)
+
+    def _remove_exposure(self, task: Task, boot: Boot) -> None:
+        task.exposures = tuple(other for other in task.exposures if other != boot)
+        self._mark_changed(task)
+
+    def _mark_changed(self, task: Task) -> None:
+        if task.job.is_over:
+            return
+        task.job.crash_revision += 1
+        task.crash_revision = task.job.crash_revision
+        self._state.dirty[task.job] = None
+
+    def handle_loss(self, worker: Worker) -> None:
+        """Process a boot that is over without having ended its runs."""
+        entry = worker.entry
+        boot = worker.boot
+        if any(loss.boot == boot for loss in self._losses):
+            return
+        runs = [run for run in worker.runs.values() if run.was_sent]
+        exposed = self._pop_exposed(boot)
+        if entry.is_draining:
+            return
+        lost_at = worker.contact_at if worker.contact_at >= 0 else self._state.clock.now()
+        loss = WorkerLoss(boot, entry.rack or entry.data_centre, lost_at)
+        if self._handle_common_cause(loss):
+            return
+        unproven = [run for run in runs if not is_proven(run, worker)]
+        for run in runs:
+            age_ms = max(0, worker.contact_at - run.ordered_at)
+            self._add_crash(run.task, CrashRecord(*boot, age_ms, unproven == [run]))
+        for task in exposed:
+            self._add_crash(task, CrashRecord(*boot))
+
+    def handle_new_boot(self, new: Boot) -> None:
+        """Process the entry of a boot: the earlier boots under its id are over."""
+        for boot in [boot for boot in self._exposed if boot[0] == new[0] and boot != new]:
+            for task in self._pop_exposed(boot):
+                self._add_crash(task, CrashRecord(*boot))
+
+    def handle_unseen_end(self, boot: Boot) -> None:
+        """Process a boot that has left the list before this owner got any answer.
+
+        Whether it crashed or left as announced is unknown, so only suspects are charged with it.
+        """
+        for task in self._pop_exposed(boot):
+            if task.crashes:
+                self._add_crash(task, CrashRecord(*boot))
+
+    def handle_alive(self, worker: Worker) -> None:
+        """Process the first inventory of a boot, which has not crashed after all."""
+        boot = worker.boot
+        self._losses = deque(loss for loss in self._losses if loss.boot != boot)
+        self._withdraw({boot})
+        for task in list(self._exposed.get(boot, {})):
+            if task.name not in worker.runs:
+                self.end_exposure(task, boot)
+
+    def _pop_exposed(self, boot: Boot) -> list[Task]:
+        tasks = list(self._exposed.pop(boot, {}))
+        for task in tasks:
+            self._remove_exposure(task, boot)
+        return tasks
+
+    def _handle_common_cause(self, loss: WorkerLoss) -> bool:
+        """Return whether most workers of the rack are lost with this one, as when power fails.
+
+        The crashes that were counted for the others are withdrawn.
+        """
+        state = self._state
+        now = state.clock.now()
+        while self._losses and now - self._losses[0].at > LOSSES_KEPT_MS:
+            self._losses.popleft()
+        self._losses.append(loss)
+        together = {other.boot for other in self._losses if _is_near(other, loss.rack, loss.at)}
+        lost = {worker for worker, _ in together}
+        remaining = 0
+        for worker in state.workers.values():
+            if (worker.entry.rack or worker.entry.data_centre) != loss.rack or worker.id in lost:
+                continue
+            if worker.is_reachable(now):
+                remaining += 1
+            elif abs(worker.contact_at - loss.at) <= COMMON_CAUSE_WINDOW_MS:
+                lost.add(worker.id)
+        if len(lost) < COMMON_CAUSE_MIN_WORKERS or len(lost) <= remaining:
+            return False
+        state.log_decision("crash.common_cause", rack=loss.rack, workers=len(lost))
+        self._withdraw(together)
+        return True
+
+    def _withdraw(self, boots: set[Boot]) -> None:
+        """Take the crashes of these boots back from all suspects."""
+        for task in list(self.by_task):
+            kept = tuple(c for c in task.crashes if (c.worker, c.boot_ms) not in boots)
+            if len(kept) != len(task.crashes):
+                self._set_crashes(task, kept)
+
+    def _set_crashes(self, task: Task, crashes: tuple[CrashRecord, ...]) -> None:
+        task.crashes = crashes
+        self._mark_changed(task)
+        if not crashes:
+            self.by_task.pop(task, None)
+
+    def _add_crash(self, task: Task, crash: CrashRecord) -> None:
+        if task.is_done or task.job.is_over or len(task.crashes) >= MAX_CRASHES:
+            return
+        boot = (crash.worker, crash.boot_ms)
+        if any((known.worker, known.boot_ms) == boot for known in task.crashes):
+            return
+        self._set_crashes(task, (*task.crashes, crash))
+        self.by_task[task] = None
+        if len(task.crashes) >= MIN_CRASHES_TO_GIVE_UP:
+            task.verdict_at = self._state.clock.now() + VERDICT_DELAY_MS
+        self._state.log_decision(
+            "task.crash_suspect",
+            task=task.name,
+            worker=crash.worker,
+            born=crash.boot_ms,
+            crashes=len(task.crashes),
+            only_suspect=crash.is_only_suspect,
+        )
+
+    def judge(self) -> None:
+        """Give up the jobs of tasks that crash their workers, and clear tasks that work."""
+        now = self._state.clock.now()
+        for task in list(self.by_task):
+            if task.is_done or task.job.is_over or not task.crashes:
+                self.by_task.pop(task, None)
+            elif self._is_cleared(task):
+                self._state.log_decision("task.cleared", task=task.name, crashes=len(task.crashes))
+                self._set_crashes(task, ())
+            elif now >= task.verdict_at and is_guilty(task):
+                self._give_up(task)
+
+    def _is_cleared(self, task: Task) -> bool:
+        """Return whether a run has worked much longer than those that crashes have ended."""
+        oldest_ms = max(crash.age_ms for crash in task.crashes)
+        needed_ms = max(CLEARED_AFTER_MS, min(2 * oldest_ms, CLEARED_AT_MOST_AFTER_MS))
+        for run in task.runs.values():
+            worker = self._state.workers.get(run.worker)
+            if worker is not None and has_worked(run, worker, needed_ms):
+                return True
+        return False
+
+    def _give_up(self, task: Task) -> None:
+        """Fail the job of `task`, whose crashes need no other explanation."""
+        crashes = task.crashes
+        self._state.log_decision(
+            "task.given_up",
+            task=task.name,
+            job=task.job.id,
+            crashes=len(crashes),
+            workers=[crash.worker for crash in crashes],
+        )
+        self._state.finish_job(task.job, "fail")
+        self.by_task.pop(task, None)
+        self._withdraw({(crash.worker, crash.boot_ms) for crash in crashes})
+
+
+def _is_near(loss: WorkerLoss, rack: str, at: int) -> bool:
+    return loss.rack == rack and abs(loss.at - at) <= COMMON_CAUSE_WINDOW_MS
+
+
+def is_guilty(task: Task) -> bool:
+    """Return whether the crashes under `task` are certainly, or too often, its own."""
+    if len(task.crashes) >= MAX_CRASHES:
+        return True
+    return len(task.crashes) >= MIN_CRASHES_TO_GIVE_UP and task.crashes[-1].is_only_suspect
+
+
+def has_worked(run: Run, worker: Worker, ms: int) -> bool:
+    """Return whether a worker has answered for `ms` since it got the order to start `run`."""
+    return run.is_listed and worker.contact_at - run.ordered_at >= ms
+
+
+def is_proven(run: Run, worker: Worker) -> bool:
+    """Return whether a run has worked long enough not to be what crashes its worker."""
+    return has_worked(run, worker, PROVEN_AFTER_MS)
+
+
+def may_share_worker(task: Task, worker: Worker, now: int) -> bool:
+    """Return whether `task` may join the runs on `worker`, so that a crash tells who caused it."""
+    if not task.crashes:
+        return not _has_unproven(worker.crash_suspects.values(), worker)
+    if now - max(task.not_before, task.verdict_at) > ISOLATION_WAIT_MS:
+        return True
+    is_repeated = len(task.crashes) >= MIN_CRASHES_TO_GIVE_UP
+    others = worker.runs if is_repeated else worker.crash_suspects
+    return not _has_unproven(others.values(), worker)
+
+
+def _has_unproven(runs: Iterable[Run], worker: Worker) -> bool:
+    return any(not is_proven(run, worker) for run in runs)
+
+
+def compute_crash_cost(worker: Worker) -> float:
+    """Return the cost of starting a suspect on `worker`: what a crash would end there."""
+    cost = 0.0
+    for run in worker.runs.values():
+        cost += LASTING_RUN_COST if run.task.spec.lasting else OTHER_RUN_COST
+        cost += 0.0 if is_proven(run, worker) else UNPROVEN_RUN_COST
+    return cost
--- a/packages/core/src/quetzallock_core/cells/jobs.py
+++ b/packages/core/src/quetzallock_core/cells/jobs.py
@@ -5,7 +5,16 @@
 
 from ..chart import Chart, load_chart
 from ..codec import pack
-from .models import JobRecord, JobSpec, ProgressRecord, QueuePolicy, StepSpec, TaskRecord
+from .models import (
+    Boot,
+    CrashRecord,
+    JobRecord,
+    JobSpec,
+    ProgressRecord,
+    QueuePolicy,
+    StepSpec,
+    TaskRecord,
+)
 
 JOB_CHART: Final[Chart] = load_chart(__package__, "job")
 RUN_CHART: Final[Chart] = load_chart(__package__, "run")
@@ -39,6 +48,7 @@
             by another boot of the worker.
         reserved_on: Id of the worker that keeps room for the task while this run is stopped, or
             empty.
+        is_unsent: No start order went to this boot of the worker.
     """
 
     task: "Task"
@@ -61,6 +71,12 @@
     resend_at: int = 0
     unanswered: int = 0
     reserved_on: str = ""
+    is_unsent: bool = False
+
+    @property
+    def was_sent(self) -> bool:
+        """Whether this boot of the worker may have received the start order."""
+        return self.is_listed or not self.is_unsent
 
     def advance(self, event: str) -> None:
         """Make the transition `event` of the run chart."""
@@ -77,6 +93,10 @@
         runs: Runs that may be going on, by run number.
         not_before: Local ms before which it is not started again.
         avoid: Ids of workers on which it failed or was stopped, which cost more in placement.
+        crashes: Crashes of workers under it, of which it is suspected.
+        exposures: Boots on which it may be running, as recorded for the next owner.
+        verdict_at: Local ms from which on its job may be given up for the crashes.
+        crash_revision: The job's `crash_revision` at the last change of its crashes or exposures.
         name: Job id, occurrence, step and index, joined by dots.
         spec: Specification of its step.
         job: The job it belongs to.
@@ -90,11 +110,15 @@
     runs: dict[int, Run] = field(default_factory=dict)
     not_before: int = 0
     avoid: set[str] = field(default_factory=set)
+    crashes: tuple[CrashRecord, ...] = ()
+    exposures: tuple[Boot, ...] = ()
+    verdict_at: int = 0
+    crash_revision: int = 0
     name: str = ""
     spec: StepSpec = field(init=False)
     job: "Job" = field(init=False)
     _packed_record: Any = None
-    _packed_fields: tuple[bool, int, str] | None = None
+    _packed_fields: tuple[object, ...] | None = None
 
     def __post_init__(self) -> None:
         """Store what is read most often of its step."""
@@ -103,7 +127,13 @@
 
     def pack_record(self) -> Any:
         """Return its journal record, which is encoded anew only after a change."""
-        current = (self.is_done, len(self.failed_runs), self.checkpoint)
+        current = (
+            self.is_done,
+            len(self.failed_runs),
+            self.checkpoint,
+            self.crashes,
+            self.exposures,
+        )
         if current != self._packed_fields:
             self._packed_record = pack(self._make_record())
             self._packed_fields = current
@@ -117,6 +147,20 @@
             self.is_done,
             tuple(sorted(self.failed_runs)),
             "" if self.is_done else self.checkpoint,
+            () if self.is_done else self.crashes,
+            () if self.is_done else self.exposures,
+        )
+
+    @property
+    def are_crashes_durable(self) -> bool:
+        """Whether the journal holds its crashes and exposures."""
+        return self.crash_revision <= self.job.durable_crash_revision
+
+    @property
+    def has_history(self) -> bool:
+        """Whether its journal record differs from that of a task that has never run."""
+        return bool(
+            self.is_done or self.failed_runs or self.checkpoint or self.crashes or self.exposures
         )
 
     @property
@@ -187,6 +231,8 @@
         ended_at: Local ms of its end, or 0.
         occurrences: The repetitions begun, by number.
         work: Core-ms of one repetition, by the submitter's estimates.
+        crash_revision: Number of changes of the crashes and exposures of its tasks.
+        durable_crash_revision: The changes up to this one are in the journal.
     """
 
     record: JobRecord
@@ -200,6 +246,8 @@
     ended_at: int = 0
     occurrences: dict[int, Occurrence] = field(default_factory=dict)
     work: float = 0.0
+    crash_revision: int = 0
+    durable_crash_revision: int = 0
 
     @property
     def id(self) -> str:
@@ -268,11 +316,7 @@
         """Return the journal record of its progress, without tasks if the job is over."""
         if self.is_over:
             return ProgressRecord(self.state, self.has_started, self.ended_ms, ())
-        tasks = tuple(
-            task.pack_record()
-            for task in self.list_tasks()
-            if task.is_done or task.failed_runs or task.checkpoint
-        )
+        tasks = tuple(task.pack_record() for task in self.list_tasks() if task.has_history)
         return ProgressRecord(self.state, self.has_started, self.ended_ms, tasks)
 
 
@@ -315,4 +359,6 @@
         task.step.done += row.is_done
         task.failed_runs = set(row.failed_runs)
         task.checkpoint = row.checkpoint
+        task.crashes = row.crashes
+        task.exposures = row.exposures
     return job
--- a/packages/core/src/quetzallock_core/cells/models.py
+++ b/packages/core/src/quetzallock_core/cells/models.py
@@ -5,6 +5,9 @@
 
 from ..codec import message
 
+Boot = tuple[str, int]
+"""Id of a worker and the start time that identifies one of its boots."""
+
 
 @message(210)
 @dataclass(frozen=True, slots=True)
@@ -136,6 +139,23 @@
     accepted_ms: int
 
 
+@message(228)
+@dataclass(frozen=True, slots=True)
+class CrashRecord:
+    """A crash of a worker under a task.
+
+    Attributes:
+        boot_ms: Boot that crashed.
+        age_ms: How long the run had been going on, as far as the worker has answered.
+        is_only_suspect: All other runs there had worked for some time.
+    """
+
+    worker: str
+    boot_ms: int
+    age_ms: int = 0
+    is_only_suspect: bool = False
+
+
 @message(215)
 @dataclass(frozen=True, slots=True)
 class TaskRecord:
@@ -144,6 +164,8 @@
     Attributes:
         failed_runs: Numbers of the runs that ended as failed. They are numbers rather than a count
             so that an end that is reported twice counts once.
+        crashes: Crashes of workers under it, of which it is suspected.
+        exposures: Boots on which it may be running. If one of them has crashed, it is a suspect.
     """
 
     occurrence: int
@@ -152,6 +174,8 @@
     is_done: bool
     failed_runs: tuple[int, ...]
     checkpoint: str
+    crashes: tuple[CrashRecord, ...] = ()
+    exposures: tuple[Boot, ...] = ()
 
 
 @message(216)
@@ -163,7 +187,7 @@
         state: State of the job chart.
         has_started: A task of the job has started.
         ended_ms: Unix time of its end, or 0.
-        tasks: The tasks that are done, have failed runs or have a checkpoint.
+        tasks: The tasks that differ from tasks that have never run.
     """
 
     state: str
--- a/packages/core/src/quetzallock_core/cells/placement.py
+++ b/packages/core/src/quetzallock_core/cells/placement.py
@@ -6,6 +6,7 @@
 from heapq import heapify, heappop, heappush
 from typing import Final
 
+from .crashes import compute_crash_cost, may_share_worker
 from .interference import ColocationProfile, Interference
 from .jobs import StepRun, Task
 from .models import Resources
@@ -65,6 +66,8 @@
         return False
     if worker.is_suspect(now) and worker.runs:
         return False
+    if (task.crashes or worker.crash_suspects) and not may_share_worker(task, worker, now):
+        return False
     if not spec.max_per_worker:
         return True
     return count_on_worker(task.step, worker) < spec.max_per_worker
@@ -89,6 +92,8 @@
         cost += AVOID_COST
     if worker.is_suspect(now) or worker.failed_jobs:
         cost += SUSPECT_COST
+    if task.crashes:
+        cost += compute_crash_cost(worker)
     if spec.target_ms:
         cost += _compute_serving_cost(task, worker)
     elif not spec.fills:
@@ -145,11 +150,12 @@
         )
         if any(unplaceable.fits_in(spec.needs) for unplaceable in self._unplaceable[demand_key]):
             return None
-        if excluded_worker or task.avoid:
+        if excluded_worker or task.avoid or task.crashes:
             best = self._scan_workers(task, is_starving, excluded_worker)
         else:
             best = self._choose_ranked(task, is_starving)
-        if best is None and not excluded_worker and not spec.max_per_worker:
+        is_limit_general = not (excluded_worker or spec.max_per_worker or task.crashes)
+        if best is None and is_limit_general:
             self._unplaceable[demand_key].append(spec.needs)
         return best
 
--- a/packages/core/src/quetzallock_core/cells/scheduler.py
+++ b/packages/core/src/quetzallock_core/cells/scheduler.py
@@ -17,11 +17,13 @@
     def __init__(self, state: CellState, order: str) -> None:
         self._state = state
         self._order = ORDERS.get(order)
+        self._unsent: list[Run] = []
 
     def start_waiting_tasks(self) -> None:
         """Start all waiting tasks for which there is a worker, in the order of the policy."""
         state = self._state
         now = state.clock.now()
+        self._send_recorded_starts(now)
         steps = [step for step in state.open_steps if self._has_startable_task(step, now)]
         if not steps:
             return
@@ -48,7 +50,10 @@
 
     def _may_start(self, task: Task, now: int) -> bool:
         """Return whether a waiting task may be started now."""
-        if now < task.not_before or self._state.unverified.may_be_running(task):
+        state = self._state
+        if now < task.not_before or state.unverified.may_be_running(task):
+            return False
+        if not state.crashes.may_start(task, now):
             return False
         if task.spec.lasting:
             return True
@@ -60,6 +65,8 @@
             if task.is_done or task.runs or not self._may_start(task, now):
                 continue
             worker = placement.choose(task)
+            if worker is None and task.crashes:
+                continue
             if worker is None:
                 break
             self.start(task, worker, self._state.next_run_number(), now)
@@ -97,7 +104,29 @@
         run = Run(task, number, worker.id, "ordered", now, progressed_at=now)
         task.runs[number] = run
         self._state.add_run(worker, run)
-        self.send_start(run, worker, now)
+        if not self._state.crashes.must_record_start(task):
+            self.send_start(run, worker, now)
+            return
+        run.is_unsent = True
+        self._unsent.append(run)
+        self._state.crashes.expose(task, worker)
+
+    def _send_recorded_starts(self, now: int) -> None:
+        """Send the starts that were held back until the journal names the workers' boots."""
+        held, self._unsent = self._unsent, []
+        for run in held:
+            worker = self._state.workers.get(run.worker)
+            if (
+                run.state != "ordered"
+                or worker is None
+                or worker.runs.get(run.task.name) is not run
+            ):
+                continue
+            if run.task.are_crashes_durable and worker.can_accept_task(now):
+                run.is_unsent = False
+                self.send_start(run, worker, now)
+            else:
+                self._unsent.append(run)
 
     def send_start(self, run: Run, worker: Worker, now: int) -> None:
         """Send the order to start a run, or send it again."""
@@ -134,7 +163,7 @@
 
     def _copy_if_straggling(self, task: Task, max_age_ms: float, now: int) -> None:
         run = next(iter(task.runs.values()))
-        if run.state != "running" or now - run.ordered_at < max_age_ms:
+        if run.state != "running" or now - run.ordered_at < max_age_ms or task.crashes:
             return
         if len(task.failed_runs) + 1 >= task.job.policy.max_attempts:
             return
--- a/packages/core/src/quetzallock_core/cells/state.py
+++ b/packages/core/src/quetzallock_core/cells/state.py
@@ -7,6 +7,7 @@
 from ..clock import Clock
 from .const import RETRY_PAUSE_MS, RUNS_PER_EPOCH
 from .contents import Contents
+from .crashes import CrashSuspects
 from .durations import DurationEstimates
 from .interference import Interference
 from .jobs import Job, Run, StepRun, Task, make_job, restore_job
@@ -32,6 +33,7 @@
         clock: Local clock that goes on during a suspension of the host.
         read_unix_ms: Returns the Unix time in ms by the host's clock, which may jump.
         unverified: Workers that may run tasks which this owner has not seen yet.
+        crashes: Tasks that may crash the workers that start them.
         open_steps: Steps with unfinished tasks whose predecessors are done.
         dirty: Jobs whose progress the journal does not hold yet.
         counters: Number of decisions by event.
@@ -60,6 +62,7 @@
         self.jobs: dict[str, Job] = {}
         self.workers: dict[str, Worker] = {}
         self.unverified = UnverifiedWorkers(self.workers, clock)
+        self.crashes = CrashSuspects(self)
         self.open_steps: dict[StepRun, None] = {}
         self.dirty: dict[Job, None] = {}
         self.durations = DurationEstimates()
@@ -110,6 +113,7 @@
             self.jobs[job_id] = job
             self.durations.add_work(job.policy.queue, job.work)
             self.open_job(job)
+        self.crashes.restore(self.unverified.locations)
         self.log_decision(
             "cell.restored",
             cell=self.number,
@@ -226,6 +230,8 @@
         worker = self.workers.get(run.worker)
         if worker is not None:
             worker.remove(run)
+            if event != "lapse":
+                self.crashes.end_exposure(run.task, worker.boot)
             self._record_best_effort_shares(worker, run)
         target = self.workers.get(run.reserved_on)
         if target is not None:
@@ -293,6 +299,7 @@
     def drop_worker(self, worker: Worker, reason: str) -> None:
         """Drop a boot of a worker whose runs are all over."""
         self.log_decision("worker.gone", worker=worker.id, reason=reason, runs=len(worker.runs))
+        self.crashes.handle_loss(worker)
         for run in list(worker.runs.values()):
             self.lapse_run(run)
         if self.workers.get(worker.id) is worker:
@@ -309,6 +316,7 @@
         unconfirmed_runs = [
             run for run in worker.runs.values() if run.unanswered or not run.is_listed
         ]
+        self.crashes.handle_loss(worker)
         for run in unconfirmed_runs:
             worker.remove(run)
         self.drop_worker(worker, "worker restarted")
@@ -316,6 +324,7 @@
         for run in unconfirmed_runs:
             run.unanswered = 0
             run.is_listed = False
+            run.is_unsent = True
             run.answered_clock_ms = -1
             self.add_run(successor, run)
             if run.state == "stopping":
@@ -345,6 +354,7 @@
         if entry.worker in self.dropped_workers:
             self.dropped_workers.remove(entry.worker)
         self.workers[entry.worker] = worker
+        self.crashes.handle_new_boot(worker.boot)
         self.has_worker_changes = True
         self.log_decision("worker.known", worker=entry.worker, born=entry.boot_ms, rack=entry.rack)
         return worker
--- a/packages/core/src/quetzallock_core/cells/unverified.py
+++ b/packages/core/src/quetzallock_core/cells/unverified.py
@@ -13,12 +13,9 @@
 from .const import CLOCK_DRIFT, LEASE_MARGIN_MS, MAX_CLOCK_REFERENCES, OWNERSHIP_VALID_MS
 from .contents import Contents
 from .jobs import Task
-from .models import ClockReference, HandOverRecord, WorkerRecord
+from .models import Boot, ClockReference, HandOverRecord, WorkerRecord
 from .workers import Worker
 
-Boot = tuple[str, int]
-"""Id of a worker and the start time that identifies one of its boots."""
-
 
 @dataclass(slots=True)
 class UnverifiedWorker:
--- a/packages/core/src/quetzallock_core/cells/workers.py
+++ b/packages/core/src/quetzallock_core/cells/workers.py
@@ -13,7 +13,7 @@
     UNREACHABLE_TIMEOUT_MS,
 )
 from .jobs import Run
-from .models import Resources, WorkerEntry
+from .models import Boot, Resources, WorkerEntry
 
 INITIAL_SLOWNESS = 1.0
 SLOWNESS_WEIGHT = 0.2
@@ -60,6 +60,7 @@
         committed: Resources of these runs, including those being stopped, and of the reservations.
         reservations: Runs on other workers that are being stopped to move their tasks here, by task
             name.
+        crash_suspects: Those of the runs that were suspects of a crash at their start.
         expected_extra_cpu: Processor use expected in addition to the commitments: that of the
             best-effort tasks, less what the serving tasks leave unused. In thousandths of a core.
         clock_ms: Last reading of the worker's clock.
@@ -91,6 +92,7 @@
     runs: dict[str, Run] = field(default_factory=dict)
     committed: Resources = Resources()
     reservations: dict[str, Run] = field(default_factory=dict)
+    crash_suspects: dict[str, Run] = field(default_factory=dict)
     expected_extra_cpu: int = 0
     clock_ms: int = 0
     clock_read_at: int = 0
@@ -117,6 +119,11 @@
         """Store the id, which is read most often of its entry."""
         self.id = self.entry.worker
 
+    @property
+    def boot(self) -> Boot:
+        """Its id and boot."""
+        return self.id, self.entry.boot_ms
+
     @property
     def free(self) -> Resources:
         """Resources that are not committed."""
@@ -199,6 +206,8 @@
         """Add a run and commit its resources."""
         spec = run.task.spec
         self.runs[run.task.name] = run
+        if run.task.crashes:
+            self.crash_suspects[run.task.name] = run
         self.committed = self.committed + compute_commitment(spec.needs, spec.fills)
         if spec.fills:
             self.expected_extra_cpu += compute_paced_cpu(run)
@@ -212,6 +221,7 @@
         if self.runs.get(run.task.name) is not run:
             return
         del self.runs[run.task.name]
+        self.crash_suspects.pop(run.task.name, None)
         spec = run.task.spec
         self.committed = self.committed - compute_commitment(spec.needs, spec.fills)
         if spec.fills:
--- a/packages/standins/src/quetzallock_standins/emulator/cluster.py
+++ b/packages/standins/src/quetzallock_standins/emulator/cluster.py
@@ -138,10 +138,18 @@
 
     def _advance_worker(self, worker: EmulatedWorker) -> None:
         was_up = worker.is_up
+        tasks = list(worker.runs)
         worker.advance(STEP_MS)
         if was_up and worker.is_crashed_by_task:
+            self._break_gangs(tasks)
             self.schedule(REVIVE_DELAY_MS, lambda: self.revive(worker.id))
 
+    def _break_gangs(self, lost_tasks: list[str]) -> None:
+        """End the other members of the gangs to which lost tasks belong."""
+        gangs = {name.rpartition(".")[0] for name in lost_tasks if self.behaviours[name].is_gang}
+        for worker in self.workers.values():
+            worker.break_gangs(gangs)
+
     def take_over(self) -> Owner:
         """Start a new owner from the journal; former ones run until their epoch is refused."""
         epoch = len(self.owners) + 1
@@ -347,6 +355,7 @@
                         step.needs,
                         durations[number],
                         is_best_effort=step.fills,
+                        is_gang=step.gang,
                         image=step.image,
                         target_ms=step.target_ms,
                         **behaviour,
--- a/packages/standins/src/quetzallock_standins/emulator/workers.py
+++ b/packages/standins/src/quetzallock_standins/emulator/workers.py
@@ -68,6 +68,7 @@
         fails: Whether it fails on every worker; of no effect without a duration.
         is_best_effort: Whether it uses only processor time that others leave.
         crashes_worker: Whether it crashes each worker that starts it.
+        is_gang: Whether it ends when another task of its step is lost with its worker.
     """
 
     needs: Resources
@@ -77,6 +78,7 @@
     image: str = ""
     target_ms: int = 0
     crashes_worker: bool = False
+    is_gang: bool = False
 
 
 def _compute_even_load(_clock_ms: float) -> float:
@@ -292,6 +294,12 @@
         self._next_end += 1
         self.ground_truth.record_end(task, run.order.run, outcome)
 
+    def break_gangs(self, gangs: set[str]) -> None:
+        """End the runs of these gangs, each named by job, occurrence and step."""
+        for run in list(self.runs.values()):
+            if run.order.task.rpartition(".")[0] in gangs:
+                self._end_run(run, "broken")
+
     def drain(self) -> None:
         """Announce that the worker is about to leave; it goes on until `crash`."""
         self.entry = replace(self.entry, is_draining=True)
--- a/tests/core/cells/test_crashing_tasks.py
+++ b/tests/core/cells/test_crashing_tasks.py
@@ -118,6 +118,34 @@
     assert not cluster.ground_truth.violations
 
 
+def test_hand_over_right_after_each_crash_forgets_no_crash() -> None:
+    cluster = make_cluster()
+    submit_crashing(cluster, "deadly", make_step(1))
+    crashes = 0
+    while run_until_crash(cluster, "deadly.0.0.0", crashes, SETTLE_MS // 2):
+        crashes += 1
+        assert crashes <= MAX_CRASHES
+        cluster.hand_over()
+    assert cluster.cell.find_state("deadly") == "failed"
+
+
+def test_suspects_of_one_crash_do_not_start_together_on_a_worker() -> None:
+    cluster = make_cluster(workers=2)
+    cluster.submit(make_spec("long", make_step(8)), POLICY, {0: 20_000})
+    cluster.run(1_000)
+    victim = cluster.workers["w0"]
+    lost = set(victim.runs)
+    assert len(lost) == 4
+    victim.crash()
+    cluster.run(WORKER_RETURN_MS)
+    cluster.revive("w0")
+    before = len(cluster.ground_truth.starts)
+    cluster.run(450)
+    assert sorted(start[3] for start in cluster.ground_truth.starts[before:]) == ["w0", "w1"]
+    cluster.run(1_500)
+    assert {start[1] for start in cluster.ground_truth.starts[before:]} == lost
+
+
 def test_owner_lost_with_each_crash_costs_one_crash_more_at_most() -> None:
     """An owner that is lost within ms of a crash takes the knowledge of a first start with it."""
     cluster = make_cluster()
@@ -151,19 +179,31 @@
     assert not cluster.ground_truth.violations
 
 
-def test_worker_that_was_cut_off_makes_no_crash_suspects() -> None:
+def make_cut_off_worker(is_listed: bool) -> CellCluster:
+    """Return a cluster in which a worker with lasting tasks was cut off and has returned."""
     cluster = make_cluster()
     cluster.submit(make_spec("lasting", make_step(6, lasting=True)), POLICY, {0: None})
     cluster.run(1_000)
     cut_off = cluster.workers[cluster.ground_truth.starts[0][3]]
     cut_off.is_isolated = True
-    cluster.unlisted_workers.add(cut_off.id)
+    if not is_listed:
+        cluster.unlisted_workers.add(cut_off.id)
     cluster.run(12_000)
     cut_off.is_isolated = False
     cluster.unlisted_workers.clear()
     cluster.run(2_000)
-    assert not cluster.cell.state.counters["task.crash_suspect"]
     assert len(cluster.ground_truth.list_running("lasting")) == 6
+    return cluster
+
+
+def test_worker_that_was_cut_off_makes_no_crash_suspects() -> None:
+    cluster = make_cut_off_worker(is_listed=True)
+    assert not cluster.cell.state.counters["task.crash_suspect"]
+
+
+def test_suspects_are_cleared_when_an_unlisted_worker_returns_as_the_same_boot() -> None:
+    cluster = make_cut_off_worker(is_listed=False)
+    assert not cluster.cell.state.crashes.by_task
 
 
 @pytest.mark.parametrize("is_handed_over", [True, False])
