--- a/packages/core/src/quetzallock_core/cells/inventory.py
+++ b/packages/core/src/quetzallock_core/cells/inventory.py
@@ -62,6 +62,7 @@
                 changed |= self._check_missing(run, inventory.clock_ms)
         if is_first:
             state.unverified.remove_worker(worker.id)
+        state.crashes.handle_inventory(worker, is_first)
         self._update_paces(worker, now)
         return changed
 
