Plain names in the tracking of crashes

Cause: judge, guilty, verdict and proven are no terms of the field. Change: names only. A run is risky as long as it may be what crashes its worker. Measured: the tests of crashes and the random faults pass.

--- a/packages/core/src/quetzallock_core/cells/cell.py
+++ b/packages/core/src/quetzallock_core/cells/cell.py
@@ -169,7 +169,7 @@
         self._drop_lapsed_unverified()
         for worker in list(state.workers.values()):
             self._check_worker(worker, now)
-        state.crashes.judge()
+        state.crashes.clear_or_give_up()
         if self.may_order and not state.fenced:
             self._repeat_orders(now)
             self._restart_stalled(now)
--- a/packages/core/src/quetzallock_core/cells/const.py
+++ b/packages/core/src/quetzallock_core/cells/const.py
@@ -85,11 +85,11 @@
 MIN_CRASHES_TO_GIVE_UP: Final = 2
 """Crashes under one task from which on its job may be given up."""
 
-VERDICT_DELAY_MS: Final = 500
+GIVE_UP_DELAY_MS: Final = 500
 """Pause after a repeated crash, in which other workers may prove to be lost for the same cause."""
 
-PROVEN_AFTER_MS: Final = 500
-"""Time at work after which a run is not expected to crash its worker."""
+CRASH_RISK_MS: Final = 500
+"""Time after its start in which a run may be expected to crash its worker."""
 
 CLEARED_AFTER_MS: Final = 10_000
 """Minimum time at work after which the crashes under a task are forgotten."""
--- a/packages/core/src/quetzallock_core/cells/crashes.py
+++ b/packages/core/src/quetzallock_core/cells/crashes.py
@@ -17,9 +17,9 @@
     COMMON_CAUSE_WINDOW_MS,
     MAX_CRASHES,
     MIN_CRASHES_TO_GIVE_UP,
-    VERDICT_DELAY_MS,
+    GIVE_UP_DELAY_MS,
 )
-from .isolation import has_worked, is_proven
+from .isolation import has_worked, is_past_crash_risk
 from .jobs import Job, Task, parse_task_name
 from .models import Boot, CrashRecord
 from .workers import Worker
@@ -100,7 +100,7 @@
         """Return whether a waiting task may be started, as far as crashes go."""
         if not task.crashes:
             return True
-        if len(task.crashes) >= MAX_CRASHES or now < task.verdict_at:
+        if len(task.crashes) >= MAX_CRASHES or now < task.may_give_up_at:
             return False
         return task.are_crashes_durable
 
@@ -154,10 +154,10 @@
         loss = WorkerLoss(boot, entry.rack or entry.data_centre, lost_at)
         if self._handle_common_cause(loss):
             return
-        unproven = [run for run in runs if not is_proven(run, worker)]
+        risky = [run for run in runs if not is_past_crash_risk(run, worker)]
         for run in runs:
             age_ms = max(0, worker.contact_at - run.ordered_at)
-            self._add_crash(run.task, CrashRecord(*boot, age_ms, unproven == [run]))
+            self._add_crash(run.task, CrashRecord(*boot, age_ms, risky == [run]))
         for task in exposed:
             self._add_crash(task, CrashRecord(*boot))
 
@@ -244,7 +244,7 @@
         self._set_crashes(task, (*task.crashes, crash))
         self.by_task[task] = None
         if len(task.crashes) >= MIN_CRASHES_TO_GIVE_UP:
-            task.verdict_at = self._state.clock.now() + VERDICT_DELAY_MS
+            task.may_give_up_at = self._state.clock.now() + GIVE_UP_DELAY_MS
         self._state.log_decision(
             "task.crash_suspect",
             task=task.name,
@@ -254,7 +254,7 @@
             only_suspect=crash.is_only_suspect,
         )
 
-    def judge(self) -> None:
+    def clear_or_give_up(self) -> None:
         """Give up the jobs of tasks that crash their workers, and clear tasks that work."""
         now = self._state.clock.now()
         for task in list(self.by_task):
@@ -263,7 +263,7 @@
             elif self._is_cleared(task):
                 self._state.log_decision("task.cleared", task=task.name, crashes=len(task.crashes))
                 self._set_crashes(task, ())
-            elif now >= task.verdict_at and is_guilty(task):
+            elif now >= task.may_give_up_at and must_give_up(task):
                 self._give_up(task)
 
     def _is_cleared(self, task: Task) -> bool:
@@ -295,7 +295,7 @@
     return loss.rack == rack and abs(loss.at - at) <= COMMON_CAUSE_WINDOW_MS
 
 
-def is_guilty(task: Task) -> bool:
+def must_give_up(task: Task) -> bool:
     """Return whether the crashes under `task` are certainly, or too often, its own."""
     if len(task.crashes) >= MAX_CRASHES:
         return True
--- a/packages/core/src/quetzallock_core/cells/isolation.py
+++ b/packages/core/src/quetzallock_core/cells/isolation.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 from typing import Final
 
-from .const import ISOLATION_WAIT_MS, MIN_CRASHES_TO_GIVE_UP, PROVEN_AFTER_MS
+from .const import ISOLATION_WAIT_MS, MIN_CRASHES_TO_GIVE_UP, CRASH_RISK_MS
 from .jobs import Run, Task
 from .workers import Worker
 
@@ -13,7 +13,7 @@
 OTHER_RUN_COST: Final = 1.0
 """Cost, for a suspect, of each other run that a crash would end."""
 
-UNPROVEN_RUN_COST: Final = 6.0
+RISKY_RUN_COST: Final = 6.0
 """Added for a run that may itself crash the worker, since then the crash tells less."""
 
 
@@ -22,24 +22,24 @@
     return run.is_listed and worker.contact_at - run.ordered_at >= ms
 
 
-def is_proven(run: Run, worker: Worker) -> bool:
+def is_past_crash_risk(run: Run, worker: Worker) -> bool:
     """Return whether a run has worked long enough not to be what crashes its worker."""
-    return has_worked(run, worker, PROVEN_AFTER_MS)
+    return has_worked(run, worker, CRASH_RISK_MS)
 
 
 def may_share_worker(task: Task, worker: Worker, now: int) -> bool:
     """Return whether `task` may join the runs on `worker`, so that a crash tells who caused it."""
     if not task.crashes:
-        return not _has_unproven(worker.crash_suspects.values(), worker)
-    if now - max(task.not_before, task.verdict_at) > ISOLATION_WAIT_MS:
+        return not _has_risky_run(worker.crash_suspects.values(), worker)
+    if now - max(task.not_before, task.may_give_up_at) > ISOLATION_WAIT_MS:
         return True
     is_repeated = len(task.crashes) >= MIN_CRASHES_TO_GIVE_UP
     others = worker.runs if is_repeated else worker.crash_suspects
-    return not _has_unproven(others.values(), worker)
+    return not _has_risky_run(others.values(), worker)
 
 
-def _has_unproven(runs: Iterable[Run], worker: Worker) -> bool:
-    return any(not is_proven(run, worker) for run in runs)
+def _has_risky_run(runs: Iterable[Run], worker: Worker) -> bool:
+    return any(not is_past_crash_risk(run, worker) for run in runs)
 
 
 def compute_crash_cost(worker: Worker) -> float:
@@ -47,5 +47,5 @@
     cost = 0.0
     for run in worker.runs.values():
         cost += LASTING_RUN_COST if run.task.spec.lasting else OTHER_RUN_COST
-        cost += 0.0 if is_proven(run, worker) else UNPROVEN_RUN_COST
+        cost += 0.0 if is_past_crash_risk(run, worker) else RISKY_RUN_COST
     return cost
--- a/packages/core/src/quetzallock_core/cells/jobs.py
+++ b/packages/core/src/quetzallock_core/cells/jobs.py
@@ -95,7 +95,7 @@
         avoid: Ids of workers on which it failed or was stopped, which cost more in placement.
         crashes: Crashes of workers under it, of which it is suspected.
         exposures: Boots on which it may be running, as recorded for the next owner.
-        verdict_at: Local ms from which on its job may be given up for the crashes.
+        may_give_up_at: Local ms from which on its job may be given up for the crashes.
         crash_revision: The job's `crash_revision` at the last change of its crashes or exposures.
         name: Job id, occurrence, step and index, joined by dots.
         spec: Specification of its step.
@@ -112,7 +112,7 @@
     avoid: set[str] = field(default_factory=set)
     crashes: tuple[CrashRecord, ...] = ()
     exposures: tuple[Boot, ...] = ()
-    verdict_at: int = 0
+    may_give_up_at: int = 0
     crash_revision: int = 0
     name: str = ""
     spec: StepSpec = field(init=False)
--- a/tests/core/cells/test_crashing_tasks.py
+++ b/tests/core/cells/test_crashing_tasks.py
@@ -11,7 +11,7 @@
 from .common import POLICY, make_step, submit_plain
 
 MAX_CRASHES = 3
-INNOCENT_JOBS = 20
+HARMLESS_JOBS = 20
 WORKER_RETURN_MS = 3_000
 SETTLE_MS = 40_000
 
@@ -32,9 +32,9 @@
     cluster.behaviours[name] = replace(cluster.behaviours[name], crashes_worker=True)
 
 
-def submit_innocents(cluster: CellCluster, count: int = INNOCENT_JOBS) -> list[str]:
+def submit_harmless_jobs(cluster: CellCluster, count: int = HARMLESS_JOBS) -> list[str]:
     """Submit jobs of tasks that do their work, and return their ids."""
-    jobs = [f"innocent{number}" for number in range(count)]
+    jobs = [f"harmless{number}" for number in range(count)]
     for job in jobs:
         submit_plain(cluster, job, count=2, duration_ms=900)
     return jobs
@@ -65,7 +65,7 @@
 def test_crashing_task_is_given_up_and_no_other_job_fails(workers: int) -> None:
     cluster = make_cluster(workers)
     submit_crashing(cluster, "deadly", make_step(1))
-    jobs = submit_innocents(cluster)
+    jobs = submit_harmless_jobs(cluster)
     cluster.run(SETTLE_MS)
     assert 2 <= count_crashes(cluster, "deadly.0.0.0") <= MAX_CRASHES
     assert cluster.cell.find_state("deadly") == "failed"
@@ -78,7 +78,7 @@
     deadly = [f"deadly{number}" for number in range(4)]
     for job in deadly:
         submit_crashing(cluster, job, make_step(3))
-    jobs = submit_innocents(cluster)
+    jobs = submit_harmless_jobs(cluster)
     cluster.run(2 * SETTLE_MS)
     assert max(count_crashes(cluster, f"{job}.0.0.0") for job in deadly) <= MAX_CRASHES
     assert list_states(cluster, deadly) == {"failed"}
@@ -102,7 +102,7 @@
 def test_crashes_count_on_under_the_next_owner(delay_ms: int, is_killed: bool) -> None:
     cluster = make_cluster()
     submit_crashing(cluster, "deadly", make_step(1))
-    jobs = submit_innocents(cluster)
+    jobs = submit_harmless_jobs(cluster)
     crashes = 0
     while run_until_crash(cluster, "deadly.0.0.0", crashes, SETTLE_MS // 2):
         crashes += 1
