--- a/packages/core/src/quetzallock_core/cells/crashes.py
+++ b/packages/core/src/quetzallock_core/cells/crashes.py
@@ -15,9 +15,9 @@
     CLEARED_AT_MOST_AFTER_MS,
     COMMON_CAUSE_MIN_WORKERS,
     COMMON_CAUSE_WINDOW_MS,
+    GIVE_UP_DELAY_MS,
     MAX_CRASHES,
     MIN_CRASHES_TO_GIVE_UP,
-    GIVE_UP_DELAY_MS,
 )
 from .isolation import has_worked, is_past_crash_risk
 from .jobs import Job, Task, parse_task_name
--- a/packages/core/src/quetzallock_core/cells/isolation.py
+++ b/packages/core/src/quetzallock_core/cells/isolation.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 from typing import Final
 
-from .const import ISOLATION_WAIT_MS, MIN_CRASHES_TO_GIVE_UP, CRASH_RISK_MS
+from .const import CRASH_RISK_MS, ISOLATION_WAIT_MS, MIN_CRASHES_TO_GIVE_UP
 from .jobs import Run, Task
 from .workers import Worker
 
