Limit the crashes under a task also if each is put down to another task

Cause: an excused crash was forgotten. Measured: test_excused_crashes_do_not_let_... failed before and passes.

--- a/packages/core/src/quetzallock_core/cells/const.py
+++ b/packages/core/src/quetzallock_core/cells/const.py
@@ -82,6 +82,9 @@
 MAX_CRASHES: Final = 3
 """Workers that may crash under one task; its job is then given up."""
 
+MAX_CRASHES_WITH_EXCUSED: Final = 5
+"""The same with the crashes that were put down to another task."""
+
 MIN_CRASHES_TO_GIVE_UP: Final = 2
 """Crashes under one task from which on its job may be given up."""
 
--- a/packages/core/src/quetzallock_core/cells/crashes.py
+++ b/packages/core/src/quetzallock_core/cells/crashes.py
@@ -17,6 +17,7 @@
     COMMON_CAUSE_WINDOW_MS,
     GIVE_UP_DELAY_MS,
     MAX_CRASHES,
+    MAX_CRASHES_WITH_EXCUSED,
     MIN_CRASHES_TO_GIVE_UP,
 )
 from .isolation import has_worked, is_past_crash_risk
@@ -100,7 +101,7 @@
         """Return whether a waiting task may be started, as far as crashes go."""
         if not task.crashes:
             return True
-        if len(task.crashes) >= MAX_CRASHES or now < task.may_give_up_at:
+        if must_give_up(task) or now < task.may_give_up_at:
             return False
         return task.are_crashes_durable
 
@@ -288,7 +289,14 @@
         )
         self._state.finish_job(task.job, "fail")
         self.by_task.pop(task, None)
-        self._withdraw({(crash.worker, crash.boot_ms) for crash in crashes})
+        self._excuse({(crash.worker, crash.boot_ms) for crash in crashes})
+
+    def _excuse(self, boots: set[Boot]) -> None:
+        """Put the crashes of these boots down to a task that was given up, for all others."""
+        for task in list(self.by_task):
+            count = sum((crash.worker, crash.boot_ms) in boots for crash in task.crashes)
+            task.excused_crashes += count
+        self._withdraw(boots)
 
 
 def _is_near(loss: WorkerLoss, rack: str, at: int) -> bool:
@@ -299,4 +307,6 @@
     """Return whether the crashes under `task` are certainly, or too often, its own."""
     if len(task.crashes) >= MAX_CRASHES:
         return True
+    if task.excused_crashes + len(task.crashes) >= MAX_CRASHES_WITH_EXCUSED:
+        return True
     return len(task.crashes) >= MIN_CRASHES_TO_GIVE_UP and task.crashes[-1].is_only_suspect
--- a/packages/core/src/quetzallock_core/cells/jobs.py
+++ b/packages/core/src/quetzallock_core/cells/jobs.py
@@ -95,6 +95,7 @@
         avoid: Ids of workers on which it failed or was stopped, which cost more in placement.
         crashes: Crashes of workers under it, of which it is suspected.
         exposures: Boots on which it may be running, as recorded for the next owner.
+        excused_crashes: Number of further crashes, put down to another task that was given up.
         may_give_up_at: Local ms from which on its job may be given up for the crashes.
         crash_revision: The job's `crash_revision` at the last change of its crashes or exposures.
         name: Job id, occurrence, step and index, joined by dots.
@@ -112,6 +113,7 @@
     avoid: set[str] = field(default_factory=set)
     crashes: tuple[CrashRecord, ...] = ()
     exposures: tuple[Boot, ...] = ()
+    excused_crashes: int = 0
     may_give_up_at: int = 0
     crash_revision: int = 0
     name: str = ""
@@ -133,6 +135,7 @@
             self.checkpoint,
             self.crashes,
             self.exposures,
+            self.excused_crashes,
         )
         if current != self._packed_fields:
             self._packed_record = pack(self._make_record())
@@ -149,6 +152,7 @@
             "" if self.is_done else self.checkpoint,
             () if self.is_done else self.crashes,
             () if self.is_done else self.exposures,
+            0 if self.is_done else self.excused_crashes,
         )
 
     @property
@@ -160,7 +164,12 @@
     def has_history(self) -> bool:
         """Whether its journal record differs from that of a task that has never run."""
         return bool(
-            self.is_done or self.failed_runs or self.checkpoint or self.crashes or self.exposures
+            self.is_done
+            or self.failed_runs
+            or self.checkpoint
+            or self.crashes
+            or self.exposures
+            or self.excused_crashes
         )
 
     @property
@@ -361,4 +370,5 @@
         task.checkpoint = row.checkpoint
         task.crashes = row.crashes
         task.exposures = row.exposures
+        task.excused_crashes = row.excused_crashes
     return job
--- a/packages/core/src/quetzallock_core/cells/models.py
+++ b/packages/core/src/quetzallock_core/cells/models.py
@@ -166,6 +166,7 @@
             so that an end that is reported twice counts once.
         crashes: Crashes of workers under it, of which it is suspected.
         exposures: Boots on which it may be running. If one of them has crashed, it is a suspect.
+        excused_crashes: Number of further crashes, put down to another task that was given up.
     """
 
     occurrence: int
@@ -176,6 +177,7 @@
     checkpoint: str
     crashes: tuple[CrashRecord, ...] = ()
     exposures: tuple[Boot, ...] = ()
+    excused_crashes: int = 0
 
 
 @message(216)
--- a/tests/core/cells/test_crashing_tasks.py
+++ b/tests/core/cells/test_crashing_tasks.py
@@ -264,3 +264,13 @@
     cluster.run(25_000 * (1 + len(delays_ms)))
     crashes = Counter(end[1] for end in cluster.ground_truth.ends if end[3] == "crashed")
     assert max(crashes[f"j{number}.0.0.0"] for number in range(len(delays_ms))) <= MAX_CRASHES
+
+
+def test_excused_crashes_do_not_let_a_crashing_task_go_on_without_end() -> None:
+    cluster = make_cluster()
+    submit_crashing(cluster, "a", make_step(1))
+    (task,) = cluster.cell.state.jobs["a"].open_occurrence(0).steps[0].tasks
+    task.excused_crashes = 4
+    cluster.run(SETTLE_MS)
+    assert cluster.cell.find_state("a") == "failed"
+    assert sum(end[3] == "crashed" for end in cluster.ground_truth.ends) == 1
