Report why tasks wait, and the room that is free meanwhile

Cause: the log of an owner does not say why a waiting task does not start. Change: each second the longest waiting steps are reported with what keeps them from each worker, the largest free room and the room free in sum. The event names the reason, so that the counter of each reason is kept too.

--- a/packages/core/src/quetzallock_core/cells/cell.py
+++ b/packages/core/src/quetzallock_core/cells/cell.py
@@ -23,6 +23,7 @@
 )
 from .scheduler import Scheduler
 from .state import CellState
+from .waiting import WaitReporter
 from .workers import Worker
 
 EXPIRY_MARGIN_MS: Final = 30_000
@@ -52,6 +53,7 @@
         self._reader = InventoryReader(self.state)
         self._scheduler = Scheduler(self.state, order)
         self._migration = Migration(self.state)
+        self._wait_reporter = WaitReporter(self.state)
         self.batches = BatchMaker(self.state)
         self.answers = OrderAnswers(self.state)
         self.may_order = True
@@ -176,6 +178,7 @@
             self._scheduler.copy_stragglers()
             self._migration.migrate_paused_runs()
             self._migration.migrate_from_leaving_workers()
+            self._wait_reporter.report()
         self._open_due_jobs()
         self._expire_jobs(now)
         self.state.is_start_due = True
--- a/packages/core/src/quetzallock_core/cells/placement.py
+++ b/packages/core/src/quetzallock_core/cells/placement.py
@@ -3,13 +3,14 @@
 from collections import defaultdict
 from collections.abc import Iterable
 from dataclasses import dataclass
+from enum import StrEnum
 from heapq import heapify, heappop, heappush
 from typing import Final
 
 from .interference import ColocationProfile, Interference
 from .isolation import compute_crash_cost, may_share_worker
 from .jobs import StepRun, Task
-from .models import Resources
+from .models import Resources, StepSpec
 from .workers import Worker, compute_commitment
 
 REMOTE_COST: Final = 3.0
@@ -48,31 +49,58 @@
 """Share of its processor needs that must be expected idle where a best-effort task starts."""
 
 
-def can_place(task: Task, worker: Worker, now: int) -> bool:
-    """Return whether `task` may start on `worker`, which accepts tasks."""
+class Obstacle(StrEnum):
+    """Why a task may not start on a worker."""
+
+    CPU = "cpu"
+    MEMORY = "memory"
+    GPU = "gpu"
+    IDLE_CPU = "idle_cpu"
+    POOL = "pool"
+    LABEL = "label"
+    BLOCKED = "best_effort_blocked"
+    SUSPECT = "suspect_worker"
+    ISOLATION = "crash_isolation"
+    ANTI_AFFINITY = "anti_affinity"
+    INTERFERENCE = "interference"
+
+
+def find_obstacle(task: Task, worker: Worker, now: int) -> Obstacle | None:
+    """Return what keeps `task` from `worker`, which accepts tasks; None if it may start there."""
     spec = task.spec
-    if not _has_capacity(task, worker):
-        return False
+    shortage = _find_shortage(spec, worker)
+    if shortage is not None:
+        return shortage
     if worker.entry.service != task.job.policy.service:
-        return False
+        return Obstacle.POOL
     if spec.required_label and spec.required_label not in worker.entry.labels:
-        return False
+        return Obstacle.LABEL
     if spec.fills and now < worker.best_effort_blocked_until:
-        return False
+        return Obstacle.BLOCKED
     if worker.is_suspect(now) and not worker.is_idle:
-        return False
+        return Obstacle.SUSPECT
     if (task.crashes or worker.crash_suspects) and not may_share_worker(task, worker, now):
-        return False
-    if not spec.max_per_worker:
-        return True
-    return worker.count_tasks(task.step) < spec.max_per_worker
+        return Obstacle.ISOLATION
+    if spec.max_per_worker and worker.count_tasks(task.step) >= spec.max_per_worker:
+        return Obstacle.ANTI_AFFINITY
+    return None
 
 
-def _has_capacity(task: Task, worker: Worker) -> bool:
-    spec = task.spec
-    if not worker.has_capacity_for(compute_commitment(spec.needs, spec.fills)):
-        return False
-    return not spec.fills or worker.idle_cpu >= MIN_IDLE_SHARE * spec.needs.cpu
+def can_place(task: Task, worker: Worker, now: int) -> bool:
+    """Return whether `task` may start on `worker`, which accepts tasks."""
+    return find_obstacle(task, worker, now) is None
+
+
+def _find_shortage(spec: StepSpec, worker: Worker) -> Obstacle | None:
+    commitment = compute_commitment(spec.needs, spec.fills)
+    if not worker.has_capacity_for(commitment):
+        free = worker.free
+        if commitment.cpu > free.cpu:
+            return Obstacle.CPU
+        return Obstacle.MEMORY if commitment.memory_mb > free.memory_mb else Obstacle.GPU
+    if spec.fills and worker.idle_cpu < MIN_IDLE_SHARE * spec.needs.cpu:
+        return Obstacle.IDLE_CPU
+    return None
 
 
 def compute_cost(task: Task, worker: Worker, now: int) -> float:
@@ -113,12 +141,16 @@
 
 
 class Placement:
-    """One placement round: the ranked workers, and the needs for which none was found."""
+    """One placement round: the ranked workers, and the needs for which none was found.
+
+    Attributes:
+        workers: The workers that accept tasks.
+    """
 
     def __init__(self, workers: Iterable[Worker], interference: Interference, now: int) -> None:
-        self._workers = [worker for worker in workers if worker.can_accept_task(now)]
-        self._positions = {worker.id: position for position, worker in enumerate(self._workers)}
-        self._versions = [0] * len(self._workers)
+        self.workers = [worker for worker in workers if worker.can_accept_task(now)]
+        self._positions = {worker.id: position for position, worker in enumerate(self.workers)}
+        self._versions = [0] * len(self.workers)
         self._interference = interference
         self._now = now
         self._profiles: dict[str, ColocationProfile] = {}
@@ -158,7 +190,7 @@
         """Return the cheapest worker for a task whose costs differ from those of its step."""
         best: Worker | None = None
         lowest_cost = 0.0
-        for worker in self._workers:
+        for worker in self.workers:
             if worker.id == excluded_worker or task.name in worker.runs:
                 continue
             cost = self._compute_total_cost(task, worker, is_starving)
@@ -184,7 +216,7 @@
 
     def _rank(self, task: Task, is_starving: bool) -> _Ranking:
         ranking = _Ranking(task, is_starving, [])
-        for position, worker in enumerate(self._workers):
+        for position, worker in enumerate(self.workers):
             cost = self._compute_total_cost(task, worker, is_starving)
             if cost is not None:
                 ranking.heap.append((cost, position, self._versions[position], worker))
@@ -196,14 +228,24 @@
         if not can_place(task, worker, self._now):
             return None
         interference_cost = self._compute_interference_cost(task, worker)
-        is_over_limit = interference_cost > MAX_TAIL_SHARE * INTERFERENCE_COST
-        if is_over_limit and (worker.best_effort_count or not is_starving):
+        if _is_over_limit(interference_cost, worker, is_starving):
             return None
         return interference_cost + compute_cost(task, worker, self._now)
 
+    def find_obstacle(self, task: Task, worker: Worker) -> Obstacle | None:
+        """Return what keeps `task` from `worker`; None if it may start there."""
+        obstacle = find_obstacle(task, worker, self._now)
+        if obstacle is not None:
+            return obstacle
+        is_starving = task.spec.fills and self._now - task.step.ready_at > STARVING_AFTER_MS
+        interference_cost = self._compute_interference_cost(task, worker)
+        if _is_over_limit(interference_cost, worker, is_starving):
+            return Obstacle.INTERFERENCE
+        return None
+
     def choose_for_gang(self, step: StepRun) -> dict[Task, Worker] | None:
         """Return a worker for every task of a gang, or None where they do not all fit."""
-        return choose_for_gang(step, self._workers, self._now)
+        return choose_for_gang(step, self.workers, self._now)
 
     def update_worker(self, worker: Worker) -> None:
         """Update the ranking after a task was started on `worker`."""
@@ -240,6 +282,12 @@
         return INTERFERENCE_COST * self._interference.predict_tail_share(profile, spec.image, share)
 
 
+def _is_over_limit(interference_cost: float, worker: Worker, is_starving: bool) -> bool:
+    if interference_cost <= MAX_TAIL_SHARE * INTERFERENCE_COST:
+        return False
+    return bool(worker.best_effort_count) or not is_starving
+
+
 def _compute_serving_cost(task: Task, worker: Worker) -> float:
     """Return the cost of the serving tasks that are colocated with the serving task `task`.
 
--- /dev/null
+++ b/packages/core/src/quetzallock_core/cells/waiting.py
@@ -0,0 +1,138 @@
+"""Reports why tasks wait: what keeps them from each worker, and how much room is free meanwhile."""
+
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+from typing import Final
+
+from .interference import Interference
+from .jobs import StepRun, Task
+from .models import Resources
+from .placement import Obstacle, Placement
+from .state import CellState
+from .workers import Worker, compute_commitment
+
+REPORT_INTERVAL_MS: Final = 1_000
+"""Minimum time between two reports, each of which looks at all workers."""
+
+REPORT_AFTER_MS: Final = 300
+"""How long a step waits before it is reported."""
+
+MAX_STEPS_REPORTED: Final = 8
+"""Maximum number of steps in one report, the longest waiting ones."""
+
+NO_WORKER: Final = "no_worker"
+"""Reason where no worker accepts tasks at all."""
+
+UNVERIFIED: Final = "unverified"
+"""Reason where a worker that this owner has not seen yet may be running the task."""
+
+NO_OBSTACLE: Final = "none"
+"""Reason where the task could start by now, as room has just become free."""
+
+_REASONS: Final = (NO_OBSTACLE, *reversed(Obstacle))
+"""Reasons, starting with the last check that a worker can fail."""
+
+
+@dataclass(frozen=True, slots=True)
+class WaitReport:
+    """Why the tasks of one step wait.
+
+    Attributes:
+        task: The first of them.
+        waited_ms: Time since the step's predecessors were done.
+        reason: The last obstacle in the order of the checks: once it is gone, a task starts.
+        obstacles: Number of workers by what keeps the task from them.
+        largest_free: Resources that the worker with the most free processor has left.
+        total_free: Resources that all workers have left.
+        fits_in_total: The free resources would do for the task if they were on one worker.
+    """
+
+    task: Task
+    waited_ms: int
+    reason: str
+    obstacles: dict[str, int]
+    largest_free: Resources
+    total_free: Resources
+    fits_in_total: bool
+
+
+class WaitReporter:
+    """Reports regularly why the longest waiting steps of a cell wait."""
+
+    def __init__(self, state: CellState) -> None:
+        self._state = state
+        self._reported_at = 0
+
+    def report(self) -> None:
+        """Log and count the reasons, if the last report is long enough ago."""
+        state = self._state
+        now = state.clock.now()
+        if now - self._reported_at < REPORT_INTERVAL_MS:
+            return
+        self._reported_at = now
+        for waiting in explain_waits(state, now):
+            state.log_decision(
+                f"tasks.waiting.{waiting.reason}",
+                task=waiting.task.name,
+                queue=waiting.task.job.policy.queue,
+                waited_ms=waiting.waited_ms,
+                obstacles=waiting.obstacles,
+                needs=_describe(waiting.task.spec.needs),
+                largest_free=_describe(waiting.largest_free),
+                total_free=_describe(waiting.total_free),
+                fits_in_total=waiting.fits_in_total,
+            )
+
+
+def explain_waits(state: CellState, now: int) -> list[WaitReport]:
+    """Return why the longest waiting steps wait, the longest first."""
+    waiting: list[tuple[int, Task]] = []
+    for step in state.open_steps:
+        task = _find_waiting_task(step, now)
+        if task is not None and now - step.ready_at >= REPORT_AFTER_MS:
+            waiting.append((step.ready_at, task))
+    waiting.sort(key=lambda entry: (entry[0], entry[1].name))
+    reports = []
+    for _, task in waiting[:MAX_STEPS_REPORTED]:
+        report = explain_wait(task, state.workers.values(), state.interference, now)
+        if state.unverified.may_be_running(task):
+            report = replace(report, reason=UNVERIFIED)
+        reports.append(report)
+    return reports
+
+
+def _find_waiting_task(step: StepRun, now: int) -> Task | None:
+    if not step.job.is_stored or step.has_no_waiting_task:
+        return None
+    return next((task for task in step.tasks if task.is_waiting and now >= task.not_before), None)
+
+
+def explain_wait(
+    task: Task, workers: Iterable[Worker], interference: Interference, now: int
+) -> WaitReport:
+    """Return what keeps `task` from each of `workers` that accepts tasks."""
+    obstacles: Counter[str] = Counter()
+    largest_free = Resources()
+    total_free = Resources()
+    placement = Placement(workers, interference, now)
+    for worker in placement.workers:
+        obstacle = placement.find_obstacle(task, worker)
+        obstacles[obstacle or NO_OBSTACLE] += 1
+        total_free += worker.free
+        if worker.free.cpu > largest_free.cpu:
+            largest_free = worker.free
+    reason = next((reason for reason in _REASONS if obstacles[reason]), NO_WORKER)
+    return WaitReport(
+        task,
+        now - task.step.ready_at,
+        str(reason),
+        {str(name): count for name, count in obstacles.items() if count},
+        largest_free,
+        total_free,
+        compute_commitment(task.spec.needs, task.spec.fills).fits_in(total_free),
+    )
+
+
+def _describe(resources: Resources) -> str:
+    return f"{resources.cpu}/{resources.memory_mb}/{resources.gpus}"
