--- a/packages/core/src/quetzallock_core/cells/cell.py
+++ b/packages/core/src/quetzallock_core/cells/cell.py
@@ -8,6 +8,7 @@
 from .answers import OrderAnswers
 from .batches import BatchMaker
 from .contents import Contents
+from .descriptions import describe_resources, describe_step
 from .inventory import InventoryReader
 from .jobs import JOB_CHART
 from .migration import Migration
@@ -16,8 +17,6 @@
     Effect,
     Inventory,
     JobRecord,
-    Resources,
-    StepSpec,
     TicketOutcome,
     WorkerEntry,
 )
@@ -257,19 +256,3 @@
 def choose_worker_cell(rack: str, cells: int) -> int:
     """Return the cell that the workers of `rack` belong to."""
     return hash_to_range(rack, cells)
-
-
-def describe_step(step: StepSpec) -> str:
-    """Return a short description of a step for the log."""
-    marks = [
-        name
-        for name in ("saves", "gang", "speculative", "lasting", "fills", "one_rack")
-        if getattr(step, name)
-    ]
-    size = f"{step.count}x{describe_resources(step.needs)}"
-    return " ".join([size, f"{step.estimate_ms}ms", f"after{list(step.after)}", *marks])
-
-
-def describe_resources(resources: Resources) -> str:
-    """Return processor, memory in MB and accelerators for the log."""
-    return f"{resources.cpu}/{resources.memory_mb}/{resources.gpus}"
--- a/packages/core/src/quetzallock_core/cells/waiting.py
+++ b/packages/core/src/quetzallock_core/cells/waiting.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, replace
 from typing import Final
 
+from .descriptions import describe_resources
 from .interference import Interference
 from .jobs import StepRun, Task
 from .models import Resources
@@ -78,9 +79,9 @@
                 queue=waiting.task.job.policy.queue,
                 waited_ms=waiting.waited_ms,
                 obstacles=waiting.obstacles,
-                needs=_describe(waiting.task.spec.needs),
-                largest_free=_describe(waiting.largest_free),
-                total_free=_describe(waiting.total_free),
+                needs=describe_resources(waiting.task.spec.needs),
+                largest_free=describe_resources(waiting.largest_free),
+                total_free=describe_resources(waiting.total_free),
                 fits_in_total=waiting.fits_in_total,
             )
 
@@ -132,7 +133,3 @@
         total_free,
         compute_commitment(task.spec.needs, task.spec.fills).fits_in(total_free),
     )
-
-
-def _describe(resources: Resources) -> str:
-    return f"{resources.cpu}/{resources.memory_mb}/{resources.gpus}"
