Start nothing in evacuated data centres, and move tasks out of them

Cause: no code reads an evacuation request. Change: Cell.handle_evacuations takes all evacuated data centres and when the read that confirms them was sent. Workers there get no tasks, unanswered starts are stopped with their gang, unsent ones are withdrawn. Where Bounds.evacuation_ms is set, nothing starts while the view together with an order's time limit is older than the bound; unanswered starts are then stopped too, as a late copy could arrive after the bound. Tasks that last or write checkpoints move while no waiting task could use the capacity. Cold workers cost more.

--- a/packages/core/src/quetzallock_core/cells/cell.py
+++ b/packages/core/src/quetzallock_core/cells/cell.py
@@ -1,6 +1,6 @@
 """One cell under one owner: processes calls, inventories and time, and returns effects."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Final
 
 from ..clock import Clock
@@ -8,6 +8,8 @@
 from .answers import OrderAnswers
 from .batches import BatchMaker
 from .contents import Contents
+from .evacuation import Evacuations
+from .evacuation_moves import EvacuationMoves
 from .inventory import InventoryReader
 from .jobs import JOB_CHART
 from .migration import Migration
@@ -17,6 +19,7 @@
     Inventory,
     JobRecord,
     Resources,
+    StartRun,
     StepSpec,
     TicketOutcome,
     WorkerEntry,
@@ -37,6 +40,7 @@
         state: The owner's state of the cell.
         batches: Collects the records for the journal.
         answers: Processes workers' answers to orders.
+        evacuations: The evacuated data centres.
         may_order: Ownership was confirmed recently enough to give orders.
     """
 
@@ -53,6 +57,8 @@
         self._reader = InventoryReader(self.state)
         self._scheduler = Scheduler(self.state, order)
         self._migration = Migration(self.state)
+        self.evacuations = Evacuations(self.state)
+        self._evacuation_moves = EvacuationMoves(self.state)
         self._wait_reporter = WaitReporter(self.state)
         self.batches = BatchMaker(self.state)
         self.answers = OrderAnswers(self.state)
@@ -133,6 +139,7 @@
                 state.log_decision("worker.draining", worker=worker.id)
             if entry.capacity != worker.entry.capacity:
                 self._log_resize(worker, entry)
+            self.evacuations.update_worker(worker, entry)
             worker.entry = entry
             worker.is_listed = True
 
@@ -146,6 +153,22 @@
             runs=len(worker.runs),
         )
 
+    def handle_evacuations(self, data_centres: Iterable[str], confirmed_at: int) -> None:
+        """Process the list of all evacuated data centres.
+
+        Args:
+            data_centres: All data centres that are evacuated.
+            confirmed_at: Local ms at which the read that confirms them was sent.
+        """
+        self.evacuations.handle_requests(frozenset(data_centres), confirmed_at)
+
+    def may_send_start(self, order: StartRun) -> bool:
+        """Return whether a start order that was decided may still be sent."""
+        worker = self.state.workers.get(order.worker)
+        if worker is not None and worker.is_evacuated:
+            return False
+        return self.evacuations.is_view_current()
+
     def handle_inventory(self, worker: str, inventory: Inventory, asked_at: int) -> None:
         """Process a worker's inventory, for which it was asked at the local ms `asked_at`."""
         if self._reader.process(worker, inventory, asked_at):
@@ -161,13 +184,16 @@
     def start_waiting_tasks(self) -> None:
         """Start the waiting tasks for which there is a worker."""
         self.state.is_start_due = False
-        if self.may_order and not self.state.fenced and not self.batches.has_hand_over:
+        if not self.may_order or self.state.fenced or self.batches.has_hand_over:
+            return
+        if self.evacuations.is_view_current():
             self._scheduler.start_waiting_tasks()
 
     def tick(self) -> None:
         """Process everything that depends on time: leases, repeated orders, due jobs, expiry."""
         state = self.state
         now = state.clock.now()
+        self.evacuations.report()
         self._drop_lapsed_unverified()
         for worker in list(state.workers.values()):
             self._check_worker(worker, now)
@@ -175,9 +201,11 @@
         if self.may_order and not state.fenced:
             self._repeat_orders(now)
             self._restart_stalled(now)
-            self._scheduler.copy_stragglers()
-            self._migration.migrate_paused_runs()
-            self._migration.migrate_from_leaving_workers()
+            if self.evacuations.is_view_current():
+                self._scheduler.copy_stragglers()
+                self._migration.migrate_paused_runs()
+                self._migration.migrate_from_leaving_workers()
+                self._evacuation_moves.move_from_evacuated_workers()
             self._wait_reporter.report()
         self._open_due_jobs()
         self._expire_jobs(now)
@@ -210,6 +238,7 @@
 
     def _repeat_orders(self, now: int) -> None:
         state = self.state
+        may_start = self.evacuations.is_view_current()
         for worker in state.workers.values():
             for run in list(worker.runs.values()):
                 if now < run.resend_at or run.answered_clock_ms >= 0:
@@ -218,7 +247,13 @@
                     state.send_stop(run)
                 elif run.state == "ordered" and worker.is_overcommitted:
                     state.stop_with_gang(run, "worker has shrunk")
-                elif run.state == "ordered" and not run.is_unsent and worker.can_accept_task(now):
+                elif run.state != "ordered" or run.is_unsent:
+                    continue
+                elif worker.is_evacuated:
+                    state.stop_with_gang(run, "data centre is evacuated")
+                elif not may_start:
+                    state.stop_with_gang(run, "evacuations are not known")
+                elif worker.can_accept_task(now):
                     self._scheduler.send_start(run, worker, now)
 
     def _restart_stalled(self, now: int) -> None:
--- a/packages/core/src/quetzallock_core/cells/migration.py
+++ b/packages/core/src/quetzallock_core/cells/migration.py
@@ -94,15 +94,16 @@
             target = placement.choose(run.task)
             if target is None:
                 return number
-            self._migrate(run, target)
+            move_run(self._state, run, target, "worker is leaving")
             placement.update_worker(target)
         return len(runs)
 
-    def _migrate(self, run: Run, target: Worker) -> None:
-        """Stop a run, and keep room for its task on another worker until the run has ended."""
-        target.reserve(run)
-        run.reserved_on = target.id
-        self._state.stop_run(run, "worker is leaving")
+
+def move_run(state: CellState, run: Run, target: Worker, reason: str) -> None:
+    """Stop a run, and keep room for its task on another worker until the run has ended."""
+    target.reserve(run)
+    run.reserved_on = target.id
+    state.stop_run(run, reason)
 
 
 def count_movable(step: StepRun) -> int:
--- a/packages/core/src/quetzallock_core/cells/models.py
+++ b/packages/core/src/quetzallock_core/cells/models.py
@@ -292,6 +292,7 @@
         capacity: Resources that it offers.
         labels: Its labels, which include its kind and its rack.
         rack: Its rack, or empty.
+        cold_remaining_ms: For how long it will still be slow after its start.
     """
 
     worker: str
@@ -303,6 +304,7 @@
     capacity: Resources
     labels: tuple[str, ...]
     rack: str
+    cold_remaining_ms: int = 0
 
 
 class RunningRow(NamedTuple):
@@ -362,6 +364,8 @@
         stop_ms: Time that a worker takes to stop a run.
         status_ms: How long the state of a finished job can be queried.
         harm_ms: How long a serving task may stay above its target.
+        evacuation_ms: Time after which no task starts in a data centre whose evacuation was
+            requested; 0 where evacuations are not in use.
     """
 
     lease_ms: int = 6_000
@@ -370,6 +374,7 @@
     status_ms: int = 120_000
     harm_ms: int = 4_000
     remote_factor: float = 1.5
+    evacuation_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/quetzallock_core/cells/placement.py
+++ b/packages/core/src/quetzallock_core/cells/placement.py
@@ -22,6 +22,12 @@
 SUSPECT_COST: Final = 10.0
 """Cost of a worker that is suspect, or with failures since its last success."""
 
+COLD_COST_PER_S: Final = 1.0
+"""Cost of each second for which a worker remains slow after its start."""
+
+MAX_COLD_COST: Final = 8.0
+"""Highest such cost: above those of load, interference and remote data, below that of a suspect."""
+
 INTERFERENCE_COST: Final = 2.0
 """Cost of a predicted pressure of 1, or of a predicted tail at the target."""
 
@@ -117,6 +123,8 @@
         cost += SUSPECT_COST
     if task.crashes:
         cost += compute_crash_cost(worker)
+    if worker.cold_until is not None and worker.cold_until > now:
+        cost += min(MAX_COLD_COST, COLD_COST_PER_S * (worker.cold_until - now) / 1_000)
     if spec.target_ms:
         cost += _compute_serving_cost(task, worker)
     elif not spec.fills:
--- a/packages/core/src/quetzallock_core/cells/scheduler.py
+++ b/packages/core/src/quetzallock_core/cells/scheduler.py
@@ -122,12 +122,21 @@
                 or worker.runs.get(run.task.name) is not run
             ):
                 continue
-            if run.task.are_crashes_durable and worker.can_accept_task(now):
+            if worker.is_evacuated:
+                self._withdraw(run)
+            elif run.task.are_crashes_durable and worker.can_accept_task(now):
                 run.is_unsent = False
                 self.send_start(run, worker, now)
             else:
                 self._unsent.append(run)
 
+    def _withdraw(self, run: Run) -> None:
+        """End a run whose start was decided but not sent, so that its task waits again."""
+        state = self._state
+        state.log_decision("start.withdrawn", task=run.task.name, run=run.number, worker=run.worker)
+        state.end_run(run, "refuse")
+        state.stop_gang(run.task.step, "start of another task of the gang was withdrawn")
+
     def send_start(self, run: Run, worker: Worker, now: int) -> None:
         """Send the order to start a run, or send it again."""
         run.until_ms = worker.extend_lease(self._state.bounds.lease_ms, now)
--- a/packages/core/src/quetzallock_core/cells/waiting.py
+++ b/packages/core/src/quetzallock_core/cells/waiting.py
@@ -89,7 +89,7 @@
     """Return why the longest waiting steps wait, the longest first."""
     waiting: list[tuple[int, Task]] = []
     for step in state.open_steps:
-        task = _find_waiting_task(step, now)
+        task = find_waiting_task(step, now)
         if task is not None and now - step.ready_at >= REPORT_AFTER_MS:
             waiting.append((step.ready_at, task))
     waiting.sort(key=lambda entry: (entry[0], entry[1].name))
@@ -102,7 +102,8 @@
     return reports
 
 
-def _find_waiting_task(step: StepRun, now: int) -> Task | None:
+def find_waiting_task(step: StepRun, now: int) -> Task | None:
+    """Return the first task of `step` that waits for a worker, or None."""
     if not step.job.is_stored or step.has_no_waiting_task:
         return None
     return next((task for task in step.tasks if task.is_waiting and now >= task.not_before), None)
--- a/packages/core/src/quetzallock_core/cells/workers.py
+++ b/packages/core/src/quetzallock_core/cells/workers.py
@@ -86,6 +86,8 @@
         best_effort_blocked_until: Local ms until which no further best-effort task joins, since a
             serving task is over its target.
         best_effort_history: Processor shares that its best-effort tasks were allowed to use.
+        is_evacuated: Its data centre is evacuated, so that it gets no new tasks.
+        cold_until: Local ms until which it is slow after its start; None before that is known.
         id: Its id.
     """
 
@@ -117,6 +119,8 @@
     pace_changed_at: int = 0
     best_effort_blocked_until: int = 0
     best_effort_history: BestEffortHistory = field(default_factory=BestEffortHistory)
+    is_evacuated: bool = False
+    cold_until: int | None = None
     id: str = field(init=False)
 
     def __post_init__(self) -> None:
@@ -168,6 +172,7 @@
             and self.inventory_at >= 0
             and self.may_renew_lease
             and not self.entry.is_draining
+            and not self.is_evacuated
             and self.is_reachable(now)
             and now >= self.blocked_until
         )
--- a/packages/standins/src/quetzallock_standins/emulator/cluster.py
+++ b/packages/standins/src/quetzallock_standins/emulator/cluster.py
@@ -26,6 +26,7 @@
 from quetzallock_core.codec import encode
 
 from .ground_truth import GroundTruth
+from .operator import EmulatedOperator
 from .workers import Answer, EmulatedWorker, TaskBehaviour
 
 STEP_MS = 5
@@ -67,6 +68,7 @@
         pace_loss_rate: Share of pace orders that never arrive.
         unlisted_workers: Running workers that the store does not list.
         counters: Number of orders sent, by their class.
+        operator: Requests evacuations, which the owners read.
     """
 
     def __init__(
@@ -75,6 +77,7 @@
         capacity: Resources | None = None,
         seed: int = 1,
         bounds: Bounds | None = None,
+        data_centres: tuple[str, ...] = ("dc",),
     ) -> None:
         self.clock = ManualClock()
         self.rng = Random(seed)
@@ -97,13 +100,20 @@
         worker_capacity = capacity or Resources(16_000, 64_000, 0)
         self.workers = {
             f"w{number}": EmulatedWorker(
-                make_entry(f"w{number}", worker_capacity, f"rack{number % 2}", boot_ms=1),
+                make_entry(
+                    f"w{number}",
+                    worker_capacity,
+                    f"rack{number % 2}",
+                    boot_ms=1,
+                    data_centre=data_centres[number % len(data_centres)],
+                ),
                 self.ground_truth,
                 self.behaviours,
                 stop_ms=self.bounds.stop_ms,
             )
             for number in range(workers)
         }
+        self.operator = EmulatedOperator(self.clock, self.schedule)
         self.owners: list[Owner] = []
         self.take_over()
 
@@ -158,6 +168,7 @@
         self.journal_epoch = epoch
         cell.restore(read_contents(self.journal))
         self.owners.append(owner)
+        self.operator.follow(owner)
         self._start_tick(owner)
         for worker in self.workers.values():
             self.schedule(self.latency_ms, lambda w=worker: self._poll_inventory(owner, w))  # type: ignore[misc]
@@ -403,10 +414,12 @@
         old.revive(replace(old.entry, boot_ms=boot_ms, is_draining=False))
 
 
-def make_entry(worker: str, capacity: Resources, rack: str, boot_ms: int) -> WorkerEntry:
+def make_entry(
+    worker: str, capacity: Resources, rack: str, boot_ms: int, data_centre: str = "dc"
+) -> WorkerEntry:
     """Return the entry under which an emulated worker is listed."""
     return WorkerEntry(
-        worker, boot_ms, "pool", f"{worker}:1", "dc", False, capacity, ("a", rack), rack
+        worker, boot_ms, "pool", f"{worker}:1", data_centre, False, capacity, ("a", rack), rack
     )
 
 
--- a/packages/standins/src/quetzallock_standins/emulator/workers.py
+++ b/packages/standins/src/quetzallock_standins/emulator/workers.py
@@ -344,6 +344,10 @@
         """Announce that the worker is about to leave; it goes on until `crash`."""
         self.entry = replace(self.entry, is_draining=True)
 
+    def set_cold(self, remaining_ms: int) -> None:
+        """Announce that the worker is slow for `remaining_ms`."""
+        self.entry = replace(self.entry, cold_remaining_ms=remaining_ms)
+
     def crash(self) -> None:
         """Lose all state; the worker does not answer until `revive`."""
         self.is_up = False
--- /dev/null
+++ b/tests/core/cells/test_evacuation.py
@@ -0,0 +1,329 @@
+"""Evacuated data centres: nothing starts there, whatever the owner has missed or decided before."""
+
+from random import Random
+
+import pytest
+
+from quetzallock_core.cells.models import Bounds, Resources
+from quetzallock_standins.emulator import CellCluster
+from quetzallock_standins.emulator.cluster import make_spec
+
+from .common import POLICY, make_step, submit_plain
+
+EVACUATION_MS = 5_000
+BOUNDS = Bounds(evacuation_ms=EVACUATION_MS)
+JOB_INTERVAL_MS = 200
+VIEW_MS = 300
+"""Time in which a readable request reaches the owner and takes effect."""
+MOVE_MS = 3_000
+ROOM_FOR_TWO = Resources(2_000, 8_000, 0)
+
+
+def make_cluster(workers: int = 4, capacity: Resources | None = None) -> CellCluster:
+    """Return a cluster whose workers alternate between the data centres a and b."""
+    cluster = CellCluster(
+        workers=workers, capacity=capacity, bounds=BOUNDS, data_centres=("a", "b")
+    )
+    cluster.run(500)
+    return cluster
+
+
+def run_with_jobs(cluster: CellCluster, ms: int, job: str) -> None:
+    """Let time pass while a job arrives every `JOB_INTERVAL_MS`."""
+    for number in range(ms // JOB_INTERVAL_MS):
+        submit_plain(cluster, f"{job}{number}", count=4, duration_ms=300)
+        cluster.run(JOB_INTERVAL_MS)
+
+
+def count_starts(cluster: CellCluster, data_centre: str, since: int) -> int:
+    """Return the number of starts in a data centre from the time `since` on."""
+    return sum(
+        at >= since and cluster.workers[worker].entry.data_centre == data_centre
+        for at, _, _, worker in cluster.ground_truth.starts
+    )
+
+
+def list_running_in(cluster: CellCluster, data_centre: str) -> list[str]:
+    """Return the tasks that run in a data centre."""
+    return [
+        task
+        for worker in cluster.workers.values()
+        if worker.entry.data_centre == data_centre
+        for task in worker.runs
+    ]
+
+
+def submit_lasting(cluster: CellCluster, tasks: int, **fields: object) -> None:
+    """Submit job `s` of lasting tasks, and wait until they run."""
+    cluster.submit(make_spec("s", make_step(tasks, lasting=True, **fields)), POLICY, {0: None})
+    cluster.run(1_000)
+    assert len(cluster.ground_truth.list_running("s")) == tasks
+
+
+def test_nothing_starts_in_an_evacuated_data_centre_after_the_bound() -> None:
+    cluster = make_cluster()
+    run_with_jobs(cluster, 1_000, "before")
+    assert count_starts(cluster, "a", 0)
+    cluster.operator.evacuate("a")
+    cluster.run(VIEW_MS)
+    seen_at = cluster.clock.now()
+    run_with_jobs(cluster, 2 * EVACUATION_MS, "after")
+    assert count_starts(cluster, "a", seen_at) == 0
+    assert count_starts(cluster, "b", seen_at) > 0
+    assert cluster.cell.state.counters["evacuation.requested"] == 1
+    assert not cluster.ground_truth.violations
+
+
+def test_owner_that_takes_over_during_an_evacuation_starts_nothing_there() -> None:
+    cluster = make_cluster()
+    cluster.operator.evacuate("a")
+    cluster.run(VIEW_MS)
+    seen_at = cluster.clock.now()
+    cluster.kill_owner()
+    cluster.take_over()
+    run_with_jobs(cluster, EVACUATION_MS, "after")
+    assert count_starts(cluster, "a", seen_at) == 0
+    assert count_starts(cluster, "b", seen_at) > 0
+    assert cluster.cell.state.counters["evacuation.requested"] == 1
+
+
+def test_owner_that_takes_over_with_a_stale_view_starts_nothing() -> None:
+    cluster = make_cluster()
+    cluster.operator.is_readable = False
+    cluster.run(EVACUATION_MS)
+    cluster.operator.evacuate("a")
+    cluster.kill_owner()
+    cluster.take_over()
+    taken_over_at = cluster.clock.now()
+    run_with_jobs(cluster, EVACUATION_MS, "after")
+    assert count_starts(cluster, "a", taken_over_at) == 0
+    assert count_starts(cluster, "b", taken_over_at) == 0
+
+
+def test_owner_whose_view_becomes_stale_starts_nothing_until_it_is_current_again() -> None:
+    cluster = make_cluster()
+    cluster.operator.is_readable = False
+    cluster.operator.evacuate("a")
+    requested_at = cluster.clock.now()
+    run_with_jobs(cluster, 2 * EVACUATION_MS, "stale")
+    assert count_starts(cluster, "a", requested_at) > 0
+    assert count_starts(cluster, "a", requested_at + EVACUATION_MS) == 0
+    assert count_starts(cluster, "b", requested_at + EVACUATION_MS) == 0
+    cluster.operator.is_readable = True
+    current_at = cluster.clock.now()
+    run_with_jobs(cluster, 2_000, "current")
+    assert count_starts(cluster, "a", current_at) == 0
+    assert count_starts(cluster, "b", current_at) > 0
+
+
+@pytest.mark.parametrize("gang", [False, True])
+def test_start_order_lost_before_the_request_is_not_repeated(gang: bool) -> None:
+    cluster = make_cluster(workers=4, capacity=Resources(1_000, 8_000, 0))
+    lost_to = [w for w in cluster.workers.values() if w.entry.data_centre == "a"]
+    for worker in lost_to:
+        worker.is_isolated = True
+    cluster.submit(make_spec("j", make_step(3, gang=gang)), POLICY, {0: 2_000})
+    cluster.run(100)
+    cluster.operator.evacuate("a")
+    cluster.run(300)
+    for worker in lost_to:
+        worker.is_isolated = False
+    cluster.run(EVACUATION_MS)
+    assert count_starts(cluster, "a", 0) == 0
+    cluster.operator.readmit("a")
+    cluster.run(EVACUATION_MS)
+    assert cluster.cell.find_state("j") == "completed"
+    assert not cluster.ground_truth.violations
+
+
+def test_start_that_waits_for_the_journal_is_withdrawn() -> None:
+    cluster = make_cluster(workers=2)
+    spec = make_spec("j", make_step(1, lasting=True))
+    cluster.submit(spec, POLICY, {0: None}, crashes_worker=True)
+    cluster.run(150)
+    cluster.append_delay_ms = 400
+    while not cluster.cell._scheduler._unsent:
+        cluster.run(5)
+        assert cluster.clock.now() < 30_000
+    (run,) = cluster.cell._scheduler._unsent
+    data_centre = cluster.workers[run.worker].entry.data_centre
+    cluster.operator.evacuate(data_centre)
+    seen_at = cluster.clock.now()
+    cluster.run(EVACUATION_MS)
+    assert cluster.cell.state.counters["start.withdrawn"] == 1
+    assert count_starts(cluster, data_centre, seen_at) == 0
+    assert not cluster.ground_truth.violations
+
+
+def test_copies_of_stragglers_do_not_start_in_an_evacuated_data_centre() -> None:
+    cluster = make_cluster(workers=2, capacity=Resources(1_000, 8_000, 0))
+    cluster.submit(make_spec("j", make_step(1, speculative=True)), POLICY, {0: 4_000})
+    cluster.run(100)
+    (running,) = (w for w in cluster.workers.values() if w.runs)
+    other = "b" if running.entry.data_centre == "a" else "a"
+    cluster.operator.evacuate(other)
+    cluster.run(3_500)
+    assert count_starts(cluster, other, 0) == 0
+
+
+def test_all_data_centres_are_evacuated_at_once() -> None:
+    cluster = make_cluster()
+    submit_lasting(cluster, 4)
+    cluster.operator.evacuate("a", "b")
+    cluster.run(VIEW_MS)
+    seen_at = cluster.clock.now()
+    submit_plain(cluster, "j")
+    cluster.run(EVACUATION_MS)
+    assert len(cluster.ground_truth.starts) == 4
+    assert len(cluster.ground_truth.list_running("s")) == 4
+    cluster.operator.readmit("a", "b")
+    cluster.run(2_000)
+    assert count_starts(cluster, "a", seen_at) + count_starts(cluster, "b", seen_at) == 2
+    assert cluster.cell.find_state("j") == "completed"
+    assert cluster.cell.state.counters["evacuation.ended"] == 2
+
+
+def test_evacuation_requested_again_within_seconds_holds_each_time() -> None:
+    cluster = make_cluster()
+    for number in range(4):
+        cluster.operator.evacuate("a")
+        cluster.run(VIEW_MS)
+        seen_at = cluster.clock.now()
+        run_with_jobs(cluster, 1_000, f"during{number}.")
+        assert count_starts(cluster, "a", seen_at) == 0
+        cluster.operator.readmit("a")
+        returned_at = cluster.clock.now()
+        run_with_jobs(cluster, 1_000, f"between{number}.")
+        assert count_starts(cluster, "a", returned_at) > 0
+    assert cluster.cell.state.counters["evacuation.requested"] == 4
+    assert cluster.cell.state.counters["evacuation.ended"] == 4
+
+
+def test_moves_keep_max_unavailable() -> None:
+    cluster = make_cluster()
+    submit_lasting(cluster, 8, max_unavailable=1)
+    cluster.operator.evacuate("a")
+    fewest = 8
+    for _ in range(10 * MOVE_MS // 10):
+        cluster.run(10)
+        fewest = min(fewest, len(cluster.ground_truth.list_running("s")))
+    assert fewest == 7
+    assert not list_running_in(cluster, "a")
+    assert not cluster.ground_truth.violations
+
+
+def test_task_of_which_none_may_be_unavailable_stays() -> None:
+    cluster = make_cluster()
+    submit_lasting(cluster, 4, max_unavailable=0)
+    cluster.operator.evacuate("a")
+    cluster.run(MOVE_MS)
+    assert len(list_running_in(cluster, "a")) == 2
+    assert len(cluster.ground_truth.starts) == 4
+
+
+def test_lasting_task_without_capacity_elsewhere_goes_on() -> None:
+    cluster = make_cluster(workers=2, capacity=ROOM_FOR_TWO)
+    submit_lasting(cluster, 4)
+    cluster.operator.evacuate("a")
+    cluster.run(MOVE_MS)
+    assert len(cluster.ground_truth.starts) == 4
+    assert len(list_running_in(cluster, "a")) == 2
+
+
+def test_waiting_task_gets_the_capacity_before_a_move(monkeypatch: pytest.MonkeyPatch) -> None:
+    cluster = make_cluster(workers=2, capacity=ROOM_FOR_TWO)
+    submit_lasting(cluster, 3)
+    (crowded,) = (w for w in cluster.workers.values() if len(w.runs) == 2)
+    scheduler = cluster.cell._scheduler
+    with monkeypatch.context() as patch:
+        patch.setattr(scheduler, "start_waiting_tasks", lambda: None)
+        cluster.submit(make_spec("j", make_step(1)), POLICY, {0: 4_000})
+        cluster.operator.evacuate(crowded.entry.data_centre)
+        cluster.run(VIEW_MS)
+        assert len(crowded.runs) == 2
+    cluster.run(VIEW_MS)
+    assert cluster.ground_truth.list_running("j")
+    assert len(crowded.runs) == 2
+
+
+@pytest.mark.parametrize(("saves", "is_moved"), [(True, True), (False, False)])
+def test_only_tasks_with_checkpoints_move(saves: bool, is_moved: bool) -> None:
+    cluster = make_cluster(workers=2)
+    spec = make_spec("j", make_step(4, saves=saves, fills=True, image="f"))
+    cluster.submit(spec, POLICY, {0: 3_000})
+    cluster.run(1_000)
+    assert list_running_in(cluster, "a")
+    cluster.operator.evacuate("a")
+    cluster.run(1_000)
+    assert bool(list_running_in(cluster, "a")) is not is_moved
+    cluster.run(MOVE_MS)
+    assert cluster.cell.find_state("j") == "completed"
+    assert (cluster.cell.state.counters["run.stopped"] > 0) is is_moved
+    assert not cluster.ground_truth.violations
+
+
+def test_work_comes_back_after_the_end_and_to_cold_workers_last() -> None:
+    cluster = make_cluster(workers=4, capacity=ROOM_FOR_TWO)
+    cluster.operator.evacuate("a")
+    cluster.run(VIEW_MS)
+    cluster.workers["w0"].set_cold(4_000)
+    cluster.operator.readmit("a")
+    cluster.run(VIEW_MS)
+    for number in range(4):
+        cluster.submit(make_spec(f"j{number}", make_step(2)), POLICY, {0: 1_500})
+        cluster.run(50)
+    order = [worker for _, _, _, worker in cluster.ground_truth.starts]
+    assert set(order[:6]) == {"w1", "w2", "w3"}
+    assert order[6:] == ["w0", "w0"]
+
+
+def test_cost_of_a_cold_worker_falls_with_the_remaining_time() -> None:
+    cluster = make_cluster(workers=2)
+    cluster.workers["w0"].set_cold(2_000)
+    cluster.run(3_000)
+    submit_plain(cluster, "j")
+    cluster.run(100)
+    assert {worker for _, _, _, worker in cluster.ground_truth.starts} == {"w0", "w1"}
+
+
+def test_nothing_changes_where_the_deployment_sets_no_bound() -> None:
+    cluster = CellCluster(workers=2, data_centres=("a", "b"))
+    cluster.workers["w0"].set_cold(60_000)
+    cluster.run(500)
+    cluster.operator.evacuate("a", "b")
+    cluster.operator.is_readable = False
+    cluster.run(2 * EVACUATION_MS)
+    submit_plain(cluster, "j")
+    cluster.run(1_000)
+    assert {worker for _, _, _, worker in cluster.ground_truth.starts} == {"w0", "w1"}
+    assert not cluster.cell.state.counters["evacuation.requested"]
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_bound_holds_under_lost_orders_outages_and_takeovers(seed: int) -> None:
+    cluster = make_cluster(workers=6)
+    cluster.order_loss_rate = 0.1
+    cluster.order_delay_rate = 0.05
+    rng = Random(seed)
+    requested: dict[str, int] = {}
+    checked = 0
+    for number in range(200):
+        submit_plain(cluster, f"j{number}", count=4, duration_ms=300)
+        data_centre = rng.choice("ab")
+        if rng.random() < 0.05 and data_centre not in requested:
+            cluster.operator.evacuate(data_centre)
+            requested[data_centre] = cluster.clock.now()
+        elif rng.random() < 0.03 and data_centre in requested:
+            cluster.operator.readmit(data_centre)
+            del requested[data_centre]
+        cluster.operator.is_readable ^= rng.random() < 0.1
+        if rng.random() < 0.05:
+            cluster.kill_owner()
+            cluster.take_over()
+        cluster.run(JOB_INTERVAL_MS)
+        for at, task, _, worker in cluster.ground_truth.starts[checked:]:
+            requested_at = requested.get(cluster.workers[worker].entry.data_centre, at)
+            assert at <= requested_at + EVACUATION_MS, task
+        checked = len(cluster.ground_truth.starts)
+    assert checked > 100
+    assert not cluster.ground_truth.violations
