Follow evacuation requests in the topic of the configuration

Cause: entry hosts ignore the keys evacuate/ZONE. Change: the configuration's follower passes all evacuated data centres on with the time at which the read that confirms them was sent; a read that does not reach the end of the topic confirms nothing. Newest records replace the set. A new owner gets the host's view before it loads its cell.

--- a/packages/daemon/src/quetzallock_daemon/cells/const.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/const.py
@@ -56,6 +56,10 @@
 CONFIG_WAIT_MS: Final = 1_000
 """How long a read of the configuration stays open while nothing changes."""
 
+EVACUATION_READS_PER_BOUND: Final = 5
+"""Minimum number of such reads within the bound of evacuations. A read confirms only what the store
+held when it was sent, so the view is up to twice as old as a read stays open."""
+
 PLACEMENT_PAUSE_MS: Final = 8
 """Minimum pause before waiting tasks are placed, so that events of one moment share a round."""
 
--- a/packages/daemon/src/quetzallock_daemon/cells/followers.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/followers.py
@@ -4,11 +4,17 @@
 from collections.abc import Callable
 from typing import Any
 
-from quetzallock_core.cells.models import WorkerEntry
+from quetzallock_core.cells.models import Bounds, WorkerEntry
 
 from ..helpers import run_in_background, sleep
-from .const import CONFIG_WAIT_MS, ENTRIES_READ_INTERVAL_MS, STORE_RETRY_PAUSE_MS
-from .ports import Configuration, HistoryGoneError, Store, StoreUnavailableError
+from .clocks import BootClock
+from .const import (
+    CONFIG_WAIT_MS,
+    ENTRIES_READ_INTERVAL_MS,
+    EVACUATION_READS_PER_BOUND,
+    STORE_RETRY_PAUSE_MS,
+)
+from .ports import ConfigPage, Configuration, HistoryGoneError, Store, StoreUnavailableError
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -70,26 +76,70 @@
         raise NotImplementedError
 
 
+def choose_config_wait_ms(bounds: Bounds) -> int:
+    """Return how long a read of the configuration stays open while nothing changes."""
+    if not bounds.evacuation_ms:
+        return CONFIG_WAIT_MS
+    return min(CONFIG_WAIT_MS, bounds.evacuation_ms // EVACUATION_READS_PER_BOUND)
+
+
+def _ignore_evacuations(_data_centres: frozenset[str], _confirmed_at: int) -> None:
+    """Ignore evacuations."""
+
+
 class ConfigurationFollower(_Follower):
-    """Follows the configuration; an older version never replaces a newer one."""
+    """Follows the configuration and the evacuations, which share a topic.
+
+    An older version of the configuration never replaces a newer one. After each read, all evacuated
+    data centres are passed on with the local time at which the last read that reached the end of
+    the topic was sent.
+    """
 
     name = "configuration"
     pause_ms = 5
 
     def __init__(
-        self, reactor: Any, store: Store, on_change: Callable[[Configuration], None]
+        self,
+        reactor: Any,
+        store: Store,
+        on_change: Callable[[Configuration], None],
+        on_evacuations: Callable[[frozenset[str], int], None] = _ignore_evacuations,
+        wait_ms: int = CONFIG_WAIT_MS,
     ) -> None:
         super().__init__(reactor, store)
         self._on_change = on_change
+        self._on_evacuations = on_evacuations
+        self._wait_ms = wait_ms
+        self._clock = BootClock()
         self._version: int | None = None
+        self._evacuated: frozenset[str] = frozenset()
+        self._confirmed_at = 0
 
     async def _read_once(self) -> None:
+        sent_at = self._clock.now()
         if self._offset is None:
             page = await self._store.read_configuration()
+            evacuated: set[str] = set()
         else:
-            page = await self._store.read_configuration_changes(self._offset, CONFIG_WAIT_MS)
+            page = await self._store.read_configuration_changes(self._offset, self._wait_ms)
+            evacuated = set(self._evacuated)
         self._offset = page.next_offset
-        configuration = page.configuration
+        self._apply_evacuations(page, evacuated, sent_at)
+        self._apply_configuration(page.configuration)
+
+    def _apply_evacuations(self, page: ConfigPage, evacuated: set[str], sent_at: int) -> None:
+        """Apply the changes to `evacuated`, the data centres that were evacuated before them."""
+        for change in page.evacuations:
+            if change.is_requested:
+                evacuated.add(change.data_centre)
+            else:
+                evacuated.discard(change.data_centre)
+        self._evacuated = frozenset(evacuated)
+        if page.is_complete:
+            self._confirmed_at = sent_at
+        self._on_evacuations(self._evacuated, self._confirmed_at)
+
+    def _apply_configuration(self, configuration: Configuration | None) -> None:
         if configuration is None or (
             self._version is not None and configuration.version <= self._version
         ):
--- a/packages/daemon/src/quetzallock_daemon/cells/owner.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/owner.py
@@ -176,6 +176,19 @@
         self._inventory_poller.poll_new_workers()
         self.run_effects()
 
+    def handle_evacuations(self, data_centres: frozenset[str], confirmed_at: int) -> None:
+        """Process the evacuated data centres; a cell that is not loaded yet gets them too.
+
+        Args:
+            data_centres: All data centres that are evacuated.
+            confirmed_at: When the read that confirms them was sent.
+        """
+        if self.is_stopped:
+            return
+        self.cell.handle_evacuations(data_centres, confirmed_at)
+        if self.is_active:
+            self.run_effects()
+
     def handle_request(self, request: OwnerRequest, reply: Reply) -> None:
         """Answer a router's request, at once or when the outcome is durable."""
         if self.is_stopped or not self.is_active:
@@ -254,7 +267,7 @@
             registered = self._tickets.pop(effect.ticket, None)
             if registered is not None:
                 registered[0](OwnerAnswer(registered[1], effect.outcome))
-        elif not self.may_order:
+        elif not self._may_send(effect):
             self._counters["orders.held_back"] += 1
         elif isinstance(effect, StartRun):
             run_in_background(self._send_start(effect))
@@ -263,6 +276,12 @@
         elif isinstance(effect, PaceRun):
             run_in_background(self._workers.pace(effect, self.epoch))
 
+    def _may_send(self, order: object) -> bool:
+        """Return whether an order may be sent now, which may be later than it was decided."""
+        if isinstance(order, StartRun) and not self.cell.may_send_start(order):
+            return False
+        return self.may_order
+
     async def _send_start(self, order: StartRun) -> None:
         started_at = self.clock.now()
         answer = await self._workers.start(order, self.epoch)
--- a/packages/daemon/src/quetzallock_daemon/cells/ports.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/ports.py
@@ -100,12 +100,29 @@
     next_offset: int
 
 
+@dataclass(frozen=True, slots=True)
+class EvacuationChange:
+    """A request to evacuate a data centre, or its end."""
+
+    data_centre: str
+    is_requested: bool
+
+
 @dataclass(frozen=True, slots=True)
 class ConfigPage:
-    """The newest configuration read, if any, and the offset of the next read."""
+    """Records of the topic of the configuration.
+
+    Attributes:
+        configuration: The newest configuration among them, if any.
+        next_offset: Offset of the next read.
+        evacuations: Changes of evacuations among them; all requests if the newest records are read.
+        is_complete: They reached the end of the topic when the read was answered.
+    """
 
     configuration: Configuration | None
     next_offset: int
+    evacuations: tuple[EvacuationChange, ...] = ()
+    is_complete: bool = True
 
 
 class Store(Protocol):
@@ -145,10 +162,10 @@
         """Return the changes from `offset` on; raises `HistoryGoneError` if they have expired."""
 
     async def read_configuration(self) -> ConfigPage:
-        """Return the newest configuration."""
+        """Return the newest configuration, and all requests of evacuations."""
 
     async def read_configuration_changes(self, offset: int, wait_ms: int) -> ConfigPage:
-        """Wait for a change from `offset` on; raises `HistoryGoneError` if it has expired."""
+        """Wait for changes from `offset` on; raises `HistoryGoneError` if they have expired."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/quetzallock_daemon/cells/service.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/service.py
@@ -19,7 +19,7 @@
 from .candidacy import CandidacyTask
 from .clocks import BootClock
 from .const import INCARNATION_BITS
-from .followers import ConfigurationFollower, EntriesFollower
+from .followers import ConfigurationFollower, EntriesFollower, choose_config_wait_ms
 from .front import FrontState, ReadRequest, make_caller_factory, make_page_factory
 from .membership import Member, MembershipTask, OwnersTask, StoreContact
 from .messages import AssignmentNotice, OwnerAnswer, OwnerRequest, PeerRequest
@@ -111,8 +111,14 @@
             reactor, store, member.format_name(), contact, self._handle_membership
         )
         self._owners = OwnersTask(reactor, store, contact)
+        self._evacuated: frozenset[str] = frozenset()
+        self._evacuations_confirmed_at: int | None = None
         self._configuration_follower = ConfigurationFollower(
-            reactor, store, self._handle_configuration
+            reactor,
+            store,
+            self._handle_configuration,
+            self._handle_evacuations,
+            choose_config_wait_ms(settings.bounds),
         )
         self._entries_follower = EntriesFollower(reactor, store, self._handle_entries)
         self._peers = Peers(reactor, counters)
@@ -178,6 +184,13 @@
         self.router.configuration = configuration
         self._front.limits = configuration.limits
 
+    def _handle_evacuations(self, data_centres: frozenset[str], confirmed_at: int) -> None:
+        """Pass the evacuated data centres on to the owned cells, and keep them for later ones."""
+        self._evacuated = data_centres
+        self._evacuations_confirmed_at = confirmed_at
+        for owner in list(self._owned.values()):
+            owner.handle_evacuations(data_centres, confirmed_at)
+
     def _handle_membership(
         self, membership: Membership, sent_at: int, may_have_ended: bool
     ) -> bool:
@@ -219,6 +232,8 @@
             self._metrics_page.observe,
         )
         owner.ownership_confirmed_at = sent_at
+        if self._evacuations_confirmed_at is not None:
+            owner.handle_evacuations(self._evacuated, self._evacuations_confirmed_at)
         self._owned[cell] = owner
         run_in_background(self._load(owner))
 
--- a/tests/daemon/emulated_hosts.py
+++ b/tests/daemon/emulated_hosts.py
@@ -140,13 +140,16 @@
         services: The hosts by their names.
     """
 
-    def __init__(self, monkeypatch: pytest.MonkeyPatch, powers: Iterable[int]) -> None:
+    def __init__(
+        self, monkeypatch: pytest.MonkeyPatch, powers: Iterable[int], bounds: Bounds | None = None
+    ) -> None:
         monkeypatch.setattr(BootClock, "now", lambda _: self.now)
         monkeypatch.setattr(store_module, "_now_ms", lambda: self.now)
         monkeypatch.setattr(service_module, "make_request_factory", lambda handler: handler)
         peers = type("BoundPeers", (EmulatedPeers,), {"hosts": self})
         monkeypatch.setattr(service_module, "Peers", peers)
         self.now = 1_000_000
+        self.bounds = bounds or Bounds()
         self.loading_ms = 0
         self.owner_turn_ms = 0
         self.takeovers: list[str] = []
@@ -172,7 +175,7 @@
             metrics_path="/metrics",
             grace_ms=6_000,
             cells=1,
-            bounds=Bounds(),
+            bounds=self.bounds,
             power=power,
         )
         adapters = Adapters(
--- a/tests/platform/processes.py
+++ b/tests/platform/processes.py
@@ -20,7 +20,9 @@
 class EntryHost:
     """An entry host that runs as a process."""
 
-    def __init__(self, name: str, folder: Path, store: str, power: float = 1.0) -> None:
+    def __init__(
+        self, name: str, folder: Path, store: str, power: float = 1.0, bounds: str = ""
+    ) -> None:
         self.name = name
         self.front, self.ready, self.peers, self.metrics = find_ports(4)
         self._log = folder / f"{name}.log"
@@ -29,7 +31,7 @@
             f'node = "{name}"\nip = "{LOOPBACK}"\ninternalPorts = [{self.peers}, {self.peers}]\n'
             f'[listenAddresses]\nfrontend = "{LOOPBACK}:{self.front}"\n'
             f'ready = "{LOOPBACK}:{self.ready}"\n'
-            f"[limits]\ncpuShare = {power}\ncores = 1\n[bounds]\ngraceS = 6\n"
+            f"[limits]\ncpuShare = {power}\ncores = 1\n[bounds]\ngraceS = 6\n{bounds}"
             f'[platform]\naddress = "{store}"\n'
         )
         self.process: subprocess.Popen[bytes] | None = None
@@ -87,12 +89,15 @@
 class LocalPlatform:
     """A stand-in for the platform with entry hosts."""
 
-    def __init__(self, folder: Path, hosts: int) -> None:
+    def __init__(self, folder: Path, hosts: int, bounds: str = "") -> None:
+        """Start the processes; `bounds` continues the hosts' settings after their bounds."""
         command = [sys.executable, "-m", "quetzallock_platform_standin.server", "--workers=4"]
         self._standin = subprocess.Popen(command, stdout=subprocess.PIPE)
         assert self._standin.stdout is not None
         self.store = json.loads(self._standin.stdout.readline())["store"]
-        self.hosts = [EntryHost(f"host{number}", folder, self.store) for number in range(hosts)]
+        self.hosts = [
+            EntryHost(f"host{number}", folder, self.store, bounds=bounds) for number in range(hosts)
+        ]
         for host in self.hosts:
             wait_until(lambda host=host: host.fetch(host.ready, "/readyz")[0] == 200)
 
