Test evacuations against a missing, a stale and an older view

Change: tests for an owner that never reads the topic, late copies of unanswered starts, copies and moves under a stale view, an older view, the time limit of an order within the bound.

--- a/tests/core/cells/test_evacuation.py
+++ b/tests/core/cells/test_evacuation.py
@@ -4,9 +4,11 @@
 
 import pytest
 
-from quetzallock_core.cells.models import Bounds, Resources
+from quetzallock_core.cells.const import ORDER_TIMEOUT_MS
+from quetzallock_core.cells.models import Bounds, Resources, StartRun
 from quetzallock_standins.emulator import CellCluster
 from quetzallock_standins.emulator.cluster import make_spec
+from quetzallock_standins.emulator.operator import EmulatedOperator
 
 from .common import POLICY, make_step, submit_plain
 
@@ -16,6 +18,8 @@
 VIEW_MS = 300
 """Time in which a readable request reaches the owner and takes effect."""
 MOVE_MS = 3_000
+MAX_VIEW_AGE_MS = EVACUATION_MS - ORDER_TIMEOUT_MS
+LATENCY_MS = 10
 ROOM_FOR_TWO = Resources(2_000, 8_000, 0)
 
 
@@ -109,6 +113,8 @@
     assert count_starts(cluster, "a", requested_at) > 0
     assert count_starts(cluster, "a", requested_at + EVACUATION_MS) == 0
     assert count_starts(cluster, "b", requested_at + EVACUATION_MS) == 0
+    last_start_at = cluster.ground_truth.starts[-1][0]
+    assert last_start_at <= cluster.operator.last_view[1] + MAX_VIEW_AGE_MS + LATENCY_MS
     cluster.operator.is_readable = True
     current_at = cluster.clock.now()
     run_with_jobs(cluster, 2_000, "current")
@@ -128,14 +134,66 @@
     cluster.run(300)
     for worker in lost_to:
         worker.is_isolated = False
-    cluster.run(EVACUATION_MS)
+    cluster.run(6_000)
     assert count_starts(cluster, "a", 0) == 0
+    assert not cluster.ground_truth.list_running("j")
+    assert cluster.cell.find_state("j") == ("running" if gang else "completed")
     cluster.operator.readmit("a")
     cluster.run(EVACUATION_MS)
     assert cluster.cell.find_state("j") == "completed"
     assert not cluster.ground_truth.violations
 
 
+def run_until_view_age(cluster: CellCluster, age_ms: int) -> None:
+    """Make the topic unreadable, and let time pass until the view has this age."""
+    cluster.operator.is_readable = False
+    cluster.run(age_ms - (cluster.clock.now() - cluster.operator.last_view[1]))
+
+
+def test_owner_that_has_never_read_the_topic_starts_nothing(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(EmulatedOperator, "follow", lambda *_: None)
+    cluster = make_cluster()
+    run_with_jobs(cluster, 1_000, "j")
+    assert not cluster.ground_truth.starts
+
+
+def test_late_copy_of_an_unanswered_start_is_refused_once_the_view_is_stale() -> None:
+    """The copy arrives when the bound of an evacuation that the owner cannot know has passed."""
+    cluster = make_cluster()
+    run_until_view_age(cluster, MAX_VIEW_AGE_MS - 100)
+    cluster.order_delay_rate = 1.0
+    submit_plain(cluster, "j", count=4)
+    cluster.run(50)
+    assert cluster.counters["StartRun"] == 4
+    cluster.order_delay_rate = 0.0
+    cluster.run(15_000)
+    assert cluster.counters["StartRun"] == 4
+    assert not cluster.ground_truth.starts
+
+
+def test_older_view_does_not_replace_a_newer_one() -> None:
+    cluster = make_cluster()
+    now = cluster.clock.now()
+    cluster.cell.handle_evacuations({"a"}, now)
+    cluster.cell.handle_evacuations(set(), now - 1)
+    assert cluster.cell.evacuations.data_centres == {"a"}
+
+
+def test_start_that_was_decided_before_the_request_may_not_be_sent() -> None:
+    cluster = make_cluster()
+    orders = [
+        StartRun(worker.id, 1, "", "j.0.0.0", 1, "", "", 0) for worker in cluster.workers.values()
+    ]
+    assert all(cluster.cell.may_send_start(order) for order in orders)
+    cluster.operator.evacuate("a")
+    cluster.run(VIEW_MS)
+    assert [cluster.cell.may_send_start(order) for order in orders] == [False, True, False, True]
+    run_until_view_age(cluster, MAX_VIEW_AGE_MS)
+    assert not any(cluster.cell.may_send_start(order) for order in orders)
+
+
 def test_start_that_waits_for_the_journal_is_withdrawn() -> None:
     cluster = make_cluster(workers=2)
     spec = make_spec("j", make_step(1, lasting=True))
@@ -166,6 +224,24 @@
     assert count_starts(cluster, other, 0) == 0
 
 
+def test_stale_view_keeps_stragglers_from_being_copied() -> None:
+    cluster = make_cluster(workers=2)
+    run_until_view_age(cluster, MAX_VIEW_AGE_MS - 300)
+    cluster.submit(make_spec("j", make_step(1, speculative=True)), POLICY, {0: 30_000})
+    cluster.run(3_500)
+    assert len(cluster.ground_truth.starts) == 1
+
+
+def test_no_task_is_moved_while_it_could_not_start_again() -> None:
+    cluster = make_cluster()
+    submit_lasting(cluster, 4)
+    run_until_view_age(cluster, MAX_VIEW_AGE_MS)
+    cluster.workers["w0"].drain()
+    cluster.run(MOVE_MS)
+    assert len(cluster.ground_truth.list_running("s")) == 4
+    assert not cluster.cell.state.counters["run.stopped"]
+
+
 def test_all_data_centres_are_evacuated_at_once() -> None:
     cluster = make_cluster()
     submit_lasting(cluster, 4)
