--- a/tests/platform/test_evacuations.py
+++ b/tests/platform/test_evacuations.py
@@ -128,12 +128,23 @@
 
 
 def test_bound_and_data_centres_are_read_from_the_settings(tmp_path: Path) -> None:
-    zones = "\n[zones]\na = {}\nb = {}\n"
+    zones = "\n[zones]\na = {x = 1}\nb = {}\n"
     settings = load_settings(write_settings(tmp_path, "evacuationMs = 5000", zones), cells=1)
     assert settings.host.bounds.evacuation_ms == 5_000
     assert settings.data_centres == LISTED
     settings = load_settings(write_settings(tmp_path, ""), cells=1)
     assert settings.host.bounds.evacuation_ms == 0
+    assert settings.data_centres is None
+
+
+@pytest.mark.parametrize("zones", ['names = ["a", "b"]', "a = 1\nb = 2"])
+def test_other_lists_of_data_centres_do_not_keep_the_host_from_starting(
+    tmp_path: Path, zones: str
+) -> None:
+    path = write_settings(tmp_path, "evacuationMs = 5000", f"\n[zones]\n{zones}\n")
+    data_centres = load_settings(path, cells=1).data_centres
+    assert data_centres is not None
+    assert data_centres >= LISTED
 
 
 def test_bound_with_which_no_task_could_start_is_a_finding(tmp_path: Path) -> None:
