Do not wait in the first read of the configuration after a failed one

Cause: after one lost answer the view of the evacuations was confirmed by a read that stays open for a second, and became stale before it, so that nothing started. Change: the first read after a failure returns at once. Starts that were decided before a request are tested on the owner. Measured: tests/daemon/test_evacuations.py passes.

--- a/packages/daemon/src/quetzallock_daemon/cells/followers.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/followers.py
@@ -121,7 +121,9 @@
             page = await self._store.read_configuration()
             evacuated: set[str] = set()
         else:
-            page = await self._store.read_configuration_changes(self._offset, self._wait_ms)
+            # A read that does not wait confirms the view soonest after failed reads.
+            wait_ms = 0 if self._is_failing else self._wait_ms
+            page = await self._store.read_configuration_changes(self._offset, wait_ms)
             evacuated = set(self._evacuated)
         self._offset = page.next_offset
         self._apply_evacuations(page, evacuated, sent_at)
--- a/tests/daemon/test_evacuations.py
+++ b/tests/daemon/test_evacuations.py
@@ -1,14 +1,17 @@
 """Evacuations on an entry host: what the follower of the configuration confirms, and to whom."""
 
+from collections import Counter
 from collections.abc import Callable
+from types import SimpleNamespace
 from typing import Any
 
 import pytest
 from twisted.internet.task import Clock
 
-from quetzallock_core.cells.models import Bounds
+from quetzallock_core.cells.models import Bounds, Resources, StartRun, WorkerEntry
 from quetzallock_daemon.cells.clocks import BootClock
 from quetzallock_daemon.cells.followers import ConfigurationFollower, choose_config_wait_ms
+from quetzallock_daemon.cells.owner import CellOwner
 from quetzallock_daemon.cells.ports import (
     ConfigPage,
     EvacuationChange,
@@ -30,12 +33,14 @@
         self._reactor = reactor
         self._answers = answers
         self.newest_reads = 0
+        self.waits: list[int] = []
 
     async def read_configuration(self) -> ConfigPage:
         self.newest_reads += 1
         return await self._answer()
 
-    async def read_configuration_changes(self, _offset: int, _wait_ms: int) -> ConfigPage:
+    async def read_configuration_changes(self, _offset: int, wait_ms: int) -> ConfigPage:
+        self.waits.append(wait_ms)
         return await self._answer()
 
     async def _answer(self) -> ConfigPage:
@@ -90,6 +95,13 @@
     assert views == [(frozenset(), 0), (frozenset("a"), 0)]
 
 
+def test_first_read_after_a_failure_does_not_wait(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The view may be about to become stale; a read that waits would confirm it a second later."""
+    pages = [make_page(1), StoreUnavailableError("down"), make_page(1), make_page(1)]
+    _, store = follow(monkeypatch, *pages)
+    assert store.waits == [1_000, 0, 1_000, 1_000]
+
+
 def test_newest_records_replace_the_requests_after_compaction(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
@@ -117,6 +129,29 @@
     assert choose_config_wait_ms(Bounds(evacuation_ms=2_100)) == 420
 
 
+def test_owner_holds_back_starts_that_were_decided_before_the_request() -> None:
+    counters: Counter[str] = Counter()
+    unused: Any = SimpleNamespace()
+    owner = CellOwner(
+        unused,
+        0,
+        1,
+        Bounds(evacuation_ms=5_000),
+        unused,
+        unused,
+        lambda _: None,
+        counters,
+        lambda *_: None,
+    )
+    owner.ownership_confirmed_at = owner.clock.now()
+    entry = WorkerEntry("w", 1, "s", "w:1", "a", False, Resources(1, 1), (), "")
+    owner.cell.handle_entries({"w": entry})
+    owner.cell.state.emit(StartRun("w", 1, "w:1", "j.0.0.0", 1, "", "", 0))
+    owner.handle_evacuations(frozenset("a"), owner.clock.now())
+    owner.run_effects()
+    assert counters["orders.held_back"] == 1
+
+
 def test_host_that_takes_over_knows_the_requests_before_it_loads_the_cell(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
