--- a/packages/core/src/quetzallock_core/cells/models.py
+++ b/packages/core/src/quetzallock_core/cells/models.py
@@ -118,6 +118,7 @@
             durations of its steps, plus `target_ms`.
         target_ms: Constant term of that objective.
         version: Version of the configuration that these settings were read from.
+        weight: Share of the capacity relative to that of other queues of the same priority.
     """
 
     queue: str
@@ -127,6 +128,7 @@
     slack_factor: float = 1.0
     target_ms: int = 0
     version: int = 0
+    weight: float = 1.0
 
 
 @message(214)
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -121,6 +121,20 @@
     assert configuration.find_queue("other.example", "/a/") is None
 
 
+@pytest.mark.parametrize(("route", "weight"), [({}, 1.0), ({"weight": 2}, 2.0)])
+def test_weight_of_a_queue_is_decoded(route: dict[str, object], weight: float) -> None:
+    data = json.dumps({"version": 7, "routes": [{**ROUTE, **route}]}).encode()
+    assert decode_configuration(data).queues[0].policy.weight == weight
+
+
+@pytest.mark.parametrize("weight", [0, -1, 0.001, 101, 1e300, 10**400, True, "2", None, []])
+def test_weight_out_of_range_is_reported_with_its_place(weight: object) -> None:
+    """A weight of 0 would starve its queue, and a negative one would reverse the order."""
+    routes = [ROUTE, {**ROUTE, "weight": weight}]
+    with pytest.raises(InvalidInputError, match=r"routes\[1\]\.weight"):
+        decode_configuration(json.dumps({"version": 7, "routes": routes}).encode())
+
+
 def test_invalid_configuration_is_rejected() -> None:
     with pytest.raises(InvalidInputError, match="slackFactor"):
         decode_configuration(
