--- a/packages/core/src/quetzallock_core/cells/evacuation_moves.py
+++ b/packages/core/src/quetzallock_core/cells/evacuation_moves.py
@@ -38,7 +38,7 @@
         if not steps:
             return
         steps.sort(key=lambda step: not step.spec.lasting)
-        placement = Placement(state.workers.values(), state.interference, now)
+        placement = state.make_placement()
         demands = list_demands(state, now)
         searched = 0
         for step in steps:
--- a/packages/core/src/quetzallock_core/cells/models.py
+++ b/packages/core/src/quetzallock_core/cells/models.py
@@ -118,6 +118,7 @@
             durations of its steps, plus `target_ms`.
         target_ms: Constant term of that objective.
         version: Version of the configuration that these settings were read from.
+        weight: Share of the capacity relative to that of other queues of the same priority.
     """
 
     queue: str
@@ -127,6 +128,7 @@
     slack_factor: float = 1.0
     target_ms: int = 0
     version: int = 0
+    weight: float = 1.0
 
 
 @message(214)
@@ -241,11 +243,14 @@
             the second with the first.
         peak_tails: Serving image and its tail latency in ms at peak load without interference.
         durations: Queue and the mean duration in ms of its tasks.
+        services: Queue, whether for its long-running tasks, and the decayed service in core-ms that
+            it has received.
     """
 
     coefficients: tuple[tuple[str, str, float], ...]
     peak_tails: tuple[tuple[str, float], ...]
     durations: tuple[tuple[str, float], ...]
+    services: tuple[tuple[str, bool, float], ...] = ()
 
 
 @message(226)
