Leave CPU free for coming jobs when tasks move out of a data centre

Cause: with a third of the workers evacuated, moved long-running tasks filled the other data centres. Change: a move leaves a quarter of the remaining CPU free. Result: the new test fails without the change.

--- a/packages/core/src/quetzallock_core/cells/evacuation_moves.py
+++ b/packages/core/src/quetzallock_core/cells/evacuation_moves.py
@@ -1,6 +1,7 @@
 """Moves tasks out of evacuated data centres while no waiting task could use the capacity."""
 
 from collections import defaultdict
+from collections.abc import Iterable
 from typing import Final
 
 from .const import MAX_STEPS_MOVED_PER_TICK, ROOM_SEARCH_PAUSE_MS
@@ -15,6 +16,10 @@
 """Maximum number of different demands of waiting tasks that a move is checked against. Bounds the
 work of a tick while many steps wait."""
 
+MIN_FREE_SHARE: Final = 0.25
+"""Share of the remaining workers' CPU that moves leave free: the jobs of the next seconds have
+nowhere else to run, while the tasks that would be moved go on where they are."""
+
 _REASON: Final = "data centre is evacuated"
 
 
@@ -76,6 +81,8 @@
             target = placement.choose(run.task)
             if target is None or _is_demanded(target, placement, demands):
                 return number
+            if not _leaves_free_share(run, placement.workers):
+                return number
             move_run(self._state, run, target, _REASON)
             placement.update_worker(target)
         return len(runs)
@@ -85,6 +92,19 @@
     return any(placement.find_obstacle(task, worker) is None for task in demands)
 
 
+def _leaves_free_share(run: Run, workers: Iterable[Worker]) -> bool:
+    """Return whether enough CPU of `workers` remains free after a move of `run` to one of them.
+
+    For best-effort work, what the other tasks are expected to leave idle counts.
+    """
+    spec = run.task.spec
+    service = run.task.job.policy.service
+    pool = [worker for worker in workers if worker.entry.service == service]
+    capacity = sum(worker.entry.capacity.cpu for worker in pool)
+    free = sum(worker.idle_cpu if spec.fills else worker.free.cpu for worker in pool)
+    return free - spec.needs.cpu >= MIN_FREE_SHARE * capacity
+
+
 def count_evacuable(step: StepRun) -> int:
     """Return how many tasks of `step` may be moved now.
 
--- a/tests/core/cells/test_evacuation.py
+++ b/tests/core/cells/test_evacuation.py
@@ -306,6 +306,15 @@
     assert len(list_running_in(cluster, "a")) == 2
 
 
+def test_moves_leave_capacity_for_the_jobs_of_the_next_seconds() -> None:
+    cluster = make_cluster(capacity=Resources(4_000, 16_000, 0))
+    submit_lasting(cluster, 8)
+    cluster.operator.evacuate("a")
+    cluster.run(2 * MOVE_MS)
+    assert len(list_running_in(cluster, "a")) == 2
+    assert len(list_running_in(cluster, "b")) == 6
+
+
 def test_waiting_task_gets_the_capacity_before_a_move(monkeypatch: pytest.MonkeyPatch) -> None:
     cluster = make_cluster(workers=2, capacity=ROOM_FOR_TWO)
     submit_lasting(cluster, 3)
