Represent reserved capacity by a record of its own

Cause: capacity on a worker is kept under the run that is stopped on another worker, so nothing can be kept for a task that has no run. Change: Reservation names the task, the worker and, for a move, the run. It may wait for runs on the same worker to end, and commits what they free as they do. Reservations end with the task, its job or the worker, in one module. Moves are decided as before. The random faults check the new representation: every reservation is for a task that is about to start, and its capacity is counted once.

--- a/packages/core/src/quetzallock_core/cells/jobs.py
+++ b/packages/core/src/quetzallock_core/cells/jobs.py
@@ -46,8 +46,6 @@
         resend_at: Local ms at which an unanswered order is sent again.
         unanswered: Number of start orders without an answer. Each may still be carried out, also
             by another boot of the worker.
-        reserved_on: Id of the worker that keeps room for the task while this run is stopped, or
-            empty.
         is_unsent: No start order went to this boot of the worker.
     """
 
@@ -70,7 +68,6 @@
     answered_clock_ms: int = -1
     resend_at: int = 0
     unanswered: int = 0
-    reserved_on: str = ""
     is_unsent: bool = False
 
     @property
--- a/packages/core/src/quetzallock_core/cells/migration.py
+++ b/packages/core/src/quetzallock_core/cells/migration.py
@@ -100,8 +100,7 @@
 
     def _migrate(self, run: Run, target: Worker) -> None:
         """Stop a run, and keep room for its task on another worker until the run has ended."""
-        target.reserve(run)
-        run.reserved_on = target.id
+        self._state.reservations.reserve_for_move(run, target)
         self._state.stop_run(run, "worker is leaving")
 
 
--- /dev/null
+++ b/packages/core/src/quetzallock_core/cells/reservations.py
@@ -0,0 +1,82 @@
+"""Capacity that workers keep for tasks that are about to start there."""
+
+from .jobs import Run, Task
+from .workers import Reservation, Worker
+
+
+class Reservations:
+    """The reservations of a cell, one for each task at most.
+
+    They are not in the journal: a new owner starts without any, and decides again.
+
+    Attributes:
+        by_task: The reservations by the task that they are for.
+    """
+
+    def __init__(self) -> None:
+        self.by_task: dict[Task, Reservation] = {}
+        self._by_preempted_run: dict[Run, Reservation] = {}
+
+    def reserve_for_move(self, run: Run, target: Worker) -> None:
+        """Keep capacity on `target` for the task of `run` until that run has ended."""
+        self._add(Reservation(run.task, target, moved_run=run))
+
+    def reserve_for_waiting(
+        self, task: Task, worker: Worker, preempted: tuple[Run, ...], expires_at: int
+    ) -> None:
+        """Keep the capacity that `preempted` free on `worker` for a waiting task."""
+        self._add(
+            Reservation(task, worker, preempted=dict.fromkeys(preempted), expires_at=expires_at)
+        )
+
+    def _add(self, reservation: Reservation) -> None:
+        self.release(reservation.task)
+        self.by_task[reservation.task] = reservation
+        for run in reservation.preempted:
+            self._by_preempted_run[run] = reservation
+        reservation.worker.reserve(reservation)
+
+    def release(self, task: Task) -> None:
+        """Free the capacity that is kept for `task`, if any."""
+        reservation = self.by_task.pop(task, None)
+        if reservation is None:
+            return
+        for run in reservation.preempted:
+            del self._by_preempted_run[run]
+        reservation.worker.release(reservation)
+
+    def handle_start(self, run: Run) -> None:
+        """Release the reservation of a task of which `run` was added to a worker."""
+        reservation = self.by_task.get(run.task)
+        if reservation is not None and reservation.moved_run is not run:
+            self.release(run.task)
+
+    def handle_end(self, run: Run) -> None:
+        """Process the end of a run: a move is over, or a preempted run has freed its resources."""
+        reservation = self.by_task.get(run.task)
+        if reservation is not None and reservation.moved_run is run:
+            self.release(run.task)
+        claim = self._by_preempted_run.pop(run, None)
+        if claim is not None:
+            del claim.preempted[run]
+            claim.worker.update_reservation(claim)
+
+    def release_worker(self, worker: Worker) -> None:
+        """Release all reservations on a worker that is gone."""
+        for reservation in list(worker.reservations.values()):
+            self.release(reservation.task)
+
+    def release_unusable(self, now: int) -> None:
+        """Release reservations for waiting tasks that have expired or whose worker is leaving."""
+        for reservation in list(self.by_task.values()):
+            if reservation.moved_run is None and (
+                now >= reservation.expires_at or not _is_usable(reservation.worker, now)
+            ):
+                self.release(reservation.task)
+
+
+def _is_usable(worker: Worker, now: int) -> bool:
+    """Return whether `worker` may still get the task that it keeps capacity for."""
+    if worker.entry.is_draining or worker.is_overcommitted:
+        return False
+    return worker.is_listed and worker.is_reachable(now)
--- a/packages/core/src/quetzallock_core/cells/state.py
+++ b/packages/core/src/quetzallock_core/cells/state.py
@@ -21,6 +21,7 @@
     StopRun,
     WorkerEntry,
 )
+from .reservations import Reservations
 from .unverified import UnverifiedWorkers
 from .workers import Worker
 
@@ -34,6 +35,7 @@
         read_unix_ms: Returns the Unix time in ms by the host's clock, which may jump.
         unverified: Workers that may run tasks which this owner has not seen yet.
         crashes: Tasks that may crash the workers that start them.
+        reservations: Capacity that workers keep for tasks that are about to start there.
         open_steps: Steps with unfinished tasks whose predecessors are done.
         dirty: Jobs whose progress the journal does not hold yet.
         counters: Number of decisions by event.
@@ -63,6 +65,7 @@
         self.workers: dict[str, Worker] = {}
         self.unverified = UnverifiedWorkers(self.workers, clock)
         self.crashes = CrashSuspects(self)
+        self.reservations = Reservations()
         self.open_steps: dict[StepRun, None] = {}
         self.dirty: dict[Job, None] = {}
         self.durations = DurationEstimates()
@@ -183,6 +186,7 @@
             "job.over", job=job.id, state=job.state, after_ms=self.compute_age_ms(job)
         )
         for task in job.list_tasks():
+            self.reservations.release(task)
             for run in list(task.runs.values()):
                 self.stop_run(run, "job is over")
 
@@ -246,9 +250,7 @@
             if event != "lapse":
                 self.crashes.end_exposure(run.task, worker.boot)
             self._record_best_effort_shares(worker, run)
-        target = self.workers.get(run.reserved_on)
-        if target is not None:
-            target.release(run)
+        self.reservations.handle_end(run)
 
     def lapse_run(self, run: Run) -> None:
         """Remove a run that is over without a reported end, and requeue its task."""
@@ -258,6 +260,7 @@
 
     def add_run(self, worker: Worker, run: Run) -> None:
         """Add a run to its worker and commit its resources."""
+        self.reservations.handle_start(run)
         worker.add(run)
         self._record_best_effort_shares(worker, run)
 
@@ -278,6 +281,7 @@
         if task.is_done:
             return
         task.is_done = True
+        self.reservations.release(task)
         task.step.done += 1
         job = task.job
         self.dirty[job] = None
@@ -318,6 +322,7 @@
         self.crashes.handle_loss(worker)
         for run in list(worker.runs.values()):
             self.lapse_run(run)
+        self.reservations.release_worker(worker)
         if self.workers.get(worker.id) is worker:
             del self.workers[worker.id]
             if not self.unverified.has_boot_of(worker.id):
--- a/packages/core/src/quetzallock_core/cells/workers.py
+++ b/packages/core/src/quetzallock_core/cells/workers.py
@@ -12,7 +12,7 @@
     SUSPECT_FAILURES,
     UNREACHABLE_TIMEOUT_MS,
 )
-from .jobs import Run, StepRun
+from .jobs import Run, StepRun, Task
 from .models import Boot, Resources, StepSpec, WorkerEntry
 
 INITIAL_SLOWNESS = 1.0
@@ -50,6 +50,36 @@
         return total
 
 
+@dataclass(slots=True, eq=False)
+class Reservation:
+    """Capacity that a worker keeps for a task that is about to start there.
+
+    Attributes:
+        task: The task.
+        worker: The worker.
+        moved_run: Run on another worker that is being stopped to move the task here; None if the
+            task waits.
+        preempted: Runs on the worker that are being stopped for the task.
+        expires_at: Local ms at which capacity for a waiting task is released.
+        held: What is committed for it by now: the commitment of the task, less that of `preempted`.
+    """
+
+    task: Task
+    worker: "Worker"
+    moved_run: Run | None = None
+    preempted: dict[Run, None] = field(default_factory=dict)
+    expires_at: int = 0
+    held: Resources = Resources()
+
+    def compute_held(self) -> Resources:
+        """Return what must be committed while `preempted` still commit their resources."""
+        spec = self.task.spec
+        held = compute_commitment(spec.needs, spec.fills)
+        for run in self.preempted:
+            held = held - compute_commitment(run.task.spec.needs, run.task.spec.fills)
+        return Resources(max(0, held.cpu), max(0, held.memory_mb), max(0, held.gpus))
+
+
 @dataclass(slots=True, eq=False)
 class Worker:
     """One boot of a worker.
@@ -58,8 +88,7 @@
         is_listed: The platform's list has an entry of this boot.
         runs: Runs that may be going on there, by task name.
         committed: Resources of these runs, including those being stopped, and of the reservations.
-        reservations: Runs on other workers that are being stopped to move their tasks here, by task
-            name.
+        reservations: Capacity kept for tasks that are about to start here, by task name.
         crash_suspects: Those of the runs that were suspects of a crash at their start.
         expected_extra_cpu: Processor use expected in addition to the commitments: that of the
             best-effort tasks, less what the serving tasks leave unused. In thousandths of a core.
@@ -93,7 +122,7 @@
     is_listed: bool = True
     runs: dict[str, Run] = field(default_factory=dict)
     committed: Resources = Resources()
-    reservations: dict[str, Run] = field(default_factory=dict)
+    reservations: dict[str, Reservation] = field(default_factory=dict)
     crash_suspects: dict[str, Run] = field(default_factory=dict)
     expected_extra_cpu: int = 0
     clock_ms: int = 0
@@ -214,7 +243,9 @@
         self.runs[run.task.name] = run
         if run.task.crashes:
             self.crash_suspects[run.task.name] = run
-        self._add_load(run.task.spec, compute_paced_cpu(run))
+        spec = run.task.spec
+        commitment = compute_commitment(spec.needs, spec.fills)
+        self._add_load(spec, commitment, compute_paced_cpu(run))
 
     def remove(self, run: Run) -> None:
         """Remove a run and free its resources."""
@@ -222,11 +253,13 @@
             return
         del self.runs[run.task.name]
         self.crash_suspects.pop(run.task.name, None)
-        self._remove_load(run.task.spec, compute_paced_cpu(run))
+        spec = run.task.spec
+        commitment = compute_commitment(spec.needs, spec.fills)
+        self._remove_load(spec, commitment, compute_paced_cpu(run))
 
-    def _add_load(self, spec: StepSpec, paced_cpu: int) -> None:
-        """Commit the resources of a task; `paced_cpu` is the processor of a best-effort one."""
-        self.committed = self.committed + compute_commitment(spec.needs, spec.fills)
+    def _add_load(self, spec: StepSpec, commitment: Resources, paced_cpu: int) -> None:
+        """Commit resources for a task; `paced_cpu` is the processor of a best-effort one."""
+        self.committed = self.committed + commitment
         if spec.fills:
             self.expected_extra_cpu += paced_cpu
             self.best_effort_count += 1
@@ -234,9 +267,9 @@
             self.serving_count += 1
             self.expected_extra_cpu -= int((1 - SERVING_PEAK_LOAD) * spec.needs.cpu)
 
-    def _remove_load(self, spec: StepSpec, paced_cpu: int) -> None:
+    def _remove_load(self, spec: StepSpec, commitment: Resources, paced_cpu: int) -> None:
         """Free what `_add_load` has committed."""
-        self.committed = self.committed - compute_commitment(spec.needs, spec.fills)
+        self.committed = self.committed - commitment
         if spec.fills:
             self.expected_extra_cpu -= paced_cpu
             self.best_effort_count -= 1
@@ -244,27 +277,36 @@
             self.serving_count -= 1
             self.expected_extra_cpu += int((1 - SERVING_PEAK_LOAD) * spec.needs.cpu)
 
-    def reserve(self, run: Run) -> None:
-        """Keep room for the task of `run`, which is being stopped on another worker."""
-        self.reservations[run.task.name] = run
-        self._add_load(run.task.spec, run.task.spec.needs.cpu)
-
-    def release(self, run: Run) -> None:
-        """Free the room that was kept for the task of `run`."""
-        if self.reservations.get(run.task.name) is not run:
+    def reserve(self, reservation: Reservation) -> None:
+        """Keep capacity for a task that is about to start here."""
+        self.reservations[reservation.task.name] = reservation
+        reservation.held = reservation.compute_held()
+        spec = reservation.task.spec
+        self._add_load(spec, reservation.held, spec.needs.cpu)
+
+    def update_reservation(self, reservation: Reservation) -> None:
+        """Commit what a preempted run has freed to the task that it was preempted for."""
+        held = reservation.compute_held()
+        self.committed = self.committed + held - reservation.held
+        reservation.held = held
+
+    def release(self, reservation: Reservation) -> None:
+        """Free the capacity that was kept for a task."""
+        if self.reservations.get(reservation.task.name) is not reservation:
             return
-        del self.reservations[run.task.name]
-        self._remove_load(run.task.spec, run.task.spec.needs.cpu)
+        del self.reservations[reservation.task.name]
+        spec = reservation.task.spec
+        self._remove_load(spec, reservation.held, spec.needs.cpu)
 
     @property
     def is_idle(self) -> bool:
-        """Whether nothing runs there, and no task moves there."""
+        """Whether nothing runs there, and no task is about to start there."""
         return not self.runs and not self.reservations
 
     def count_tasks(self, step: StepRun) -> int:
-        """Return the number of tasks of `step` that may be running there or that move there."""
-        runs = (*self.runs.values(), *self.reservations.values())
-        return sum(run.task.step is step for run in runs)
+        """Return the number of tasks of `step` that may be running or are about to start there."""
+        running = sum(run.task.step is step for run in self.runs.values())
+        return running + sum(kept.task.step is step for kept in self.reservations.values())
 
     def change_pace(self, run: Run, percent: int, now: int) -> None:
         """Record that a best-effort run was ordered to another pace."""
--- a/tests/core/cells/test_faults.py
+++ b/tests/core/cells/test_faults.py
@@ -102,16 +102,34 @@
         assert not self.cluster.ground_truth.violations
 
     @invariant()
-    def room_is_committed_to_runs_and_moving_tasks_only(self) -> None:
+    def room_is_committed_to_runs_and_reservations_only(self) -> None:
         state = self.cluster.cell.state
+        reservations = {}
         for worker in state.workers.values():
             expected = Resources()
-            for run in [*worker.runs.values(), *worker.reservations.values()]:
+            for run in worker.runs.values():
                 expected = expected + run.task.spec.needs
+            for reservation in worker.reservations.values():
+                expected = expected + reservation.held
+                assert reservation.worker is worker
+                reservations[reservation.task] = reservation
             assert worker.committed == expected
-            for run in worker.reservations.values():
+        assert state.reservations.by_task == reservations
+
+    @invariant()
+    def room_is_reserved_for_tasks_that_are_about_to_start_only(self) -> None:
+        for task, reservation in self.cluster.cell.state.reservations.by_task.items():
+            run = reservation.moved_run
+            if run is None:
+                assert task.is_waiting
+                assert not task.job.is_over
+            else:
+                assert reservation.held == task.spec.needs
                 assert run.state == "stopping"
-                assert run.number in run.task.runs
+                assert run.number in task.runs
+            for preempted in reservation.preempted:
+                assert preempted.state == "stopping"
+                assert reservation.worker.runs[preempted.task.name] is preempted
 
     def teardown(self) -> None:
         if not hasattr(self, "cluster"):
