Preempt runs of lower priority for tasks that wait too long

Cause: tasks of a high priority wait for the ends of runs of a lower one that fill the workers; nothing stops these runs. Change: each tick looks for tasks that have waited for 300 ms only since runs of a lower priority hold resources. The runs with the least lost work on one worker are stopped, and what they free is kept there for the waiting task until it starts, its job ends, the worker leaves or 3 s have passed. Runs that last, serve, belong to a gang, are near their end, are crash suspects or may have another run are left alone, and a preempted task is safe for 5 s after its restart. A cell preempts 20 runs a second at most, and a queue loses a fifth of its runs in 2 s at most. Where all queues have one priority nothing changes.

--- a/packages/core/src/quetzallock_core/cells/cell.py
+++ b/packages/core/src/quetzallock_core/cells/cell.py
@@ -21,6 +21,7 @@
     TicketOutcome,
     WorkerEntry,
 )
+from .preemption import Preemption
 from .scheduler import Scheduler
 from .state import CellState
 from .waiting import WaitReporter
@@ -53,6 +54,7 @@
         self._reader = InventoryReader(self.state)
         self._scheduler = Scheduler(self.state, order)
         self._migration = Migration(self.state)
+        self._preemption = Preemption(self.state)
         self._wait_reporter = WaitReporter(self.state)
         self.batches = BatchMaker(self.state)
         self.answers = OrderAnswers(self.state)
@@ -178,6 +180,7 @@
             self._scheduler.copy_stragglers()
             self._migration.migrate_paused_runs()
             self._migration.migrate_from_leaving_workers()
+            self._preemption.preempt_for_waiting_tasks()
             self._wait_reporter.report()
         self._open_due_jobs()
         self._expire_jobs(now)
--- a/packages/core/src/quetzallock_core/cells/inventory.py
+++ b/packages/core/src/quetzallock_core/cells/inventory.py
@@ -98,8 +98,9 @@
             run.advance("confirm")
             mark_started(self._state, run.task.job)
         run.is_listed = True
-        if row.checkpoint:
+        if row.checkpoint and row.checkpoint != run.task.checkpoint:
             run.task.checkpoint = row.checkpoint
+            run.checkpoint_at = now
         self._record_progress(run, row, now)
         return run
 
--- a/packages/core/src/quetzallock_core/cells/jobs.py
+++ b/packages/core/src/quetzallock_core/cells/jobs.py
@@ -35,6 +35,7 @@
         metric: Tail latency or processor use, as last reported.
         pace: Pace that was last ordered, in percent of full speed.
         paced_at: Local ms of that order.
+        checkpoint_at: Local ms at which its last new checkpoint was seen; 0 before the first.
         over_target_since: Local ms since which a serving run is over its target; 0 if it is not.
         pressure: Predicted effect of colocated best-effort tasks on its tail, as an exponent.
         is_best_effort_colocated: Best-effort tasks ran on the worker when it last reported.
@@ -60,6 +61,7 @@
     metric: float = 0.0
     pace: int = 100
     paced_at: int = 0
+    checkpoint_at: int = 0
     over_target_since: int = 0
     pressure: float = 0.0
     is_best_effort_colocated: bool = False
@@ -89,6 +91,7 @@
         checkpoint: Newest checkpoint, or empty.
         runs: Runs that may be going on, by run number.
         not_before: Local ms before which it is not started again.
+        preempted_at: Local ms at which a run of it was preempted last; 0 for never.
         avoid: Ids of workers on which it failed or was stopped, which cost more in placement.
         crashes: Crashes of workers under it, of which it is suspected.
         exposures: Boots on which it may be running, as recorded for the next owner.
@@ -107,6 +110,7 @@
     checkpoint: str = ""
     runs: dict[int, Run] = field(default_factory=dict)
     not_before: int = 0
+    preempted_at: int = 0
     avoid: set[str] = field(default_factory=set)
     crashes: tuple[CrashRecord, ...] = ()
     exposures: tuple[Boot, ...] = ()
--- a/packages/core/src/quetzallock_core/cells/placement.py
+++ b/packages/core/src/quetzallock_core/cells/placement.py
@@ -67,10 +67,13 @@
 
 def find_obstacle(task: Task, worker: Worker, now: int) -> Obstacle | None:
     """Return what keeps `task` from `worker`, which accepts tasks; None if it may start there."""
+    shortage = _find_shortage(task.spec, worker)
+    return find_constraint(task, worker, now) if shortage is None else shortage
+
+
+def find_constraint(task: Task, worker: Worker, now: int) -> Obstacle | None:
+    """Return what keeps `task` from `worker`, however many resources are free there."""
     spec = task.spec
-    shortage = _find_shortage(spec, worker)
-    if shortage is not None:
-        return shortage
     if worker.entry.service != task.job.policy.service:
         return Obstacle.POOL
     if spec.required_label and spec.required_label not in worker.entry.labels:
--- a/packages/core/src/quetzallock_core/cells/reservations.py
+++ b/packages/core/src/quetzallock_core/cells/reservations.py
@@ -1,6 +1,6 @@
 """Capacity that workers keep for tasks that are about to start there."""
 
-from .jobs import Run, Task
+from .jobs import Run, StepRun, Task
 from .workers import Reservation, Worker
 
 
@@ -17,6 +17,10 @@
         self.by_task: dict[Task, Reservation] = {}
         self._by_preempted_run: dict[Run, Reservation] = {}
 
+    def has_step(self, step: StepRun) -> bool:
+        """Return whether capacity is kept for a task of `step`."""
+        return any(task.step is step for task in self.by_task)
+
     def reserve_for_move(self, run: Run, target: Worker) -> None:
         """Keep capacity on `target` for the task of `run` until that run has ended."""
         self._add(Reservation(run.task, target, moved_run=run))
--- a/packages/core/src/quetzallock_core/cells/scheduler.py
+++ b/packages/core/src/quetzallock_core/cells/scheduler.py
@@ -11,6 +11,17 @@
 from .workers import Worker
 
 
+def may_start(state: CellState, task: Task, now: int) -> bool:
+    """Return whether a waiting task may be started now, if there is a worker."""
+    if now < task.not_before or state.unverified.may_be_running(task):
+        return False
+    if not state.crashes.may_start(task, now):
+        return False
+    if task.spec.lasting:
+        return True
+    return task.attempts < task.job.policy.max_attempts
+
+
 class Scheduler:
     """Starts the tasks of one cell on its workers."""
 
@@ -44,27 +55,16 @@
             if task.is_done or task.runs:
                 continue
             step.has_no_waiting_task = False
-            if self._may_start(task, now):
+            if may_start(self._state, task, now):
                 return True
         return False
 
-    def _may_start(self, task: Task, now: int) -> bool:
-        """Return whether a waiting task may be started now."""
-        state = self._state
-        if now < task.not_before or state.unverified.may_be_running(task):
-            return False
-        if not state.crashes.may_start(task, now):
-            return False
-        if task.spec.lasting:
-            return True
-        return task.attempts < task.job.policy.max_attempts
-
     def _start_tasks(self, step: StepRun, placement: Placement, now: int) -> None:
         placed: defaultdict[str, list[int]] = defaultdict(list)
-        for task in step.tasks:
-            if task.is_done or task.runs or not self._may_start(task, now):
+        for task in self._list_by_need(step, placement, now):
+            if task.is_done or task.runs or not may_start(self._state, task, now):
                 continue
-            worker = placement.choose(task)
+            worker = self._find_reserved(task, placement, now) or placement.choose(task)
             if worker is None and task.crashes:
                 continue
             if worker is None:
@@ -75,6 +75,36 @@
         if placed:
             self._log_started(step, placed, now)
 
+    def _list_by_need(self, step: StepRun, placement: Placement, now: int) -> list[Task]:
+        """Return the tasks of a step in the order in which they are placed.
+
+        Those whose reserved capacity is free come first, and those that wait for theirs come last.
+        """
+        reservations = self._state.reservations
+        if not reservations.has_step(step):
+            return step.tasks
+        by_task = reservations.by_task
+
+        def compute_rank(task: Task) -> int:
+            if task not in by_task:
+                return 1
+            return 0 if self._find_reserved(task, placement, now) else 2
+
+        return sorted(step.tasks, key=compute_rank)
+
+    def _find_reserved(self, task: Task, placement: Placement, now: int) -> Worker | None:
+        """Return the worker that keeps capacity for a waiting task, if it may start there now."""
+        reservation = self._state.reservations.by_task.get(task)
+        if reservation is None or reservation.moved_run or reservation.preempted:
+            return None
+        worker = reservation.worker
+        if not worker.can_accept_task(now):
+            return None
+        worker.release(reservation)
+        obstacle = placement.find_obstacle(task, worker)
+        worker.reserve(reservation)
+        return worker if obstacle is None else None
+
     def _log_started(self, step: StepRun, placed: dict[str, list[int]], now: int) -> None:
         self._state.log_decision(
             "tasks.started",
@@ -86,7 +116,7 @@
         )
 
     def _start_gang(self, step: StepRun, placement: Placement, now: int) -> None:
-        if not all(task.is_waiting and self._may_start(task, now) for task in step.tasks):
+        if not all(task.is_waiting and may_start(self._state, task, now) for task in step.tasks):
             return
         chosen = placement.choose_for_gang(step)
         if chosen is None:
--- a/packages/core/src/quetzallock_core/cells/state.py
+++ b/packages/core/src/quetzallock_core/cells/state.py
@@ -273,7 +273,7 @@
         if checkpoint:
             task.checkpoint = checkpoint
         pause_ms = 0 if task.spec.lasting else RETRY_PAUSE_MS
-        task.not_before = self.clock.now() + pause_ms
+        task.not_before = max(task.not_before, self.clock.now() + pause_ms)
         self.dirty[task.job] = None
 
     def finish_task(self, task: Task, run_number: int) -> None:
