Test preemption under random faults, and each of its rules

Cause: the random faults never fill the workers, so no run is preempted there. Further tests fail if a rule of the preemption is taken out.

--- a/packages/core/src/quetzallock_core/cells/preemption.py
+++ b/packages/core/src/quetzallock_core/cells/preemption.py
@@ -184,7 +184,7 @@
         steps = self._list_waiting_steps(now)
         if not steps:
             return
-        search = _VictimSearch(state, self._limits, now)
+        search = VictimSearch(state, self._limits, now)
         for step in steps[:MAX_STEPS_SEARCHED]:
             if not self._preempt_for_step(step, search):
                 self._search_after[step] = now + SEARCH_PAUSE_MS
@@ -216,7 +216,7 @@
             return False
         return task not in self._state.reservations.by_task and may_start(self._state, task, now)
 
-    def _preempt_for_step(self, step: StepRun, search: "_VictimSearch") -> bool:
+    def _preempt_for_step(self, step: StepRun, search: "VictimSearch") -> bool:
         """Preempt runs for the late tasks of a step; return whether there were enough."""
         tasks = [task for task in step.tasks if self._is_late(task, search.now)]
         choices = search.list_choices(tasks[0])
@@ -238,7 +238,7 @@
             "preemption.limited", task=task.name, queue=task.job.policy.queue, limit=limit
         )
 
-    def _preempt(self, task: Task, choice: "_Choice", search: "_VictimSearch") -> None:
+    def _preempt(self, task: Task, choice: "_Choice", search: "VictimSearch") -> None:
         """Stop the victims, and keep what they free for `task`."""
         state = self._state
         now = search.now
@@ -271,7 +271,7 @@
     victims: Victims
 
 
-class _VictimSearch:
+class VictimSearch:
     """The search for victims within one tick.
 
     Attributes:
--- a/tests/core/cells/test_faults.py
+++ b/tests/core/cells/test_faults.py
@@ -4,9 +4,10 @@
 
 from hypothesis import Phase, settings
 from hypothesis import strategies as st
-from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
 from quetzallock_core.cells.models import QueuePolicy, Resources
+from quetzallock_core.cells.workers import compute_commitment
 from quetzallock_standins.emulator import CellCluster
 from quetzallock_standins.emulator.cluster import make_spec
 
@@ -16,14 +17,18 @@
 
 WORKERS = st.sampled_from(["w0", "w1", "w2", "w3"])
 POLICY = QueuePolicy("queue", "pool", 0, 3, 2.0, 1_000, 1)
+LOW_POLICY = QueuePolicy("low", "pool", 2, 3, 2.0, 1_000, 1)
 
 
 class CellFaults(RuleBasedStateMachine):
     """Jobs, cancellations, crashes, partitions, takeovers, outages, lost and late orders."""
 
+    capacity = Resources(16_000, 64_000, 0)
+    settle_ms = 25_000
+
     @initialize(seed=st.integers(0, 10_000))
     def begin(self, seed: int) -> None:
-        self.cluster = CellCluster(seed=seed)
+        self.cluster = CellCluster(capacity=self.capacity, seed=seed)
         self.cluster.run(500)
         self.jobs: list[str] = []
         self.lasting: list[str] = []
@@ -108,7 +113,8 @@
         for worker in state.workers.values():
             expected = Resources()
             for run in worker.runs.values():
-                expected = expected + run.task.spec.needs
+                spec = run.task.spec
+                expected = expected + compute_commitment(spec.needs, spec.fills)
             for reservation in worker.reservations.values():
                 expected = expected + reservation.held
                 assert reservation.worker is worker
@@ -143,7 +149,7 @@
             if worker.entry.is_draining:
                 worker.crash()
                 cluster.revive(worker.id)
-        cluster.run(25_000 + 25_000 * len(self.crashing))
+        cluster.run(self.settle_ms + 25_000 * len(self.crashing))
         assert not cluster.ground_truth.violations
         for job in cluster.cell.state.jobs.values():
             if job.id not in self.lasting:
@@ -181,11 +187,40 @@
             self.check_crashes()
 
 
+class ContentionFaults(CellFaults):
+    """The same on small workers, which jobs of two priorities fill, so that runs are preempted."""
+
+    capacity = Resources(3_000, 6_000, 0)
+    settle_ms = 90_000
+
+    @rule(
+        duration_ms=st.integers(2_000, 6_000),
+        saves=st.booleans(),
+        fills=st.booleans(),
+        wait_ms=st.integers(0, 1_500),
+    )
+    def submit_low_and_high(self, duration_ms: int, saves: bool, fills: bool, wait_ms: int) -> None:
+        job = f"j{len(self.jobs)}"
+        self.jobs.append(job)
+        step = make_step(12, saves=saves, fills=fills, estimate_ms=2 * duration_ms)
+        self.cluster.submit(make_spec(job, step), LOW_POLICY, {0: duration_ms})
+        self.cluster.run(300)
+        self.submit(3, 1_000, saves=saves, speculative=False)
+        self.cluster.run(wait_ms)
+
+    @precondition(lambda self: len(self.lasting) < 2)
+    @rule(count=st.integers(1, 3))
+    def submit_lasting(self, count: int) -> None:
+        super().submit_lasting(count)
+
+
 CellFaults.TestCase.settings = settings(max_examples=60, stateful_step_count=15)
 CrashingTaskFaults.TestCase.settings = settings(
     max_examples=60,
     stateful_step_count=15,
     phases=(Phase.explicit, Phase.generate),
 )
+ContentionFaults.TestCase.settings = settings(max_examples=60, stateful_step_count=20)
 TestCellFaults = CellFaults.TestCase
+TestContentionFaults = ContentionFaults.TestCase
 TestCrashingTaskFaults = CrashingTaskFaults.TestCase
--- a/tests/core/cells/test_preemption.py
+++ b/tests/core/cells/test_preemption.py
@@ -1,16 +1,23 @@
 """Tasks of a high priority that find the workers full of tasks of a lower one."""
 
 from collections import Counter
+from dataclasses import replace
 
 import pytest
 
-from quetzallock_core.cells.const import MAX_LEASE_MS, ORDER_TIMEOUT_MS
-from quetzallock_core.cells.models import QueuePolicy, Resources
+from quetzallock_core.cells.const import (
+    MAX_LEASE_MS,
+    ORDER_TIMEOUT_MS,
+    UNREACHABLE_TIMEOUT_MS,
+)
+from quetzallock_core.cells.models import CrashRecord, QueuePolicy, Resources
 from quetzallock_core.cells.preemption import (
     PREEMPTED_PAUSE_MS,
     PROTECTED_MS,
     RESERVATION_MS,
+    SEARCH_PAUSE_MS,
     WAIT_LIMIT_MS,
+    VictimSearch,
 )
 from quetzallock_core.cells.preemption_limits import (
     CELL_INTERVAL_MS,
@@ -83,9 +90,12 @@
 def test_high_priority_does_not_wait_for_memory_that_low_priority_fills() -> None:
     cluster = make_full_cluster()
     submit_high(cluster, count=3)
-    cluster.run(START_BOUND_MS)
+    cluster.run(WAIT_LIMIT_MS - 10)
+    assert not count_preemptions(cluster)
+    cluster.run(START_BOUND_MS - WAIT_LIMIT_MS + 10)
     assert len(cluster.ground_truth.list_running("high")) == 3
     assert len(list_preempted(cluster)) == 3
+    assert not cluster.cell.state.reservations.by_task
     check_all_done(cluster)
 
 
@@ -142,6 +152,39 @@
     assert cluster.ground_truth.list_running("high")
 
 
+def test_crash_suspects_are_not_preempted() -> None:
+    cluster = make_full_cluster()
+    for task in cluster.cell.state.jobs["low"].list_tasks():
+        task.crashes = (CrashRecord("gone", 1),)
+    submit_high(cluster)
+    cluster.run(2_000)
+    assert not count_preemptions(cluster)
+
+
+def test_tasks_that_may_run_on_an_unverified_worker_are_not_preempted() -> None:
+    cluster = make_full_cluster()
+    cluster.workers["w1"].is_isolated = True
+    cluster.kill_owner()
+    cluster.take_over()
+    submit_high(cluster)
+    cluster.run(2_000)
+    assert not count_preemptions(cluster)
+
+
+def test_runs_that_write_checkpoints_go_before_younger_ones_that_lose_more_work() -> None:
+    low = make_step(4, fills=True, saves=True, estimate_ms=2 * LOW_MS)
+    cluster = CellCluster(workers=1, capacity=CAPACITY)
+    cluster.run(500)
+    cluster.submit(make_spec("saving", low), LOW, {0: LOW_MS})
+    cluster.run(3_000)
+    cluster.submit(make_spec("plain", replace(low, saves=False)), LOW, {0: LOW_MS})
+    cluster.run(1_000)
+    submit_high(cluster)
+    cluster.run(START_BOUND_MS)
+    ((_, task),) = list_preempted(cluster)
+    assert task.startswith("saving")
+
+
 def test_a_preempted_task_resumes_and_is_not_preempted_again_for_seconds() -> None:
     cluster = make_full_cluster()
     for number in range(10):
@@ -163,13 +206,76 @@
     assert max(worked[task] for task in ends) < LOW_MS + 1_000
 
 
-def test_capacity_that_was_freed_goes_to_no_other_task() -> None:
-    cluster = make_full_cluster(workers=1)
-    cluster.submit(make_spec("other", make_step(8, fills=True)), LOW, {0: LOW_MS})
+def make_single_cluster() -> CellCluster:
+    """Return a cluster that has room for one task at a time, with a low one running."""
+    cluster = CellCluster(workers=1, capacity=Resources(1_000, 2_000, 0))
+    cluster.run(500)
+    step = make_step(1, fills=True, saves=True, estimate_ms=2 * LOW_MS)
+    cluster.submit(make_spec("low", step), LOW, {0: LOW_MS})
+    cluster.run(1_000)
+    return cluster
+
+
+def test_the_only_task_in_the_way_is_not_preempted_over_and_over() -> None:
+    cluster = make_single_cluster()
+    submit_high(cluster, duration_ms=300)
+    cluster.run(3_000)
+    submit_high(cluster, duration_ms=300, job="next")
+    cluster.run(2 * PROTECTED_MS)
+    runs = [run for _, task, run, _ in cluster.ground_truth.starts if task == "low.0.0.0"]
+    starts = {run: at for at, _, run, _ in cluster.ground_truth.starts}
+    ends = {run: at for at, _, run, _ in cluster.ground_truth.ends}
+    assert len(runs) == 3
+    assert ends[runs[1]] - starts[runs[1]] >= PROTECTED_MS
+    check_all_done(cluster)
+
+
+def test_a_preempted_task_does_not_restart_at_once_although_its_place_is_free() -> None:
+    cluster = make_single_cluster()
     submit_high(cluster)
-    cluster.run(START_BOUND_MS)
-    assert len(cluster.ground_truth.list_running("high")) == 1
+    while not count_preemptions(cluster):
+        cluster.run(5)
+    preempted_at = cluster.clock.now()
+    cluster.cancel("high")
+    cluster.run(2 * PREEMPTED_PAUSE_MS)
+    assert cluster.ground_truth.starts[-1][1] == "low.0.0.0"
+    assert cluster.ground_truth.starts[-1][0] >= preempted_at + PREEMPTED_PAUSE_MS
+    cluster.run(2 * LOW_MS)
+    assert cluster.cell.state.jobs["low"].state == "completed"
+
+
+def test_capacity_that_was_freed_first_goes_to_no_other_task() -> None:
+    """Of two victims, the second takes longer to stop."""
+    cluster = make_full_cluster(workers=6)
+    cluster.submit(make_spec("other", make_step(8, fills=True)), LOW, {0: LOW_MS})
+    step = make_step(1, needs=Resources(1_000, 4_000))
+    cluster.submit(make_spec("high", step), HIGH, {0: 2_000})
+    cluster.run(START_BOUND_MS - STOP_MS)
+    stopping = [
+        run
+        for worker in cluster.workers.values()
+        for run in worker.runs.values()
+        if run.stops_at is not None
+    ]
+    assert len(stopping) == 2
+    stopping[1].stops_at += 2 * STOP_MS
+    cluster.run(3 * STOP_MS)
     assert not cluster.ground_truth.list_running("other")
+    assert len(cluster.ground_truth.list_running("high")) == 1
+
+
+def test_search_for_victims_pauses_after_none_were_found(monkeypatch: pytest.MonkeyPatch) -> None:
+    cluster = make_full_cluster(lasting=True)
+    searches = []
+    list_choices = VictimSearch.list_choices
+    monkeypatch.setattr(
+        VictimSearch,
+        "list_choices",
+        lambda *given: searches.append(given) or list_choices(*given),
+    )
+    submit_high(cluster, count=5)
+    cluster.run(3_000)
+    assert 0 < len(searches) <= 3_000 // SEARCH_PAUSE_MS + 1
 
 
 @pytest.mark.parametrize("delay_ms", [360, 480, 700, 900])
@@ -221,7 +327,7 @@
         worker.is_isolated = True
     else:
         cluster.resize(worker.id, Resources(16_000, 10_000, 0))
-    cluster.run(RESERVATION_MS)
+    cluster.run(UNREACHABLE_TIMEOUT_MS + 2 * TICK_INTERVAL_MS)
     assert reservation not in cluster.cell.state.reservations.by_task.values()
     worker.is_isolated = False
     cluster.run(3 * LOW_MS)
