Bound the search for runs to preempt in one tick

Cause: a search looks at all workers for each of four steps, also while the cell may preempt nothing more. Change: a tick searches for two steps, a search ends with 32 workers that have victims, the next one starts behind them, and none starts at the cell's limit.

--- a/packages/core/src/quetzallock_core/cells/preemption.py
+++ b/packages/core/src/quetzallock_core/cells/preemption.py
@@ -39,9 +39,12 @@
 MAX_VICTIMS: Final = 8
 """Maximum number of runs that are preempted for one task. Below the limit of the cell."""
 
-MAX_STEPS_SEARCHED: Final = 4
-"""Maximum number of steps for which one tick looks at all workers, as the owner does nothing else
-meanwhile."""
+MAX_STEPS_SEARCHED: Final = 2
+"""Maximum number of steps for which one tick searches, as the owner does nothing else meanwhile."""
+
+MAX_CHOICES: Final = 32
+"""Number of workers with victims after which a search ends. The next starts behind them, so that
+all workers are looked at in turn."""
 
 SEARCH_PAUSE_MS: Final = 300
 """Pause before victims for the tasks of a step are searched again after none were found."""
@@ -175,6 +178,7 @@
         self._state = state
         self._limits = PreemptionLimits()
         self._search_after: dict[StepRun, int] = {}
+        self._searched_workers = 0
 
     def preempt_for_waiting_tasks(self) -> None:
         """Preempt runs for tasks that wait too long, and release reservations without use."""
@@ -184,7 +188,11 @@
         steps = self._list_waiting_steps(now)
         if not steps:
             return
-        search = VictimSearch(state, self._limits, now)
+        if self._limits.count_left_in_cell(now) <= 0:
+            self._log_limited(steps[0], "cell")
+            return
+        search = VictimSearch(state, self._limits, now, self._searched_workers)
+        self._searched_workers += MAX_CHOICES
         for step in steps[:MAX_STEPS_SEARCHED]:
             if not self._preempt_for_step(step, search):
                 self._search_after[step] = now + SEARCH_PAUSE_MS
@@ -224,18 +232,22 @@
             choice = search.pop_best_choice(task, choices)
             if choice is None:
                 if search.is_limited:
-                    self._log_limited(task, "queue")
+                    self._log_limited(step, "queue")
                 return False
             if len(choice.victims) > self._limits.count_left_in_cell(search.now):
-                self._log_limited(task, "cell")
+                self._log_limited(step, "cell")
                 return False
             self._preempt(task, choice, search)
             search.update_choice(task, choice.worker, choices)
         return True
 
-    def _log_limited(self, task: Task, limit: str) -> None:
+    def _log_limited(self, step: StepRun, limit: str) -> None:
         self._state.log_decision(
-            "preemption.limited", task=task.name, queue=task.job.policy.queue, limit=limit
+            "preemption.limited",
+            job=step.job.id,
+            step=step.number,
+            queue=step.job.policy.queue,
+            limit=limit,
         )
 
     def _preempt(self, task: Task, choice: "_Choice", search: "VictimSearch") -> None:
@@ -278,23 +290,28 @@
         is_limited: A worker had victims that only the limits of their queues protect.
     """
 
-    def __init__(self, state: CellState, limits: PreemptionLimits, now: int) -> None:
+    def __init__(
+        self, state: CellState, limits: PreemptionLimits, now: int, first_worker: int
+    ) -> None:
         self._state = state
+        self._first_worker = first_worker
         self._left_by_queue = limits.count_left_by_queue(state.workers.values(), now)
         self._candidates: dict[Worker, list[Candidate]] = {}
         self.now = now
         self.is_limited = False
 
     def list_choices(self, task: Task) -> dict[Worker, _Choice]:
-        """Return the best choice on each worker; none if `task` may start without any victim."""
+        """Return the best choice on each of some workers; none if `task` fits without victims."""
         self.is_limited = False
+        usable = [worker for worker in self._state.workers.values() if self._may_use(worker, task)]
+        if not usable or any(worker.has_capacity_for(task.spec.needs) for worker in usable):
+            return {}
+        first = self._first_worker % len(usable)
         choices: dict[Worker, _Choice] = {}
-        for worker in self._state.workers.values():
-            if not self._may_use(worker, task):
-                continue
-            if worker.has_capacity_for(task.spec.needs):
-                return {}
+        for worker in (*usable[first:], *usable[:first]):
             self.update_choice(task, worker, choices)
+            if len(choices) >= MAX_CHOICES:
+                break
         return choices
 
     def _may_use(self, worker: Worker, task: Task) -> bool:
