--- a/packages/core/src/quetzallock_core/cells/cell.py
+++ b/packages/core/src/quetzallock_core/cells/cell.py
@@ -23,6 +23,7 @@
     TicketOutcome,
     WorkerEntry,
 )
+from .preemption import Preemption
 from .scheduler import Scheduler
 from .state import CellState
 from .waiting import WaitReporter
@@ -58,6 +59,7 @@
         self._migration = Migration(self.state)
         self.evacuations = Evacuations(self.state)
         self._evacuation_moves = EvacuationMoves(self.state)
+        self._preemption = Preemption(self.state)
         self._wait_reporter = WaitReporter(self.state)
         self.batches = BatchMaker(self.state)
         self.answers = OrderAnswers(self.state)
@@ -206,6 +208,7 @@
                 self._migration.migrate_paused_runs()
                 self._migration.migrate_from_leaving_workers()
                 self._evacuation_moves.move_from_evacuated_workers()
+                self._preemption.preempt_for_waiting_tasks()
             self._wait_reporter.report()
         self._open_due_jobs()
         self._expire_jobs(now)
--- a/packages/core/src/quetzallock_core/cells/migration.py
+++ b/packages/core/src/quetzallock_core/cells/migration.py
@@ -101,8 +101,7 @@
 
 def move_run(state: CellState, run: Run, target: Worker, reason: str) -> None:
     """Stop a run, and keep room for its task on another worker until the run has ended."""
-    target.reserve(run)
-    run.reserved_on = target.id
+    state.reservations.reserve_for_move(run, target)
     state.stop_run(run, reason)
 
 
--- a/packages/core/src/quetzallock_core/cells/state.py
+++ b/packages/core/src/quetzallock_core/cells/state.py
@@ -24,6 +24,7 @@
 )
 from .packing import PolicyChooser
 from .placement import Placement
+from .reservations import Reservations
 from .shares import Shares
 from .unverified import UnverifiedWorkers
 from .workers import Worker
@@ -38,6 +39,7 @@
         read_unix_ms: Returns the Unix time in ms by the host's clock, which may jump.
         unverified: Workers that may run tasks which this owner has not seen yet.
         crashes: Tasks that may crash the workers that start them.
+        reservations: Capacity that workers keep for tasks that are about to start there.
         open_steps: Steps with unfinished tasks whose predecessors are done.
         shares: Service that the queues have received.
         dirty: Jobs whose progress the journal does not hold yet.
@@ -70,6 +72,7 @@
         self.workers: dict[str, Worker] = {}
         self.unverified = UnverifiedWorkers(self.workers, clock)
         self.crashes = CrashSuspects(self)
+        self.reservations = Reservations()
         self.open_steps: dict[StepRun, None] = {}
         self.dirty: dict[Job, None] = {}
         self.durations = DurationEstimates()
@@ -205,6 +208,7 @@
             "job.over", job=job.id, state=job.state, after_ms=self.compute_age_ms(job)
         )
         for task in job.list_tasks():
+            self.reservations.release(task)
             for run in list(task.runs.values()):
                 self.stop_run(run, "job is over")
 
@@ -268,9 +272,7 @@
             if event != "lapse":
                 self.crashes.end_exposure(run.task, worker.boot)
             self._record_best_effort_shares(worker, run)
-        target = self.workers.get(run.reserved_on)
-        if target is not None:
-            target.release(run)
+        self.reservations.handle_end(run)
 
     def lapse_run(self, run: Run) -> None:
         """Remove a run that is over without a reported end, and requeue its task."""
@@ -280,6 +282,7 @@
 
     def add_run(self, worker: Worker, run: Run) -> None:
         """Add a run to its worker and commit its resources."""
+        self.reservations.handle_start(run)
         worker.add(run)
         run.task.has_run = True
         self._record_best_effort_shares(worker, run)
@@ -293,7 +296,7 @@
         if checkpoint:
             task.checkpoint = checkpoint
         pause_ms = 0 if task.spec.lasting else RETRY_PAUSE_MS
-        task.not_before = self.clock.now() + pause_ms
+        task.not_before = max(task.not_before, self.clock.now() + pause_ms)
         self.dirty[task.job] = None
 
     def finish_task(self, task: Task, run_number: int) -> None:
@@ -301,6 +304,7 @@
         if task.is_done:
             return
         task.is_done = True
+        self.reservations.release(task)
         task.step.done += 1
         job = task.job
         self.dirty[job] = None
@@ -341,6 +345,7 @@
         self.crashes.handle_loss(worker)
         for run in list(worker.runs.values()):
             self.lapse_run(run)
+        self.reservations.release_worker(worker)
         if self.workers.get(worker.id) is worker:
             del self.workers[worker.id]
             if not self.unverified.has_boot_of(worker.id):
