--- a/tests/core/cells/test_evacuation.py
+++ b/tests/core/cells/test_evacuation.py
@@ -4,64 +4,25 @@
 
 import pytest
 
-from quetzallock_core.cells.const import ORDER_TIMEOUT_MS
-from quetzallock_core.cells.models import Bounds, Resources, StartRun
+from quetzallock_core.cells.models import Resources, StartRun
 from quetzallock_standins.emulator import CellCluster
 from quetzallock_standins.emulator.cluster import make_spec
 from quetzallock_standins.emulator.operator import EmulatedOperator
 
 from .common import POLICY, make_step, submit_plain
-
-EVACUATION_MS = 5_000
-BOUNDS = Bounds(evacuation_ms=EVACUATION_MS)
-JOB_INTERVAL_MS = 200
-VIEW_MS = 300
-"""Time in which a readable request reaches the owner and takes effect."""
-MOVE_MS = 3_000
-MAX_VIEW_AGE_MS = EVACUATION_MS - ORDER_TIMEOUT_MS
-LATENCY_MS = 10
-ROOM_FOR_TWO = Resources(2_000, 8_000, 0)
-
-
-def make_cluster(workers: int = 4, capacity: Resources | None = None) -> CellCluster:
-    """Return a cluster whose workers alternate between the data centres a and b."""
-    cluster = CellCluster(
-        workers=workers, capacity=capacity, bounds=BOUNDS, data_centres=("a", "b")
-    )
-    cluster.run(500)
-    return cluster
-
-
-def run_with_jobs(cluster: CellCluster, ms: int, job: str) -> None:
-    """Let time pass while a job arrives every `JOB_INTERVAL_MS`."""
-    for number in range(ms // JOB_INTERVAL_MS):
-        submit_plain(cluster, f"{job}{number}", count=4, duration_ms=300)
-        cluster.run(JOB_INTERVAL_MS)
-
-
-def count_starts(cluster: CellCluster, data_centre: str, since: int) -> int:
-    """Return the number of starts in a data centre from the time `since` on."""
-    return sum(
-        at >= since and cluster.workers[worker].entry.data_centre == data_centre
-        for at, _, _, worker in cluster.ground_truth.starts
-    )
-
-
-def list_running_in(cluster: CellCluster, data_centre: str) -> list[str]:
-    """Return the tasks that run in a data centre."""
-    return [
-        task
-        for worker in cluster.workers.values()
-        if worker.entry.data_centre == data_centre
-        for task in worker.runs
-    ]
-
-
-def submit_lasting(cluster: CellCluster, tasks: int, **fields: object) -> None:
-    """Submit job `s` of lasting tasks, and wait until they run."""
-    cluster.submit(make_spec("s", make_step(tasks, lasting=True, **fields)), POLICY, {0: None})
-    cluster.run(1_000)
-    assert len(cluster.ground_truth.list_running("s")) == tasks
+from .evacuations import (
+    EVACUATION_MS,
+    JOB_INTERVAL_MS,
+    LATENCY_MS,
+    MAX_VIEW_AGE_MS,
+    ROOM_FOR_TWO,
+    VIEW_MS,
+    count_starts,
+    make_cluster,
+    run_until_view_age,
+    run_with_jobs,
+    submit_lasting,
+)
 
 
 def test_nothing_starts_in_an_evacuated_data_centre_after_the_bound() -> None:
@@ -144,12 +105,6 @@
     assert not cluster.ground_truth.violations
 
 
-def run_until_view_age(cluster: CellCluster, age_ms: int) -> None:
-    """Make the topic unreadable, and let time pass until the view has this age."""
-    cluster.operator.is_readable = False
-    cluster.run(age_ms - (cluster.clock.now() - cluster.operator.last_view[1]))
-
-
 def test_owner_that_has_never_read_the_topic_starts_nothing(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
@@ -232,16 +187,6 @@
     assert len(cluster.ground_truth.starts) == 1
 
 
-def test_no_task_is_moved_while_it_could_not_start_again() -> None:
-    cluster = make_cluster()
-    submit_lasting(cluster, 4)
-    run_until_view_age(cluster, MAX_VIEW_AGE_MS)
-    cluster.workers["w0"].drain()
-    cluster.run(MOVE_MS)
-    assert len(cluster.ground_truth.list_running("s")) == 4
-    assert not cluster.cell.state.counters["run.stopped"]
-
-
 def test_all_data_centres_are_evacuated_at_once() -> None:
     cluster = make_cluster()
     submit_lasting(cluster, 4)
@@ -275,69 +220,6 @@
     assert cluster.cell.state.counters["evacuation.ended"] == 4
 
 
-def test_moves_keep_max_unavailable() -> None:
-    cluster = make_cluster()
-    submit_lasting(cluster, 8, max_unavailable=1)
-    cluster.operator.evacuate("a")
-    fewest = 8
-    for _ in range(10 * MOVE_MS // 10):
-        cluster.run(10)
-        fewest = min(fewest, len(cluster.ground_truth.list_running("s")))
-    assert fewest == 7
-    assert not list_running_in(cluster, "a")
-    assert not cluster.ground_truth.violations
-
-
-def test_task_of_which_none_may_be_unavailable_stays() -> None:
-    cluster = make_cluster()
-    submit_lasting(cluster, 4, max_unavailable=0)
-    cluster.operator.evacuate("a")
-    cluster.run(MOVE_MS)
-    assert len(list_running_in(cluster, "a")) == 2
-    assert len(cluster.ground_truth.starts) == 4
-
-
-def test_lasting_task_without_capacity_elsewhere_goes_on() -> None:
-    cluster = make_cluster(workers=2, capacity=ROOM_FOR_TWO)
-    submit_lasting(cluster, 4)
-    cluster.operator.evacuate("a")
-    cluster.run(MOVE_MS)
-    assert len(cluster.ground_truth.starts) == 4
-    assert len(list_running_in(cluster, "a")) == 2
-
-
-def test_waiting_task_gets_the_capacity_before_a_move(monkeypatch: pytest.MonkeyPatch) -> None:
-    cluster = make_cluster(workers=2, capacity=ROOM_FOR_TWO)
-    submit_lasting(cluster, 3)
-    (crowded,) = (w for w in cluster.workers.values() if len(w.runs) == 2)
-    scheduler = cluster.cell._scheduler
-    with monkeypatch.context() as patch:
-        patch.setattr(scheduler, "start_waiting_tasks", lambda: None)
-        cluster.submit(make_spec("j", make_step(1)), POLICY, {0: 4_000})
-        cluster.operator.evacuate(crowded.entry.data_centre)
-        cluster.run(VIEW_MS)
-        assert len(crowded.runs) == 2
-    cluster.run(VIEW_MS)
-    assert cluster.ground_truth.list_running("j")
-    assert len(crowded.runs) == 2
-
-
-@pytest.mark.parametrize(("saves", "is_moved"), [(True, True), (False, False)])
-def test_only_tasks_with_checkpoints_move(saves: bool, is_moved: bool) -> None:
-    cluster = make_cluster(workers=2)
-    spec = make_spec("j", make_step(4, saves=saves, fills=True, image="f"))
-    cluster.submit(spec, POLICY, {0: 3_000})
-    cluster.run(1_000)
-    assert list_running_in(cluster, "a")
-    cluster.operator.evacuate("a")
-    cluster.run(1_000)
-    assert bool(list_running_in(cluster, "a")) is not is_moved
-    cluster.run(MOVE_MS)
-    assert cluster.cell.find_state("j") == "completed"
-    assert (cluster.cell.state.counters["run.stopped"] > 0) is is_moved
-    assert not cluster.ground_truth.violations
-
-
 def test_work_comes_back_after_the_end_and_to_cold_workers_last() -> None:
     cluster = make_cluster(workers=4, capacity=ROOM_FOR_TWO)
     cluster.operator.evacuate("a")
