Let the next boot of a worker reject runs that are over

Change: the owner remembers ended runs that still have an unanswered start order, for 15 s and 1,000 at most, and orders the next boot under the same id to stop them, before any other order and until it answers. What remains is a copy that arrives between the start of the boot and the first call of the owner.

--- a/packages/core/src/quetzallock_core/cells/answers.py
+++ b/packages/core/src/quetzallock_core/cells/answers.py
@@ -42,6 +42,8 @@
         `outcome` is empty when there was no answer.
         """
         worker, run = self._find_run(order)
+        if outcome and run is None:
+            self._state.ended_runs.handle_start_answer(order)
         if worker is None or run is None:
             return
         if outcome:
@@ -105,7 +107,11 @@
         worker.record_contact(clock_ms, asked_at, self._state.clock.now())
         if outcome == "fence":
             self._state.fenced = True
-        elif outcome == "ok" and run is not None:
+            return
+        if outcome != "ok":
+            return
+        self._state.ended_runs.handle_stop_answer(order)
+        if run is not None:
             run.answered_clock_ms = clock_ms + self._state.bounds.stop_ms
 
     def _find_run(self, order: StartRun | StopRun) -> tuple[Worker | None, Run | None]:
--- a/packages/core/src/quetzallock_core/cells/cell.py
+++ b/packages/core/src/quetzallock_core/cells/cell.py
@@ -173,6 +173,7 @@
             self._check_worker(worker, now)
         state.crashes.clear_or_give_up()
         if self.may_order and not state.fenced:
+            state.ended_runs.stop_on_new_boots()
             self._repeat_orders(now)
             self._restart_stalled(now)
             self._scheduler.copy_stragglers()
--- a/packages/core/src/quetzallock_core/cells/const.py
+++ b/packages/core/src/quetzallock_core/cells/const.py
@@ -24,6 +24,13 @@
 INVENTORY_POLL_WAIT_MS: Final = 1_000
 """How long a worker may keep an inventory poll open while no run ends."""
 
+MAX_ORDER_DELAY_MS: Final = 15_000
+"""Longest time, with some margin, that an order may be on its way and still be carried out."""
+
+MAX_ENDED_RUNS: Final = 1_000
+"""Maximum number of ended runs that the next boots of their workers are told to reject, as each
+costs an order to such a boot."""
+
 UNREACHABLE_TIMEOUT_MS: Final = 1_500
 """Time without an answer after which a worker gets no new tasks."""
 
--- a/packages/core/src/quetzallock_core/cells/state.py
+++ b/packages/core/src/quetzallock_core/cells/state.py
@@ -9,6 +9,7 @@
 from .contents import Contents
 from .crashes import CrashSuspects
 from .durations import DurationEstimates
+from .ended_runs import EndedRuns
 from .interference import Interference
 from .jobs import Job, Run, StepRun, Task, make_job, restore_job
 from .models import (
@@ -34,6 +35,7 @@
         read_unix_ms: Returns the Unix time in ms by the host's clock, which may jump.
         unverified: Workers that may run tasks which this owner has not seen yet.
         crashes: Tasks that may crash the workers that start them.
+        ended_runs: Ended runs whose start orders may still arrive.
         open_steps: Steps with unfinished tasks whose predecessors are done.
         dirty: Jobs whose progress the journal does not hold yet.
         counters: Number of decisions by event.
@@ -63,6 +65,7 @@
         self.workers: dict[str, Worker] = {}
         self.unverified = UnverifiedWorkers(self.workers, clock)
         self.crashes = CrashSuspects(self)
+        self.ended_runs = EndedRuns(self)
         self.open_steps: dict[StepRun, None] = {}
         self.dirty: dict[Job, None] = {}
         self.durations = DurationEstimates()
@@ -243,6 +246,7 @@
         worker = self.workers.get(run.worker)
         if worker is not None:
             worker.remove(run)
+            self.ended_runs.add(run, worker.boot)
             if event != "lapse":
                 self.crashes.end_exposure(run.task, worker.boot)
             self._record_best_effort_shares(worker, run)
@@ -339,6 +343,7 @@
         self.drop_worker(worker, "worker restarted")
         successor = self.add_worker(entry)
         for run in unconfirmed_runs:
+            self.ended_runs.add(run, successor.boot)
             run.unanswered = 0
             run.is_listed = False
             run.is_unsent = True
@@ -372,6 +377,7 @@
             self.dropped_workers.remove(entry.worker)
         self.workers[entry.worker] = worker
         self.crashes.handle_new_boot(worker.boot)
+        self.ended_runs.stop_on_new_boots()
         self.has_worker_changes = True
         if self.unverified.has_recorded_lapse((entry.worker, entry.boot_ms)):
             worker.is_recorded = True
--- /dev/null
+++ b/tests/core/cells/test_ended_runs.py
@@ -0,0 +1,112 @@
+"""Late copies of start orders whose runs are over, and the next boots of their workers."""
+
+import pytest
+
+from quetzallock_core.cells import ended_runs
+from quetzallock_core.cells.const import MAX_ORDER_DELAY_MS
+from quetzallock_core.cells.models import StopRun
+from quetzallock_standins.emulator import CellCluster
+from quetzallock_standins.emulator.cluster import make_spec
+
+from .common import POLICY, make_step
+
+SETTLE_MS = 12_500
+"""Longer than the emulated cluster holds an order back."""
+
+
+def make_cluster_with_late_order(count: int = 1, seed: int = 1) -> CellCluster:
+    """Return a cluster with a finished job, of whose start orders the first copies are late."""
+    cluster = CellCluster(workers=1, seed=seed)
+    cluster.run(500)
+    cluster.order_delay_rate = 1.0
+    cluster.submit(make_spec("a", make_step(count)), POLICY, {0: 200})
+    cluster.run(50)
+    cluster.order_delay_rate = 0.0
+    cluster.run(1_200)
+    assert cluster.cell.find_state("a") == "completed"
+    return cluster
+
+
+def restart_worker(cluster: CellCluster, down_ms: int = 200) -> None:
+    """Crash the worker and start it again under its id."""
+    cluster.workers["w0"].crash()
+    cluster.run(down_ms)
+    cluster.revive("w0")
+
+
+def list_stops(cluster: CellCluster) -> list[StopRun]:
+    """Return the stop orders that the cell emits in its next tick, without sending them."""
+    cluster.cell.pop_effects()
+    cluster.cell.tick()
+    return [effect for effect in cluster.cell.pop_effects() if isinstance(effect, StopRun)]
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_next_boots_reject_late_orders_of_finished_runs(seed: int) -> None:
+    """Guards against a second run of a finished task, on whichever boot the late copy reaches."""
+    cluster = make_cluster_with_late_order(count=8, seed=seed)
+    for _ in range(4):
+        restart_worker(cluster)
+        cluster.run(1_000)
+    cluster.run(SETTLE_MS)
+    assert not cluster.ground_truth.violations
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_boot_that_returns_after_its_entry_was_dropped_rejects_the_late_order(seed: int) -> None:
+    """Guards against forgetting the run with the worker's state."""
+    cluster = make_cluster_with_late_order(count=8, seed=seed)
+    cluster.workers["w0"].crash()
+    cluster.run(2_000)
+    assert not cluster.cell.state.workers
+    cluster.revive("w0")
+    cluster.run(SETTLE_MS)
+    assert not cluster.ground_truth.violations
+
+
+def test_stop_is_repeated_until_the_next_boot_answers_it() -> None:
+    """Guards against a stop that is lost on its way to the next boot."""
+    cluster = make_cluster_with_late_order()
+    sent = cluster.counters["StopRun"]
+    cluster.order_loss_rate = 1.0
+    restart_worker(cluster)
+    cluster.run(2_000)
+    assert cluster.counters["StopRun"] - sent == 3
+    cluster.order_loss_rate = 0.0
+    cluster.run(1_000)
+    answered = cluster.counters["StopRun"]
+    cluster.run(2_000)
+    assert cluster.counters["StopRun"] == answered
+
+
+def test_next_owner_needs_no_record_as_its_first_call_refuses_the_late_order() -> None:
+    """Guards against a change of the fencing on which the missing journal record relies."""
+    cluster = make_cluster_with_late_order()
+    cluster.kill_owner()
+    cluster.take_over()
+    cluster.run(200)
+    restart_worker(cluster)
+    cluster.run(SETTLE_MS)
+    assert not cluster.ground_truth.violations
+
+
+def test_ended_run_is_forgotten_after_the_longest_delay_of_an_order() -> None:
+    """Guards against orders, and memory, for runs that no order can start any more."""
+    cluster = make_cluster_with_late_order()
+    cluster.run(MAX_ORDER_DELAY_MS)
+    cluster.workers["w0"].crash()
+    cluster.revive("w0")
+    cluster.cell.handle_entries(cluster._list_entries())
+    assert not list_stops(cluster)
+
+
+def test_number_of_ended_runs_is_limited(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against unbounded memory; the latest runs are those kept."""
+    monkeypatch.setattr(ended_runs, "MAX_ENDED_RUNS", 3)
+    cluster = make_cluster_with_late_order(count=8)
+    cluster.workers["w0"].crash()
+    cluster.revive("w0")
+    cluster.cell.pop_effects()
+    cluster.cell.handle_entries(cluster._list_entries())
+    effects = cluster.cell.pop_effects()
+    assert sum(isinstance(effect, StopRun) for effect in effects) == 3
