Keep suspects with excused crashes apart, and spare bystanders

Cause: crashes that were put down to a task that was given up were taken back from the others, which then started together again and shared the next crash. A suspect of two crashes waited 2 s only for a worker of its own. Change: a task with excused crashes stays a suspect until it has worked. A suspect of two crashes never starts beside another risky suspect and waits 10 s for a worker without any risky run; it is given up at three crashes in all if nothing else risky ran at the last. A crash beside a risky run is not charged to a run that is past its risky time. Tasks whose last crash has no other explanation are given up first. Not mended: where such tasks crash most of a rack within 1.5 s again and again, the crashes are taken for the rack's and not counted.

--- a/packages/core/src/quetzallock_core/cells/const.py
+++ b/packages/core/src/quetzallock_core/cells/const.py
@@ -87,10 +87,11 @@
 """Time that the metrics in a worker's inventory cover."""
 
 MAX_CRASHES: Final = 3
-"""Workers that may crash under one task; its job is then given up."""
+"""Workers that may crash under one task; its job is then given up. With crashes that were put down
+to another task, the last must have found no other risky run on its worker."""
 
 MAX_CRASHES_WITH_EXCUSED: Final = 5
-"""The same with the crashes that were put down to another task."""
+"""The same with the crashes that were put down to another task, whatever ran at the last."""
 
 MIN_CRASHES_TO_GIVE_UP: Final = 2
 """Crashes under one task from which on its job may be given up."""
@@ -110,6 +111,10 @@
 ISOLATION_WAIT_MS: Final = 2_000
 """How long a suspect waits for a worker on which a crash would tell who has caused it."""
 
+REPEATED_ISOLATION_WAIT_MS: Final = 10_000
+"""How long a suspect of several crashes waits for a worker without any other risky run. Long, since
+a job without fault may be given up for a crash beside another task that has just started."""
+
 COMMON_CAUSE_WINDOW_MS: Final = 1_500
 """Longest time between the last answers of workers that are lost for the same cause."""
 
--- a/packages/core/src/quetzallock_core/cells/crashes.py
+++ b/packages/core/src/quetzallock_core/cells/crashes.py
@@ -20,7 +20,7 @@
     MAX_CRASHES_WITH_EXCUSED,
     MIN_CRASHES_TO_GIVE_UP,
 )
-from .isolation import has_worked, is_past_crash_risk
+from .isolation import has_worked, is_past_crash_risk, is_repeated_suspect
 from .jobs import Job, Task, parse_task_name
 from .models import Boot, CrashRecord
 from .workers import Worker
@@ -57,7 +57,8 @@
     """The tasks under which workers have crashed.
 
     Attributes:
-        by_task: The tasks with at least one crash that was neither cleared nor withdrawn.
+        by_task: The tasks with at least one crash that was neither cleared nor withdrawn. They stay
+            when a crash is excused.
     """
 
     def __init__(self, state: SuspectingState) -> None:
@@ -77,7 +78,7 @@
         self._are_earlier_starts_unknown = locations is None
         for job in self._state.jobs.values():
             for task in job.list_tasks():
-                if task.crashes:
+                if task.is_crash_suspect:
                     self.by_task[task] = None
                 for boot in task.exposures:
                     self._exposed.setdefault(boot, {})[task] = None
@@ -95,11 +96,11 @@
 
     def must_record_start(self, task: Task) -> bool:
         """Return whether the journal must name the worker before `task` is started there."""
-        return bool(task.crashes) or (task.job.is_loaded and self._are_earlier_starts_unknown)
+        return task.is_crash_suspect or (task.job.is_loaded and self._are_earlier_starts_unknown)
 
     def may_start(self, task: Task, now: int) -> bool:
         """Return whether a waiting task may be started, as far as crashes go."""
-        if not task.crashes:
+        if not task.is_crash_suspect:
             return True
         if must_give_up(task) or now < task.may_give_up_at:
             return False
@@ -158,7 +159,9 @@
         risky = [run for run in runs if not is_past_crash_risk(run, worker)]
         for run in runs:
             age_ms = max(0, worker.contact_at - run.ordered_at)
-            self._add_crash(run.task, CrashRecord(*boot, age_ms, risky == [run]))
+            is_bystander = bool(risky) and run not in risky
+            crash = CrashRecord(*boot, age_ms, risky == [run], is_bystander)
+            self._add_crash(run.task, crash)
         for task in exposed:
             self._add_crash(task, CrashRecord(*boot))
 
@@ -174,7 +177,7 @@
         Whether it crashed or left as announced is unknown, so only suspects are charged with it.
         """
         for task in self._pop_exposed(boot):
-            if task.crashes:
+            if task.is_crash_suspect:
                 self._add_crash(task, CrashRecord(*boot))
 
     def handle_inventory(self, worker: Worker, is_first: bool) -> None:
@@ -233,18 +236,18 @@
     def _set_crashes(self, task: Task, crashes: tuple[CrashRecord, ...]) -> None:
         task.crashes = crashes
         self._mark_changed(task)
-        if not crashes:
+        if not task.is_crash_suspect:
             self.by_task.pop(task, None)
 
     def _add_crash(self, task: Task, crash: CrashRecord) -> None:
-        if task.is_done or task.job.is_over or len(task.crashes) >= MAX_CRASHES:
+        if task.is_done or task.job.is_over or len(task.crashes) >= MAX_CRASHES_WITH_EXCUSED:
             return
         boot = (crash.worker, crash.boot_ms)
         if any((known.worker, known.boot_ms) == boot for known in task.crashes):
             return
         self._set_crashes(task, (*task.crashes, crash))
         self.by_task[task] = None
-        if len(task.crashes) >= MIN_CRASHES_TO_GIVE_UP:
+        if is_repeated_suspect(task):
             task.may_give_up_at = self._state.clock.now() + GIVE_UP_DELAY_MS
         self._state.log_decision(
             "task.crash_suspect",
@@ -258,18 +261,19 @@
     def clear_or_give_up(self) -> None:
         """Give up the jobs of tasks that crash their workers, and clear tasks that work."""
         now = self._state.clock.now()
-        for task in list(self.by_task):
-            if task.is_done or task.job.is_over or not task.crashes:
+        for task in sorted(self.by_task, key=_may_another_explain_crash):
+            if task.is_done or task.job.is_over or not task.is_crash_suspect:
                 self.by_task.pop(task, None)
             elif self._is_cleared(task):
-                self._state.log_decision("task.cleared", task=task.name, crashes=len(task.crashes))
+                self._state.log_decision("task.cleared", task=task.name, crashes=task.crash_count)
+                task.excused_crashes = 0
                 self._set_crashes(task, ())
             elif now >= task.may_give_up_at and must_give_up(task):
                 self._give_up(task)
 
     def _is_cleared(self, task: Task) -> bool:
         """Return whether a run has worked much longer than those that crashes have ended."""
-        oldest_ms = max(crash.age_ms for crash in task.crashes)
+        oldest_ms = max((crash.age_ms for crash in task.crashes), default=0)
         needed_ms = max(CLEARED_AFTER_MS, min(2 * oldest_ms, CLEARED_AT_MOST_AFTER_MS))
         for run in task.runs.values():
             worker = self._state.workers.get(run.worker)
@@ -284,7 +288,7 @@
             "task.given_up",
             task=task.name,
             job=task.job.id,
-            crashes=len(crashes),
+            crashes=task.crash_count,
             workers=[crash.worker for crash in crashes],
         )
         self._state.finish_job(task.job, "fail")
@@ -292,10 +296,15 @@
         self._excuse({(crash.worker, crash.boot_ms) for crash in crashes})
 
     def _excuse(self, boots: set[Boot]) -> None:
-        """Put the crashes of these boots down to a task that was given up, for all others."""
+        """Put the crashes of these boots down to a task that was given up, for all others.
+
+        A task that had just started then keeps their number, as it may crash its workers too.
+        """
         for task in list(self.by_task):
-            count = sum((crash.worker, crash.boot_ms) in boots for crash in task.crashes)
-            task.excused_crashes += count
+            task.excused_crashes += sum(
+                (crash.worker, crash.boot_ms) in boots and not crash.is_bystander
+                for crash in task.crashes
+            )
         self._withdraw(boots)
 
 
@@ -303,10 +312,22 @@
     return loss.rack == rack and abs(loss.at - at) <= COMMON_CAUSE_WINDOW_MS
 
 
+def _may_another_explain_crash(task: Task) -> bool:
+    """Return whether the last crash under `task` may be put down to a task beside it.
+
+    Tasks of which this is not so are given up first, as their crashes are then taken back from all
+    others.
+    """
+    return not (task.crashes and task.crashes[-1].is_only_suspect)
+
+
 def must_give_up(task: Task) -> bool:
     """Return whether the crashes under `task` are certainly, or too often, its own."""
-    if len(task.crashes) >= MAX_CRASHES:
+    count = task.crash_count - task.excused_crashes
+    if count >= MAX_CRASHES:
         return True
-    if task.excused_crashes + len(task.crashes) >= MAX_CRASHES_WITH_EXCUSED:
+    if len(task.crashes) + task.excused_crashes >= MAX_CRASHES_WITH_EXCUSED:
         return True
-    return len(task.crashes) >= MIN_CRASHES_TO_GIVE_UP and task.crashes[-1].is_only_suspect
+    if not count or not task.crashes[-1].is_only_suspect:
+        return False
+    return count >= MIN_CRASHES_TO_GIVE_UP or task.crash_count >= MAX_CRASHES
--- a/packages/core/src/quetzallock_core/cells/isolation.py
+++ b/packages/core/src/quetzallock_core/cells/isolation.py
@@ -3,7 +3,12 @@
 from collections.abc import Iterable
 from typing import Final
 
-from .const import CRASH_RISK_MS, ISOLATION_WAIT_MS, MIN_CRASHES_TO_GIVE_UP
+from .const import (
+    CRASH_RISK_MS,
+    ISOLATION_WAIT_MS,
+    MIN_CRASHES_TO_GIVE_UP,
+    REPEATED_ISOLATION_WAIT_MS,
+)
 from .jobs import Run, Task
 from .workers import Worker
 
@@ -28,18 +33,33 @@
 
 
 def may_share_worker(task: Task, worker: Worker, now: int) -> bool:
-    """Return whether `task` may join the runs on `worker`, so that a crash tells who caused it."""
-    if not task.crashes:
-        return not _has_risky_run(worker.crash_suspects.values(), worker)
-    if now - max(task.not_before, task.may_give_up_at) > ISOLATION_WAIT_MS:
-        return True
-    is_repeated = len(task.crashes) >= MIN_CRASHES_TO_GIVE_UP
-    others = worker.runs if is_repeated else worker.crash_suspects
-    return not _has_risky_run(others.values(), worker)
-
-
-def _has_risky_run(runs: Iterable[Run], worker: Worker) -> bool:
-    return any(not is_past_crash_risk(run, worker) for run in runs)
+    """Return whether `task` may join the runs on `worker`, so that a crash tells who caused it.
+
+    A suspect of one crash waits for that a limited time. One of several is never beside another
+    risky suspect, as its job may be given up for the next crash.
+    """
+    risky_suspects = _list_risky(worker.crash_suspects.values(), worker)
+    if not task.is_crash_suspect:
+        return not risky_suspects
+    waited_ms = now - max(task.not_before, task.may_give_up_at)
+    if is_repeated_suspect(task):
+        if risky_suspects:
+            return False
+        return waited_ms > REPEATED_ISOLATION_WAIT_MS or not _list_risky(
+            worker.runs.values(), worker
+        )
+    if waited_ms > ISOLATION_WAIT_MS:
+        return not any(is_repeated_suspect(run.task) for run in risky_suspects)
+    return not risky_suspects
+
+
+def is_repeated_suspect(task: Task) -> bool:
+    """Return whether the next crash under `task` must tell whether the task has caused it."""
+    return task.crash_count >= MIN_CRASHES_TO_GIVE_UP
+
+
+def _list_risky(runs: Iterable[Run], worker: Worker) -> list[Run]:
+    return [run for run in runs if not is_past_crash_risk(run, worker)]
 
 
 def compute_crash_cost(worker: Worker) -> float:
--- a/packages/core/src/quetzallock_core/cells/jobs.py
+++ b/packages/core/src/quetzallock_core/cells/jobs.py
@@ -95,7 +95,8 @@
         avoid: Ids of workers on which it failed or was stopped, which cost more in placement.
         crashes: Crashes of workers under it, of which it is suspected.
         exposures: Boots on which it may be running, as recorded for the next owner.
-        excused_crashes: Number of further crashes, put down to another task that was given up.
+        excused_crashes: Number of further crashes, soon after a start of it, that were put down to
+            another task that was given up.
         may_give_up_at: Local ms from which on its job may be given up for the crashes.
         crash_revision: The job's `crash_revision` at the last change of its crashes or exposures.
         name: Job id, occurrence, step and index, joined by dots.
@@ -160,6 +161,17 @@
         """Whether the journal holds its crashes and exposures."""
         return self.crash_revision <= self.job.durable_crash_revision
 
+    @property
+    def crash_count(self) -> int:
+        """Number of crashes that it may have caused, as far as the runs beside it tell."""
+        charged = sum(not crash.is_bystander for crash in self.crashes)
+        return charged + self.excused_crashes
+
+    @property
+    def is_crash_suspect(self) -> bool:
+        """Whether a worker has crashed under it that may crash under it again."""
+        return bool(self.crashes or self.excused_crashes)
+
     @property
     def has_history(self) -> bool:
         """Whether its journal record differs from that of a task that has never run."""
--- a/packages/core/src/quetzallock_core/cells/models.py
+++ b/packages/core/src/quetzallock_core/cells/models.py
@@ -148,12 +148,14 @@
         boot_ms: Boot that crashed.
         age_ms: How long the run had been going on, as far as the worker has answered.
         is_only_suspect: All other runs there had worked for some time.
+        is_bystander: The run itself had, and another run there had not.
     """
 
     worker: str
     boot_ms: int
     age_ms: int = 0
     is_only_suspect: bool = False
+    is_bystander: bool = False
 
 
 @message(215)
--- a/packages/core/src/quetzallock_core/cells/placement.py
+++ b/packages/core/src/quetzallock_core/cells/placement.py
@@ -79,7 +79,7 @@
         return Obstacle.BLOCKED
     if worker.is_suspect(now) and not worker.is_idle:
         return Obstacle.SUSPECT
-    if (task.crashes or worker.crash_suspects) and not may_share_worker(task, worker, now):
+    if (task.is_crash_suspect or worker.crash_suspects) and not may_share_worker(task, worker, now):
         return Obstacle.ISOLATION
     if spec.max_per_worker and worker.count_tasks(task.step) >= spec.max_per_worker:
         return Obstacle.ANTI_AFFINITY
@@ -115,7 +115,7 @@
         cost += AVOID_COST
     if worker.is_suspect(now) or worker.failed_jobs:
         cost += SUSPECT_COST
-    if task.crashes:
+    if task.is_crash_suspect:
         cost += compute_crash_cost(worker)
     if spec.target_ms:
         cost += _compute_serving_cost(task, worker)
@@ -177,11 +177,11 @@
         )
         if any(unplaceable.fits_in(spec.needs) for unplaceable in self._unplaceable[demand_key]):
             return None
-        if excluded_worker or task.avoid or task.crashes:
+        if excluded_worker or task.avoid or task.is_crash_suspect:
             best = self._scan_workers(task, is_starving, excluded_worker)
         else:
             best = self._choose_ranked(task, is_starving)
-        is_limit_general = not (excluded_worker or spec.max_per_worker or task.crashes)
+        is_limit_general = not (excluded_worker or spec.max_per_worker or task.is_crash_suspect)
         if best is None and is_limit_general:
             self._unplaceable[demand_key].append(spec.needs)
         return best
--- a/packages/core/src/quetzallock_core/cells/scheduler.py
+++ b/packages/core/src/quetzallock_core/cells/scheduler.py
@@ -65,7 +65,7 @@
             if task.is_done or task.runs or not self._may_start(task, now):
                 continue
             worker = placement.choose(task)
-            if worker is None and task.crashes:
+            if worker is None and task.is_crash_suspect:
                 continue
             if worker is None:
                 break
@@ -163,7 +163,7 @@
 
     def _copy_if_straggling(self, task: Task, max_age_ms: float, now: int) -> None:
         run = next(iter(task.runs.values()))
-        if run.state != "running" or now - run.ordered_at < max_age_ms or task.crashes:
+        if run.state != "running" or now - run.ordered_at < max_age_ms or task.is_crash_suspect:
             return
         if len(task.failed_runs) + 1 >= task.job.policy.max_attempts:
             return
--- a/packages/core/src/quetzallock_core/cells/workers.py
+++ b/packages/core/src/quetzallock_core/cells/workers.py
@@ -212,7 +212,7 @@
     def add(self, run: Run) -> None:
         """Add a run and commit its resources."""
         self.runs[run.task.name] = run
-        if run.task.crashes:
+        if run.task.is_crash_suspect:
             self.crash_suspects[run.task.name] = run
         self._add_load(run.task.spec, compute_paced_cpu(run))
 
--- a/tests/core/cells/test_crashing_tasks.py
+++ b/tests/core/cells/test_crashing_tasks.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from dataclasses import replace
+from random import Random
 
 import pytest
 
@@ -16,6 +17,8 @@
 HARMLESS_JOBS = 20
 WORKER_RETURN_MS = 3_000
 SETTLE_MS = 40_000
+BEFORE_EXPIRY_MS = 110_000
+"""Less than the time after which the cell forgets the state of an ended job."""
 
 
 def make_cluster(workers: int = 6, capacity: Resources | None = None) -> CellCluster:
@@ -266,6 +269,51 @@
     assert max(crashes[f"j{number}.0.0.0"] for number in range(len(delays_ms))) <= MAX_CRASHES
 
 
+@pytest.mark.parametrize("workers", [2, 4])
+@pytest.mark.parametrize("seed", range(3))
+def test_many_crashing_tasks_fail_no_harmless_job(workers: int, seed: int) -> None:
+    """Guards against a job given up for crashes that it shared with several crashing tasks."""
+    cluster = CellCluster(workers=workers, seed=seed)
+    cluster.run(500)
+    rng = Random(seed)
+    deadly = [f"deadly{number}" for number in range(8)]
+    harmless = [f"harmless{number}" for number in range(16)]
+    for number, job in enumerate(harmless):
+        submit_plain(cluster, job, count=2, duration_ms=rng.randrange(200, 4_000))
+        if number < len(deadly):
+            submit_crashing(cluster, deadly[number], make_step(2))
+        cluster.run(rng.randrange(400))
+    cluster.run(BEFORE_EXPIRY_MS)
+    assert max(count_crashes(cluster, f"{job}.0.0.0") for job in deadly) <= MAX_CRASHES
+    assert list_states(cluster, deadly) == {"failed"}
+    assert list_states(cluster, harmless) == {"completed"}
+
+
+def test_suspects_whose_crash_was_excused_do_not_start_together() -> None:
+    """Guards against one more crash that all of them share, as long as one may have caused it."""
+    cluster = make_cluster(workers=2)
+    submit_crashing(cluster, "a", make_step(1))
+    submit_crashing(cluster, "b", make_step(1))
+    jobs = submit_harmless_jobs(cluster, count=3)
+    cluster.run(SETTLE_MS)
+    ends = cluster.ground_truth.ends
+    assert max(Counter(end[1] for end in ends if end[3] == "crashed").values()) <= MAX_CRASHES
+    assert list_states(cluster, ["a", "b"]) == {"failed"}
+    assert list_states(cluster, jobs) == {"completed"}
+
+
+def test_excused_crashes_are_forgotten_once_a_lasting_task_has_worked() -> None:
+    """Guards against a lasting job that is given up for crashes of other tasks over its life."""
+    cluster = make_cluster(workers=2)
+    cluster.submit(make_spec("lasting", make_step(1, lasting=True)), POLICY, {0: None})
+    for number in range(6):
+        submit_crashing(cluster, f"deadly{number}", make_step(1))
+        cluster.run(SETTLE_MS)
+    assert cluster.cell.find_state("lasting") == "running"
+    assert cluster.ground_truth.list_running("lasting")
+    assert not cluster.cell.state.crashes.by_task
+
+
 def test_excused_crashes_do_not_let_a_crashing_task_go_on_without_end() -> None:
     cluster = make_cluster()
     submit_crashing(cluster, "a", make_step(1))
