Charge a crash only to runs that the worker may have begun

Cause: each run that was sent to a boot was charged when the boot crashed, also one whose start order was late, or was sent after the boot had ceased to answer. Change: a run that the boot has neither listed nor acknowledged is charged only if no inventory asked for more than 50 ms after its last order lacks it, and if its first order was sent before the boot ceased to answer. Two crashes give a task up only if both hit confirmed runs; else it takes three. The hand-over record names the runs that had not begun, which are no exposures for the next owner. Not mended: a late start that does crash its worker is not charged.

--- a/packages/core/src/quetzallock_core/cells/answers.py
+++ b/packages/core/src/quetzallock_core/cells/answers.py
@@ -29,6 +29,8 @@
         """Process the refusal of an inventory poll."""
         self._state.log_decision("hold.refused", worker=worker_id, reason=outcome)
         worker = self._state.workers.get(worker_id)
+        if worker is not None:
+            worker.unanswered_since = -1
         if outcome == "fence":
             self._state.fenced = True
         elif outcome == OTHER_BOOT and worker is not None:
@@ -56,6 +58,7 @@
             worker.record_contact(clock_ms, asked_at, now)
         if outcome in ("ok", "old"):
             run.answered_clock_ms = clock_ms
+            run.is_acknowledged = True
             run.progressed_at = now
             if run.state == "ordered":
                 run.advance("confirm")
--- a/packages/core/src/quetzallock_core/cells/cell.py
+++ b/packages/core/src/quetzallock_core/cells/cell.py
@@ -155,7 +155,7 @@
         """Record that an inventory poll of a worker got no answer."""
         known = self.state.workers.get(worker)
         if known is not None:
-            known.is_poll_unanswered = True
+            known.record_no_answer(self.state.clock.now())
             self.state.crashes.expose_runs(known)
 
     def start_waiting_tasks(self) -> None:
--- a/packages/core/src/quetzallock_core/cells/const.py
+++ b/packages/core/src/quetzallock_core/cells/const.py
@@ -94,7 +94,8 @@
 """The same with the crashes that were put down to another task, whatever ran at the last."""
 
 MIN_CRASHES_TO_GIVE_UP: Final = 2
-"""Crashes under one task from which on its job may be given up."""
+"""Crashes under one task from which on its job may be given up. Each of them must have hit a run
+that its worker had confirmed, since a start order may also reach no worker any more."""
 
 GIVE_UP_DELAY_MS: Final = 500
 """Pause after a repeated crash, in which other workers may prove to be lost for the same cause."""
@@ -102,6 +103,10 @@
 CRASH_RISK_MS: Final = 500
 """Time after its start in which a run may be expected to crash its worker."""
 
+ORDER_REORDER_MS: Final = 50
+"""Time after a start order in which the worker may still answer a later call first. A start that is
+carried out after that is a late one."""
+
 CLEARED_AFTER_MS: Final = 10_000
 """Minimum time at work after which the crashes under a task are forgotten."""
 
--- a/packages/core/src/quetzallock_core/cells/crashes.py
+++ b/packages/core/src/quetzallock_core/cells/crashes.py
@@ -20,7 +20,7 @@
     MAX_CRASHES_WITH_EXCUSED,
     MIN_CRASHES_TO_GIVE_UP,
 )
-from .isolation import has_worked, is_past_crash_risk, is_repeated_suspect
+from .isolation import has_worked, is_past_crash_risk, is_repeated_suspect, may_have_begun
 from .jobs import Job, Task, parse_task_name
 from .models import Boot, CrashRecord
 from .workers import Worker
@@ -68,23 +68,33 @@
         self._losses: deque[WorkerLoss] = deque()
         self._are_earlier_starts_unknown = False
 
-    def restore(self, locations: dict[str, Boot] | None) -> None:
+    def restore(
+        self, locations: dict[str, Boot] | None, unbegun: set[tuple[str, Boot]] | None = None
+    ) -> None:
         """Load the suspects of the journal.
 
         Args:
             locations: The boots of the tasks that ran at a planned hand-over; None after any other
                 takeover, where only the recorded starts are known.
+            unbegun: Task and boot of the runs among them that had not begun by then. The workers
+                refuse their start orders, which are the previous owner's.
         """
         self._are_earlier_starts_unknown = locations is None
+        unbegun = unbegun or set()
         for job in self._state.jobs.values():
             for task in job.list_tasks():
                 if task.is_crash_suspect:
                     self.by_task[task] = None
                 for boot in task.exposures:
+                    if (task.name, boot) in unbegun:
+                        self._remove_exposure(task, boot)
+                        continue
                     self._exposed.setdefault(boot, {})[task] = None
         for name, boot in (locations or {}).items():
             running_task = self._find_task(name)
-            if running_task is not None and boot not in running_task.exposures:
+            if running_task is None or (name, boot) in unbegun:
+                continue
+            if boot not in running_task.exposures:
                 self._add_exposure(running_task, boot)
 
     def _find_task(self, name: str) -> Task | None:
@@ -117,7 +127,7 @@
     def expose_runs(self, worker: Worker) -> None:
         """Record all runs on a worker that does not answer, before its end is known."""
         for run in worker.runs.values():
-            if run.was_sent:
+            if may_have_begun(run, worker):
                 self.expose(run.task, worker)
 
     def _add_exposure(self, task: Task, boot: Boot) -> None:
@@ -148,8 +158,9 @@
         boot = worker.boot
         if any(loss.boot == boot for loss in self._losses):
             return
-        runs = [run for run in worker.runs.values() if run.was_sent]
-        exposed = self._pop_exposed(boot)
+        runs = [run for run in worker.runs.values() if may_have_begun(run, worker)]
+        not_begun = {run.task for run in worker.runs.values()} - {run.task for run in runs}
+        exposed = [task for task in self._pop_exposed(boot) if task not in not_begun]
         if entry.is_draining:
             return
         lost_at = worker.contact_at if worker.contact_at >= 0 else self._state.clock.now()
@@ -160,7 +171,7 @@
         for run in runs:
             age_ms = max(0, worker.contact_at - run.ordered_at)
             is_bystander = bool(risky) and run not in risky
-            crash = CrashRecord(*boot, age_ms, risky == [run], is_bystander)
+            crash = CrashRecord(*boot, age_ms, risky == [run], is_bystander, run.has_begun)
             self._add_crash(run.task, crash)
         for task in exposed:
             self._add_crash(task, CrashRecord(*boot))
@@ -323,11 +334,12 @@
 
 def must_give_up(task: Task) -> bool:
     """Return whether the crashes under `task` are certainly, or too often, its own."""
-    count = task.crash_count - task.excused_crashes
-    if count >= MAX_CRASHES:
+    charged = [crash for crash in task.crashes if not crash.is_bystander]
+    if len(charged) >= MAX_CRASHES:
         return True
     if len(task.crashes) + task.excused_crashes >= MAX_CRASHES_WITH_EXCUSED:
         return True
-    if not count or not task.crashes[-1].is_only_suspect:
+    if not charged or not task.crashes[-1].is_only_suspect:
         return False
-    return count >= MIN_CRASHES_TO_GIVE_UP or task.crash_count >= MAX_CRASHES
+    confirmed = sum(crash.is_confirmed for crash in charged)
+    return confirmed >= MIN_CRASHES_TO_GIVE_UP or task.crash_count >= MAX_CRASHES
--- a/packages/core/src/quetzallock_core/cells/inventory.py
+++ b/packages/core/src/quetzallock_core/cells/inventory.py
@@ -45,6 +45,7 @@
         is_first = worker.inventory_at < 0
         worker.record_contact(inventory.clock_ms, asked_at, now)
         worker.inventory_at = now
+        worker.inventory_asked_at = max(worker.inventory_asked_at, asked_at)
         worker.is_poll_unanswered = False
         if is_first:
             known_end = worker.lease_end_clock_ms
--- a/packages/core/src/quetzallock_core/cells/isolation.py
+++ b/packages/core/src/quetzallock_core/cells/isolation.py
@@ -7,6 +7,7 @@
     CRASH_RISK_MS,
     ISOLATION_WAIT_MS,
     MIN_CRASHES_TO_GIVE_UP,
+    ORDER_REORDER_MS,
     REPEATED_ISOLATION_WAIT_MS,
 )
 from .jobs import Run, Task
@@ -32,6 +33,19 @@
     return has_worked(run, worker, CRASH_RISK_MS)
 
 
+def may_have_begun(run: Run, worker: Worker) -> bool:
+    """Return whether a boot that has crashed may have begun `run` before.
+
+    An order that a later inventory does not show was late and most likely never carried out. An
+    order that was sent after the boot had ceased to answer was sent to a boot that was over.
+    """
+    if run.has_begun:
+        return True
+    if not run.was_sent or worker.inventory_asked_at > run.last_sent_at + ORDER_REORDER_MS:
+        return False
+    return worker.unanswered_since < 0 or run.first_sent_at <= worker.unanswered_since
+
+
 def may_share_worker(task: Task, worker: Worker, now: int) -> bool:
     """Return whether `task` may join the runs on `worker`, so that a crash tells who caused it.
 
--- a/packages/core/src/quetzallock_core/cells/jobs.py
+++ b/packages/core/src/quetzallock_core/cells/jobs.py
@@ -49,6 +49,9 @@
         reserved_on: Id of the worker that keeps room for the task while this run is stopped, or
             empty.
         is_unsent: No start order went to this boot of the worker.
+        is_acknowledged: The worker has answered that it carried a start order out.
+        first_sent_at: Local ms of the first start order; -1 before it.
+        last_sent_at: Local ms of the last start order; -1 before any.
     """
 
     task: "Task"
@@ -72,12 +75,20 @@
     unanswered: int = 0
     reserved_on: str = ""
     is_unsent: bool = False
+    is_acknowledged: bool = False
+    first_sent_at: int = -1
+    last_sent_at: int = -1
 
     @property
     def was_sent(self) -> bool:
         """Whether this boot of the worker may have received the start order."""
         return self.is_listed or not self.is_unsent
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether the worker has answered that the run has begun."""
+        return self.is_listed or self.is_acknowledged
+
     def advance(self, event: str) -> None:
         """Make the transition `event` of the run chart."""
         self.state = RUN_CHART.next_state(self.state, event)
--- a/packages/core/src/quetzallock_core/cells/models.py
+++ b/packages/core/src/quetzallock_core/cells/models.py
@@ -149,6 +149,7 @@
         age_ms: How long the run had been going on, as far as the worker has answered.
         is_only_suspect: All other runs there had worked for some time.
         is_bystander: The run itself had, and another run there had not.
+        is_confirmed: The boot had answered that the run had begun.
     """
 
     worker: str
@@ -156,6 +157,7 @@
     age_ms: int = 0
     is_only_suspect: bool = False
     is_bystander: bool = False
+    is_confirmed: bool = False
 
 
 @message(215)
@@ -262,10 +264,12 @@
         runs: Task, worker and that worker's boot.
         leases: Worker, its boot and the ms, from the writing of the record, after which its lease
             has lapsed at the latest. The owner renews no lease after it has written the record.
+        unbegun: Those of the runs that had not begun, as far as the workers had answered.
     """
 
     runs: tuple[tuple[str, str, int], ...]
     leases: tuple[tuple[str, int, int], ...] = ()
+    unbegun: tuple[tuple[str, str, int], ...] = ()
 
 
 @message(229)
--- a/packages/core/src/quetzallock_core/cells/scheduler.py
+++ b/packages/core/src/quetzallock_core/cells/scheduler.py
@@ -133,6 +133,9 @@
         run.until_ms = worker.extend_lease(self._state.bounds.lease_ms, now)
         run.resend_at = now + ORDER_TIMEOUT_MS
         run.unanswered += 1
+        run.last_sent_at = now
+        if run.first_sent_at < 0:
+            run.first_sent_at = now
         entry = worker.entry
         task = run.task
         self._state.emit(
--- a/packages/core/src/quetzallock_core/cells/state.py
+++ b/packages/core/src/quetzallock_core/cells/state.py
@@ -116,7 +116,7 @@
             self.jobs[job_id] = job
             self.durations.add_work(job.policy.queue, job.work)
             self.open_job(job)
-        self.crashes.restore(self.unverified.locations)
+        self.crashes.restore(self.unverified.locations, self.unverified.unbegun)
         self.log_decision(
             "cell.restored",
             cell=self.number,
@@ -345,7 +345,7 @@
         for run in unconfirmed_runs:
             self.ended_runs.add(run, successor.boot)
             run.unanswered = 0
-            run.is_listed = False
+            run.is_listed = run.is_acknowledged = False
             run.is_unsent = True
             run.answered_clock_ms = -1
             self.add_run(successor, run)
--- a/packages/core/src/quetzallock_core/cells/unverified.py
+++ b/packages/core/src/quetzallock_core/cells/unverified.py
@@ -12,6 +12,7 @@
 from ..clock import Clock
 from .const import CLOCK_DRIFT, LEASE_MARGIN_MS, MAX_CLOCK_REFERENCES, OWNERSHIP_VALID_MS
 from .contents import Contents
+from .isolation import may_have_begun
 from .jobs import Task
 from .models import Boot, ClockReference, HandOverRecord, LeasesRecord, WorkerRecord
 from .workers import Worker
@@ -39,6 +40,7 @@
         by_boot: The unverified workers by boot.
         locations: The boot that may run each task, as recorded by an owner that handed the cell
             over; None after any other takeover.
+        unbegun: Task and boot of those of its runs that had not begun when it did so.
     """
 
     def __init__(self, workers: Mapping[str, Worker], clock: Clock) -> None:
@@ -46,6 +48,7 @@
         self._clock = clock
         self.by_boot: dict[Boot, UnverifiedWorker] = {}
         self.locations: dict[str, Boot] | None = None
+        self.unbegun: set[tuple[str, Boot]] = set()
         self._longest_wait_ms = 0
 
     def restore(self, contents: Contents, lease_ms: int) -> None:
@@ -61,6 +64,8 @@
         if isinstance(contents.hand_over, HandOverRecord):
             runs = contents.hand_over.runs
             self.locations = {task: (worker, boot_ms) for task, worker, boot_ms in runs}
+            unbegun = contents.hand_over.unbegun
+            self.unbegun = {(task, (worker, boot_ms)) for task, worker, boot_ms in unbegun}
         if contents.hand_over is not None:
             leases = contents.hand_over.leases
             remaining_ms = {(worker, boot_ms): left_ms for worker, boot_ms, left_ms in leases}
@@ -166,16 +171,18 @@
         leases = tuple(self._list_leases())
         if self.by_boot and self.locations is None:
             return LeasesRecord(leases)
-        runs = [
-            (run.task.name, worker.id, worker.entry.boot_ms)
-            for worker in self._workers.values()
-            for run in worker.runs.values()
-        ]
+        runs = []
+        unbegun = []
+        for worker in self._workers.values():
+            for run in worker.runs.values():
+                runs.append((run.task.name, worker.id, worker.entry.boot_ms))
+                if not may_have_begun(run, worker):
+                    unbegun.append(runs[-1])
         locations = self.locations or {}
         runs += [
             (task, *location) for task, location in locations.items() if location in self.by_boot
         ]
-        return HandOverRecord(tuple(runs), leases)
+        return HandOverRecord(tuple(runs), leases, tuple(unbegun))
 
     def _list_leases(self) -> list[tuple[str, int, int]]:
         """Return worker, boot and the ms until its lease has lapsed, of all that may run tasks."""
--- a/packages/core/src/quetzallock_core/cells/workers.py
+++ b/packages/core/src/quetzallock_core/cells/workers.py
@@ -69,6 +69,9 @@
         lease_end_clock_ms: Latest lease end, on the worker's clock, that any order may have set.
         contact_at: Local ms of its last answer; -1 before the first.
         inventory_at: Local ms of its last inventory; -1 before the first.
+        inventory_asked_at: Local ms at which the last inventory was asked for; -1 before the first.
+        unanswered_since: Local ms at which a poll got no answer, if nothing was answered since; -1
+            otherwise.
         cursor: Highest number of an end that was processed.
         durable_cursor: Highest number of an end that the journal holds.
         is_poll_unanswered: The last inventory poll got no answer. The next answer may come from
@@ -102,6 +105,8 @@
     lease_end_clock_ms: int = 0
     contact_at: int = -1
     inventory_at: int = -1
+    inventory_asked_at: int = -1
+    unanswered_since: int = -1
     cursor: int = 0
     durable_cursor: int = 0
     is_poll_unanswered: bool = True
@@ -193,11 +198,18 @@
     def record_contact(self, clock_ms: int, asked_at: int, now: int) -> None:
         """Record an answer, which arrives at `now`, to a call that was sent at `asked_at`."""
         self.contact_at = now
+        self.unanswered_since = -1
         if clock_ms >= self.clock_ms:
             self.clock_ms = clock_ms
             self.clock_read_at = now
             self.clock_asked_at = asked_at
 
+    def record_no_answer(self, now: int) -> None:
+        """Record that an inventory poll got no answer."""
+        self.is_poll_unanswered = True
+        if self.unanswered_since < 0:
+            self.unanswered_since = now
+
     def extend_lease(self, lease_ms: int, now: int) -> int:
         """Extend the lease and return its end on the worker's clock for an order sent at `now`."""
         until = self.clock_ms + (now - self.clock_read_at) + lease_ms
--- /dev/null
+++ b/tests/core/cells/test_crash_evidence.py
@@ -0,0 +1,171 @@
+"""Which runs are charged with the crash of a worker: those that it may really have begun."""
+
+from random import Random
+
+import pytest
+
+from quetzallock_core.cells.isolation import may_have_begun
+from quetzallock_core.cells.jobs import Run
+from quetzallock_core.cells.workers import Worker
+from quetzallock_standins.emulator import CellCluster
+from quetzallock_standins.emulator.cluster import make_spec
+
+from .common import POLICY, make_step, submit_plain
+from .test_crashing_tasks import (
+    MAX_CRASHES,
+    SETTLE_MS,
+    count_crashes,
+    list_states,
+    make_cluster,
+    run_until_crash,
+    submit_crashing,
+    submit_harmless_jobs,
+)
+
+DISTURBED_MS = 30_000
+
+
+def crash_and_revive_repeatedly(cluster: CellCluster, rng: Random) -> None:
+    """Let one worker after the other crash and return within a second, for `DISTURBED_MS`."""
+    if cluster.clock.now() > DISTURBED_MS:
+        return
+    worker = rng.choice(list(cluster.workers.values()))
+    if worker.is_up:
+        worker.crash()
+        cluster.schedule(rng.randrange(150, 600), lambda: cluster.revive(worker.id))
+    pause_ms = rng.randrange(1_000, 2_500)
+    cluster.schedule(pause_ms, lambda: crash_and_revive_repeatedly(cluster, rng))
+
+
+def run_harmless_jobs(seed: int, has_hand_overs: bool) -> tuple[CellCluster, list[str]]:
+    """Run jobs on workers that crash and return, while half of the orders are seconds late."""
+    cluster = CellCluster(workers=6, seed=seed)
+    rng = Random(seed)
+    cluster.run(500)
+    cluster.order_delay_rate = 0.5
+    crash_and_revive_repeatedly(cluster, rng)
+    jobs: list[str] = []
+    while cluster.clock.now() < DISTURBED_MS:
+        jobs.append(f"harmless{len(jobs)}")
+        submit_plain(cluster, jobs[-1], count=3, duration_ms=600)
+        cluster.run(rng.randrange(200, 600))
+        if has_hand_overs and len(jobs) % 10 == 0:
+            cluster.hand_over()
+    cluster.order_delay_rate = 0.0
+    cluster.run(SETTLE_MS)
+    return cluster, jobs
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_late_orders_and_returning_workers_fail_no_harmless_job(seed: int) -> None:
+    """Guards against a job given up for crashes of workers that never began its tasks."""
+    cluster, jobs = run_harmless_jobs(seed, has_hand_overs=False)
+    assert list_states(cluster, jobs) == {"completed"}
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_hand_overs_charge_no_crash_to_runs_that_had_not_begun(seed: int) -> None:
+    """Guards against exposures of runs whose orders are late.
+
+    A job may be given up only where two workers have really crashed under one of its tasks.
+    """
+    cluster, jobs = run_harmless_jobs(seed, has_hand_overs=True)
+    failed = [job for job in jobs if cluster.cell.find_state(job) != "completed"]
+    for job in failed:
+        assert max(count_crashes(cluster, f"{job}.0.0.{index}") for index in range(3)) >= 2
+
+
+def test_run_whose_order_is_late_is_not_charged_with_the_crash() -> None:
+    """Guards against a charge for an order that inventories asked for after it do not show."""
+    cluster = make_cluster(workers=1)
+    cluster.order_delay_rate = 1.0
+    submit_plain(cluster, "a", count=2)
+    cluster.run(400)
+    cluster.workers["w0"].crash()
+    cluster.run(200)
+    cluster.revive("w0")
+    cluster.run(500)
+    assert not cluster.cell.state.counters["task.crash_suspect"]
+
+
+@pytest.mark.parametrize("workers", [2, 6])
+def test_crashing_task_whose_starts_get_no_answer_is_given_up(workers: int) -> None:
+    """Guards against a task that stays free of charge since it crashes before any answer."""
+    cluster = make_cluster(workers)
+    jobs = submit_harmless_jobs(cluster)
+    cluster.run(3_000)
+    cluster.order_loss_rate = 1.0
+    submit_crashing(cluster, "deadly", make_step(1))
+    cluster.run(SETTLE_MS)
+    cluster.order_loss_rate = 0.0
+    cluster.run(SETTLE_MS)
+    assert 2 <= count_crashes(cluster, "deadly.0.0.0") <= MAX_CRASHES
+    assert cluster.cell.find_state("deadly") == "failed"
+    assert list_states(cluster, jobs) == {"completed"}
+
+
+@pytest.mark.parametrize("delay_ms", [200, 1_000, 3_060, 3_300])
+@pytest.mark.parametrize("is_killed", [True, False])
+def test_unanswered_starts_count_on_under_the_next_owner(delay_ms: int, is_killed: bool) -> None:
+    """Guards against an owner change that makes an exposed task free of charge."""
+    cluster = make_cluster()
+    cluster.order_loss_rate = 1.0
+    submit_crashing(cluster, "deadly", make_step(1))
+    crashes = 0
+    while run_until_crash(cluster, "deadly.0.0.0", crashes, SETTLE_MS // 2):
+        crashes += 1
+        assert crashes <= MAX_CRASHES
+        cluster.run(delay_ms)
+        if is_killed:
+            cluster.kill_owner()
+            cluster.take_over()
+        else:
+            cluster.hand_over()
+    assert cluster.cell.find_state("deadly") == "failed"
+
+
+@pytest.mark.parametrize(
+    ("sent_at", "inventory_asked_at", "unanswered_since", "expected"),
+    [
+        ((100, 100), 90, -1, True),
+        ((100, 100), 120, 130, True),
+        ((100, 100), 200, 260, False),
+        ((100, 800), 790, 830, True),
+        ((100, 100), 40, 90, False),
+        ((80, 780), 40, 90, True),
+    ],
+)
+def test_run_may_have_begun_unless_answers_rule_it_out(
+    sent_at: tuple[int, int], inventory_asked_at: int, unanswered_since: int, expected: bool
+) -> None:
+    """Guards each bound: before any answer, within the reordering of calls, after it, resent."""
+    cluster = make_cluster(workers=1)
+    submit_plain(cluster, "a", count=1)
+    cluster.run(50)
+    (task,) = cluster.cell.state.jobs["a"].list_tasks()
+    worker = Worker(cluster.workers["w0"].entry)
+    worker.inventory_asked_at = inventory_asked_at
+    worker.unanswered_since = unanswered_since
+    first, last = sent_at
+    run = Run(task, 1, "w0", "ordered", 0, first_sent_at=first, last_sent_at=last)
+    assert may_have_begun(run, worker) is expected
+    run.is_acknowledged = True
+    assert may_have_begun(run, worker)
+
+
+def test_run_moved_to_the_next_boot_is_not_charged_with_its_crash() -> None:
+    """Guards against an answer of the previous boot that counts for the next one."""
+    cluster = make_cluster(workers=1)
+    cluster.submit(make_spec("a", make_step(1)), POLICY, {0: 5_000})
+    cluster.run(4)
+    cluster.order_delay_rate = 1.0
+    cluster.run(1)
+    worker = cluster.cell.state.workers["w0"]
+    (run,) = worker.runs.values()
+    run.is_acknowledged = True
+    run.is_listed = False
+    for _ in range(2):
+        cluster.workers["w0"].crash()
+        cluster.revive("w0")
+        cluster.cell.handle_entries(cluster._list_entries())
+    assert len(run.task.crashes) == 1
