--- a/packages/core/src/quetzallock_core/cells/answers.py
+++ b/packages/core/src/quetzallock_core/cells/answers.py
@@ -29,6 +29,8 @@
         """Process the refusal of an inventory poll."""
         self._state.log_decision("hold.refused", worker=worker_id, reason=outcome)
         worker = self._state.workers.get(worker_id)
+        if worker is not None:
+            worker.unanswered_since = -1
         if outcome == "fence":
             self._state.fenced = True
         elif outcome == OTHER_BOOT and worker is not None:
@@ -42,6 +44,8 @@
         `outcome` is empty when there was no answer.
         """
         worker, run = self._find_run(order)
+        if outcome and run is None:
+            self._state.ended_runs.handle_start_answer(order)
         if worker is None or run is None:
             return
         if outcome:
@@ -54,6 +58,7 @@
             worker.record_contact(clock_ms, asked_at, now)
         if outcome in ("ok", "old"):
             run.answered_clock_ms = clock_ms
+            run.is_acknowledged = True
             run.progressed_at = now
             if run.state == "ordered":
                 run.advance("confirm")
@@ -106,7 +111,11 @@
         worker.record_contact(clock_ms, asked_at, self._state.clock.now())
         if outcome == "fence":
             self._state.fenced = True
-        elif outcome == "ok" and run is not None:
+            return
+        if outcome != "ok":
+            return
+        self._state.ended_runs.handle_stop_answer(order)
+        if run is not None:
             run.answered_clock_ms = clock_ms + self._state.bounds.stop_ms
 
     def _find_run(self, order: StartRun | StopRun) -> tuple[Worker | None, Run | None]:
--- a/packages/core/src/quetzallock_core/cells/cell.py
+++ b/packages/core/src/quetzallock_core/cells/cell.py
@@ -179,7 +179,7 @@
         """Record that an inventory poll of a worker got no answer."""
         known = self.state.workers.get(worker)
         if known is not None:
-            known.is_poll_unanswered = True
+            known.record_no_answer(self.state.clock.now())
             self.state.crashes.expose_runs(known)
 
     def start_waiting_tasks(self) -> None:
@@ -201,6 +201,7 @@
         state.crashes.clear_or_give_up()
         state.headroom.update(state.open_steps, state.workers.values(), now)
         if self.may_order and not state.fenced:
+            state.ended_runs.stop_on_new_boots()
             self._repeat_orders(now)
             self._restart_stalled(now)
             if self.evacuations.is_view_current():
--- a/packages/core/src/quetzallock_core/cells/const.py
+++ b/packages/core/src/quetzallock_core/cells/const.py
@@ -24,6 +24,13 @@
 INVENTORY_POLL_WAIT_MS: Final = 1_000
 """How long a worker may keep an inventory poll open while no run ends."""
 
+MAX_ORDER_DELAY_MS: Final = 15_000
+"""Longest time, with some margin, that an order may be on its way and still be carried out."""
+
+MAX_ENDED_RUNS: Final = 1_000
+"""Maximum number of ended runs that the next boots of their workers are told to reject, as each
+costs an order to such a boot."""
+
 UNREACHABLE_TIMEOUT_MS: Final = 1_500
 """Time without an answer after which a worker gets no new tasks."""
 
@@ -88,13 +95,15 @@
 """Time that the metrics in a worker's inventory cover."""
 
 MAX_CRASHES: Final = 3
-"""Workers that may crash under one task; its job is then given up."""
+"""Workers that may crash under one task; its job is then given up. With crashes that were put down
+to another task, the last must have found no other risky run on its worker."""
 
 MAX_CRASHES_WITH_EXCUSED: Final = 5
-"""The same with the crashes that were put down to another task."""
+"""The same with the crashes that were put down to another task, whatever ran at the last."""
 
 MIN_CRASHES_TO_GIVE_UP: Final = 2
-"""Crashes under one task from which on its job may be given up."""
+"""Crashes under one task from which on its job may be given up. Each of them must have hit a run
+that its worker had confirmed, since a start order may also reach no worker any more."""
 
 GIVE_UP_DELAY_MS: Final = 500
 """Pause after a repeated crash, in which other workers may prove to be lost for the same cause."""
@@ -102,6 +111,10 @@
 CRASH_RISK_MS: Final = 500
 """Time after its start in which a run may be expected to crash its worker."""
 
+ORDER_REORDER_MS: Final = 50
+"""Time after a start order in which the worker may still answer a later call first. A start that is
+carried out after that is a late one."""
+
 CLEARED_AFTER_MS: Final = 10_000
 """Minimum time at work after which the crashes under a task are forgotten."""
 
@@ -111,6 +124,10 @@
 ISOLATION_WAIT_MS: Final = 2_000
 """How long a suspect waits for a worker on which a crash would tell who has caused it."""
 
+REPEATED_ISOLATION_WAIT_MS: Final = 10_000
+"""How long a suspect of several crashes waits for a worker without any other risky run. Long, since
+a job without fault may be given up for a crash beside another task that has just started."""
+
 COMMON_CAUSE_WINDOW_MS: Final = 1_500
 """Longest time between the last answers of workers that are lost for the same cause."""
 
--- a/packages/core/src/quetzallock_core/cells/jobs.py
+++ b/packages/core/src/quetzallock_core/cells/jobs.py
@@ -50,6 +50,9 @@
             by another boot of the worker.
         is_unsent: No start order went to this boot of the worker.
         service_core_ms: Service that its queue was charged with; 0 for an adopted run.
+        is_acknowledged: The worker has answered that it carried a start order out.
+        first_sent_at: Local ms of the first start order; -1 before it.
+        last_sent_at: Local ms of the last start order; -1 before any.
     """
 
     task: "Task"
@@ -74,12 +77,20 @@
     unanswered: int = 0
     is_unsent: bool = False
     service_core_ms: float = 0.0
+    is_acknowledged: bool = False
+    first_sent_at: int = -1
+    last_sent_at: int = -1
 
     @property
     def was_sent(self) -> bool:
         """Whether this boot of the worker may have received the start order."""
         return self.is_listed or not self.is_unsent
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether the worker has answered that the run has begun."""
+        return self.is_listed or self.is_acknowledged
+
     def advance(self, event: str) -> None:
         """Make the transition `event` of the run chart."""
         self.state = RUN_CHART.next_state(self.state, event)
@@ -98,7 +109,8 @@
         avoid: Ids of workers on which it failed or was stopped, which cost more in placement.
         crashes: Crashes of workers under it, of which it is suspected.
         exposures: Boots on which it may be running, as recorded for the next owner.
-        excused_crashes: Number of further crashes, put down to another task that was given up.
+        excused_crashes: Number of further crashes, soon after a start of it, that were put down to
+            another task that was given up.
         may_give_up_at: Local ms from which on its job may be given up for the crashes.
         crash_revision: The job's `crash_revision` at the last change of its crashes or exposures.
         has_run: This owner has ordered or found a run of it.
@@ -166,6 +178,17 @@
         """Whether the journal holds its crashes and exposures."""
         return self.crash_revision <= self.job.durable_crash_revision
 
+    @property
+    def crash_count(self) -> int:
+        """Number of crashes that it may have caused, as far as the runs beside it tell."""
+        charged = sum(not crash.is_bystander for crash in self.crashes)
+        return charged + self.excused_crashes
+
+    @property
+    def is_crash_suspect(self) -> bool:
+        """Whether a worker has crashed under it that may crash under it again."""
+        return bool(self.crashes or self.excused_crashes)
+
     @property
     def has_history(self) -> bool:
         """Whether its journal record differs from that of a task that has never run."""
--- a/packages/core/src/quetzallock_core/cells/preemption.py
+++ b/packages/core/src/quetzallock_core/cells/preemption.py
@@ -166,7 +166,7 @@
     spec = task.spec
     if run.state != "running" or len(task.runs) != 1:
         return False
-    if spec.lasting or spec.target_ms or spec.gang or task.crashes:
+    if spec.lasting or spec.target_ms or spec.gang or task.is_crash_suspect:
         return False
     return not task.preempted_at or now - run.ordered_at >= PROTECTED_MS
 
@@ -218,7 +218,7 @@
 
     def _is_late(self, task: Task, now: int) -> bool:
         """Return whether `task` waits too long for a worker, and for nothing else."""
-        if not task.is_waiting or task.crashes:
+        if not task.is_waiting or task.is_crash_suspect:
             return False
         if now - max(task.step.ready_at, task.not_before) < WAIT_LIMIT_MS:
             return False
--- a/packages/core/src/quetzallock_core/cells/scheduler.py
+++ b/packages/core/src/quetzallock_core/cells/scheduler.py
@@ -85,7 +85,7 @@
             if not self._state.headroom.may_start(task):
                 break
             worker = self._find_reserved(task, placement, now) or placement.choose(task)
-            if worker is None and task.crashes:
+            if worker is None and task.is_crash_suspect:
                 continue
             if worker is None:
                 break
@@ -198,6 +198,9 @@
         run.until_ms = worker.extend_lease(self._state.bounds.lease_ms, now)
         run.resend_at = now + ORDER_TIMEOUT_MS
         run.unanswered += 1
+        run.last_sent_at = now
+        if run.first_sent_at < 0:
+            run.first_sent_at = now
         entry = worker.entry
         task = run.task
         self._state.emit(
@@ -228,7 +231,7 @@
 
     def _copy_if_straggling(self, task: Task, max_age_ms: float, now: int) -> None:
         run = next(iter(task.runs.values()))
-        if run.state != "running" or now - run.ordered_at < max_age_ms or task.crashes:
+        if run.state != "running" or now - run.ordered_at < max_age_ms or task.is_crash_suspect:
             return
         if len(task.failed_runs) + 1 >= task.job.policy.max_attempts:
             return
--- a/packages/core/src/quetzallock_core/cells/state.py
+++ b/packages/core/src/quetzallock_core/cells/state.py
@@ -9,6 +9,7 @@
 from .contents import Contents
 from .crashes import CrashSuspects
 from .durations import DurationEstimates
+from .ended_runs import EndedRuns
 from .headroom import Headroom
 from .interference import Interference
 from .jobs import Job, Run, StepRun, Task, make_job, restore_job
@@ -40,6 +41,7 @@
         unverified: Workers that may run tasks which this owner has not seen yet.
         crashes: Tasks that may crash the workers that start them.
         reservations: Capacity that workers keep for tasks that are about to start there.
+        ended_runs: Ended runs whose start orders may still arrive.
         open_steps: Steps with unfinished tasks whose predecessors are done.
         shares: Service that the queues have received.
         dirty: Jobs whose progress the journal does not hold yet.
@@ -73,6 +75,7 @@
         self.unverified = UnverifiedWorkers(self.workers, clock)
         self.crashes = CrashSuspects(self)
         self.reservations = Reservations()
+        self.ended_runs = EndedRuns(self)
         self.open_steps: dict[StepRun, None] = {}
         self.dirty: dict[Job, None] = {}
         self.durations = DurationEstimates()
@@ -128,7 +131,7 @@
             self.durations.add_work(job.policy.queue, job.work)
             self.placing.add_job(job, now)
             self.open_job(job)
-        self.crashes.restore(self.unverified.locations)
+        self.crashes.restore(self.unverified.locations, self.unverified.unbegun)
         self.log_decision(
             "cell.restored",
             cell=self.number,
@@ -269,6 +272,7 @@
         worker = self.workers.get(run.worker)
         if worker is not None:
             worker.remove(run)
+            self.ended_runs.add(run, worker.boot)
             if event != "lapse":
                 self.crashes.end_exposure(run.task, worker.boot)
             self._record_best_effort_shares(worker, run)
@@ -367,8 +371,9 @@
         self.drop_worker(worker, "worker restarted")
         successor = self.add_worker(entry)
         for run in unconfirmed_runs:
+            self.ended_runs.add(run, successor.boot)
             run.unanswered = 0
-            run.is_listed = False
+            run.is_listed = run.is_acknowledged = False
             run.is_unsent = True
             run.answered_clock_ms = -1
             self.add_run(successor, run)
@@ -400,6 +405,7 @@
             self.dropped_workers.remove(entry.worker)
         self.workers[entry.worker] = worker
         self.crashes.handle_new_boot(worker.boot)
+        self.ended_runs.stop_on_new_boots()
         self.has_worker_changes = True
         if self.unverified.has_recorded_lapse((entry.worker, entry.boot_ms)):
             worker.is_recorded = True
--- a/tests/core/cells/test_evacuation_moves.py
+++ b/tests/core/cells/test_evacuation_moves.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from quetzallock_core.cells.models import Resources
 from quetzallock_standins.emulator.cluster import make_spec
 
 from .common import POLICY, make_step
