--- a/tests/core/cells/test_fair_shares.py
+++ b/tests/core/cells/test_fair_shares.py
@@ -97,6 +97,18 @@
     assert max(starts) - submitted_at <= MAX_QUEUE_WAIT_MS + TASK_MS + REACTION_MS
 
 
+def test_share_of_a_queue_does_not_put_its_late_jobs_before_jobs_that_can_be_in_time() -> None:
+    """Late jobs have little value left, and would make the jobs of the other queue late as well."""
+    cluster = make_cluster()
+    flood(cluster, "f", FLOOD)
+    cluster.run(1_000)
+    submitted_at = cluster.clock.now()
+    submit(cluster, "late", QueuePolicy("late", "pool", 0, 3, 0.01, 0, 1), count=4)
+    cluster.run(MAX_QUEUE_WAIT_MS - REACTION_MS)
+    assert not list_starts(cluster, "late", submitted_at)
+    assert list_starts(cluster, "f", submitted_at)
+
+
 @pytest.mark.parametrize("weight", [1.0, 3.0, 0.25])
 def test_queues_that_flood_share_by_weight(weight: float) -> None:
     """The weight would have no effect, or one queue would take all by its value density."""
