Release reservations in an evacuated data centre at once

Cause: the two parts were built side by side; a reservation for a waiting task on a worker that was evacuated meanwhile was kept until its time limit.

--- a/packages/core/src/quetzallock_core/cells/reservations.py
+++ b/packages/core/src/quetzallock_core/cells/reservations.py
@@ -81,6 +81,6 @@
 
 def _is_usable(worker: Worker, now: int) -> bool:
     """Return whether `worker` may still get the task that it keeps capacity for."""
-    if worker.entry.is_draining or worker.is_overcommitted:
+    if worker.entry.is_draining or worker.is_evacuated or worker.is_overcommitted:
         return False
     return worker.is_listed and worker.is_reachable(now)
--- a/tests/core/cells/test_evacuation_moves.py
+++ b/tests/core/cells/test_evacuation_moves.py
@@ -98,3 +98,17 @@
     assert cluster.cell.find_state("j") == "completed"
     assert (cluster.cell.state.counters["run.stopped"] > 0) is is_moved
     assert not cluster.ground_truth.violations
+
+
+def test_capacity_for_a_waiting_task_is_not_kept_in_an_evacuated_data_centre() -> None:
+    cluster = make_cluster(workers=2, capacity=ROOM_FOR_TWO)
+    submit_lasting(cluster, 4)
+    state = cluster.cell.state
+    cluster.submit(make_spec("j", make_step(1)), POLICY, {0: 4_000})
+    cluster.run(50)
+    task = state.jobs["j"].list_tasks()[0]
+    worker = next(w for w in state.workers.values() if w.entry.data_centre == "a")
+    state.reservations.reserve_for_waiting(task, worker, (), cluster.clock.now() + 60_000)
+    cluster.operator.evacuate("a")
+    cluster.run(VIEW_MS)
+    assert task not in state.reservations.by_task
