Pack a pool only for wide tasks that ask for a tenth of its short work

Cause: on a pool whose short tasks all found room, the widest twentieth was a little wider than an even piece, so that it was packed without need. Change: tasks count as wide if they ask for a tenth of the CPU of recent short tasks.

--- a/packages/core/src/quetzallock_core/cells/packing.py
+++ b/packages/core/src/quetzallock_core/cells/packing.py
@@ -25,7 +25,7 @@
 HALF_LIFE_MS: Final = 30_000
 """Time after which the tasks that a job asked for count half; covers several swings of demand."""
 
-WIDE_SHARE: Final = 0.05
+WIDE_SHARE: Final = 0.1
 """Share of the requested processor that tasks must ask for together to count as the widest, so that
 a single odd job does not decide the policy."""
 
