--- a/packages/core/src/quetzallock_core/cells/answers.py
+++ b/packages/core/src/quetzallock_core/cells/answers.py
@@ -5,7 +5,7 @@
 from .const import RETRY_PAUSE_MS
 from .inventory import mark_started
 from .jobs import Run
-from .models import StartRun, StopRun
+from .orders import StartRun, StopRun
 from .state import CellState
 from .workers import Worker
 
--- a/packages/core/src/quetzallock_core/cells/batches.py
+++ b/packages/core/src/quetzallock_core/cells/batches.py
@@ -5,7 +5,8 @@
 
 from .const import UNVERIFIED_RECORD_AFTER_MS
 from .jobs import Job
-from .models import Persist, TicketOutcome, WorkerRecord
+from .orders import Persist, TicketOutcome
+from .records import WorkerRecord
 from .state import CellState
 from .unverified import UnverifiedWorker
 from .workers import Worker
--- a/packages/core/src/quetzallock_core/cells/cell.py
+++ b/packages/core/src/quetzallock_core/cells/cell.py
@@ -14,16 +14,10 @@
 from .inventory import InventoryReader
 from .jobs import JOB_CHART
 from .migration import Migration
-from .models import (
-    Bounds,
-    Effect,
-    Inventory,
-    JobRecord,
-    StartRun,
-    TicketOutcome,
-    WorkerEntry,
-)
+from .models import Bounds, Inventory, WorkerEntry
+from .orders import Effect, StartRun, TicketOutcome
 from .preemption import Preemption
+from .records import JobRecord
 from .scheduler import Scheduler
 from .state import CellState
 from .waiting import WaitReporter
--- a/packages/core/src/quetzallock_core/cells/contents.py
+++ b/packages/core/src/quetzallock_core/cells/contents.py
@@ -5,7 +5,7 @@
 
 from ..codec import decode
 from ..exceptions import CodecError
-from .models import (
+from .records import (
     HandOverRecord,
     JobRecord,
     LearnedRecord,
--- a/packages/core/src/quetzallock_core/cells/crashes.py
+++ b/packages/core/src/quetzallock_core/cells/crashes.py
@@ -23,7 +23,8 @@
 )
 from .isolation import has_worked, is_past_crash_risk, is_repeated_suspect, may_have_begun
 from .jobs import Job, Run, Task, parse_task_name
-from .models import Boot, CrashRecord
+from .models import Boot
+from .records import CrashRecord
 from .workers import Worker
 
 LOSSES_KEPT_MS: Final = 10_000
--- a/packages/core/src/quetzallock_core/cells/ended_runs.py
+++ b/packages/core/src/quetzallock_core/cells/ended_runs.py
@@ -15,7 +15,8 @@
 from ..clock import Clock
 from .const import MAX_ENDED_RUNS, MAX_ORDER_DELAY_MS, ORDER_TIMEOUT_MS
 from .jobs import Run
-from .models import Boot, Effect, StartRun, StopRun
+from .models import Boot
+from .orders import Effect, StartRun, StopRun
 from .workers import Worker
 
 
--- a/packages/core/src/quetzallock_core/cells/inventory.py
+++ b/packages/core/src/quetzallock_core/cells/inventory.py
@@ -2,7 +2,8 @@
 
 from .const import DEFAULT_DURATION_MS, STALL_TIMEOUT_MS
 from .jobs import Job, Run, Task, parse_task_name
-from .models import EndRow, Inventory, RunningRow, StopRun
+from .models import EndRow, Inventory, RunningRow
+from .orders import StopRun
 from .pacing import (
     estimate_pace,
     exceeds_ordered_pace,
--- a/packages/core/src/quetzallock_core/cells/jobs.py
+++ b/packages/core/src/quetzallock_core/cells/jobs.py
@@ -5,16 +5,8 @@
 
 from ..chart import Chart, load_chart
 from ..codec import pack
-from .models import (
-    Boot,
-    CrashRecord,
-    JobRecord,
-    JobSpec,
-    ProgressRecord,
-    QueuePolicy,
-    StepSpec,
-    TaskRecord,
-)
+from .models import Boot, JobSpec, QueuePolicy, StepSpec
+from .records import CrashRecord, JobRecord, ProgressRecord, TaskRecord
 from .shares import ShareKey
 
 JOB_CHART: Final[Chart] = load_chart(__package__, "job")
--- /dev/null
+++ b/packages/core/src/quetzallock_core/cells/orders.py
@@ -0,0 +1,71 @@
+"""Orders to workers, and the other effects of a cell's decisions."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class StartRun:
+    """Order to start a run of a task on a worker.
+
+    Attributes:
+        until_ms: End of the worker's lease on the worker's clock.
+    """
+
+    worker: str
+    boot_ms: int
+    address: str
+    task: str
+    run: int
+    payload: str
+    checkpoint: str
+    until_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class StopRun:
+    """Order to stop a run."""
+
+    worker: str
+    boot_ms: int
+    address: str
+    task: str
+    run: int
+
+
+@dataclass(frozen=True, slots=True)
+class PaceRun:
+    """Order to run at `percent` of full speed."""
+
+    worker: str
+    boot_ms: int
+    address: str
+    task: str
+    run: int
+    percent: int
+
+
+@dataclass(frozen=True, slots=True)
+class Persist:
+    """Journal write: the new value of `key`, or None to delete the key."""
+
+    key: str
+    value: object | None
+
+
+@dataclass(frozen=True, slots=True)
+class TicketOutcome:
+    """Final outcome of the submission or cancellation with this ticket."""
+
+    ticket: int
+    outcome: str
+
+
+@dataclass(frozen=True, slots=True)
+class Decision:
+    """A decision for the log: the event and the inputs that led to it."""
+
+    event: str
+    inputs: dict[str, object]
+
+
+Effect = StartRun | StopRun | PaceRun | Persist | TicketOutcome | Decision
--- /dev/null
+++ b/packages/core/src/quetzallock_core/cells/records.py
@@ -0,0 +1,164 @@
+"""Records in the journal of a cell."""
+
+from dataclasses import dataclass
+
+from ..codec import message
+from .models import Boot, JobSpec, QueuePolicy
+
+
+@message(214)
+@dataclass(frozen=True, slots=True)
+class JobRecord:
+    """Journal record of an accepted job; `accepted_ms` is Unix time."""
+
+    spec: JobSpec
+    policy: QueuePolicy
+    accepted_ms: int
+
+
+@message(230)
+@dataclass(frozen=True, slots=True)
+class CrashRecord:
+    """A crash of a worker under a task.
+
+    Attributes:
+        boot_ms: Boot that crashed.
+        age_ms: How long the run had been going on, as far as the worker has answered.
+        is_only_suspect: All other runs there had worked for some time.
+        is_bystander: The run itself had, and another run there had not.
+        is_confirmed: The boot had answered that the run had begun.
+    """
+
+    worker: str
+    boot_ms: int
+    age_ms: int = 0
+    is_only_suspect: bool = False
+    is_bystander: bool = False
+    is_confirmed: bool = False
+
+
+@message(215)
+@dataclass(frozen=True, slots=True)
+class TaskRecord:
+    """Durable state of one task, which (occurrence, step, index) identifies within its job.
+
+    Attributes:
+        failed_runs: Numbers of the runs that ended as failed. They are numbers rather than a count
+            so that an end that is reported twice counts once.
+        crashes: Crashes of workers under it, of which it is suspected.
+        exposures: Boots on which it may be running. If one of them has crashed, it is a suspect.
+        excused_crashes: Number of further crashes, put down to another task that was given up.
+    """
+
+    occurrence: int
+    step: int
+    index: int
+    is_done: bool
+    failed_runs: tuple[int, ...]
+    checkpoint: str
+    crashes: tuple[CrashRecord, ...] = ()
+    exposures: tuple[Boot, ...] = ()
+    excused_crashes: int = 0
+
+
+@message(216)
+@dataclass(frozen=True, slots=True)
+class ProgressRecord:
+    """Journal record of the progress of a job.
+
+    Attributes:
+        state: State of the job chart.
+        has_started: A task of the job has started.
+        ended_ms: Unix time of its end, or 0.
+        tasks: The tasks that differ from tasks that have never run.
+    """
+
+    state: str
+    has_started: bool
+    ended_ms: int
+    tasks: tuple[TaskRecord, ...]
+
+
+@message(219)
+@dataclass(frozen=True, slots=True)
+class ClockReference:
+    """A point in time on the monotonic clock of another worker's boot.
+
+    Attributes:
+        worker: Id of the worker whose clock is read.
+        boot_ms: Boot of that worker; its clock starts anew with each boot.
+        clock_ms: Reading of that clock.
+    """
+
+    worker: str
+    boot_ms: int
+    clock_ms: int
+
+
+@message(217)
+@dataclass(frozen=True, slots=True)
+class WorkerRecord:
+    """Journal record of a worker's boot that may have received orders.
+
+    Attributes:
+        boot_ms: Unix time in ms of its start, which identifies the boot.
+        lapsed_by: Empty while its lease is renewed. Otherwise the lease is not renewed before this
+            record is rewritten, and has lapsed once any of these clock references is passed.
+    """
+
+    worker: str
+    address: str
+    boot_ms: int
+    lapsed_by: tuple[ClockReference, ...] = ()
+
+
+@message(218)
+@dataclass(frozen=True, slots=True)
+class LearnedRecord:
+    """Journal record of learned estimates, with which the next owner starts.
+
+    Attributes:
+        coefficients: Serving image, best-effort image and the coefficient of the interference of
+            the second with the first.
+        peak_tails: Serving image and its tail latency in ms at peak load without interference.
+        durations: Queue and the mean duration in ms of its tasks.
+        services: Queue, whether for its long-running tasks, and the decayed service in core-ms that
+            it has received.
+    """
+
+    coefficients: tuple[tuple[str, str, float], ...]
+    peak_tails: tuple[tuple[str, float], ...]
+    durations: tuple[tuple[str, float], ...]
+    services: tuple[tuple[str, bool, float], ...] = ()
+
+
+@message(226)
+@dataclass(frozen=True, slots=True)
+class HandOverRecord:
+    """Journal record that an owner writes last when it hands its cell over.
+
+    While the journal holds it, no task has been started since, and `runs` names all runs that may
+    still be going on.
+
+    Attributes:
+        runs: Task, worker and that worker's boot.
+        leases: Worker, its boot and the ms, from the writing of the record, after which its lease
+            has lapsed at the latest. The owner renews no lease after it has written the record.
+        unbegun: Those of the runs that had not begun, as far as the workers had answered.
+    """
+
+    runs: tuple[tuple[str, str, int], ...]
+    leases: tuple[tuple[str, int, int], ...] = ()
+    unbegun: tuple[tuple[str, str, int], ...] = ()
+
+
+@message(229)
+@dataclass(frozen=True, slots=True)
+class LeasesRecord:
+    """Journal record that an owner writes, instead of a `HandOverRecord`, if it knows not all runs.
+
+    Attributes:
+        leases: As in `HandOverRecord`.
+    """
+
+    leases: tuple[tuple[str, int, int], ...]
--- a/packages/core/src/quetzallock_core/cells/scheduler.py
+++ b/packages/core/src/quetzallock_core/cells/scheduler.py
@@ -6,8 +6,8 @@
 from .const import MIN_COPY_AGE_MS, ORDER_TIMEOUT_MS, STRAGGLER_FACTOR
 from .contests import Candidate, Contest, FairShares, compute_service
 from .jobs import Run, StepRun, Task
-from .models import StartRun
 from .ordering import ORDERS
+from .orders import StartRun
 from .placement import Placement
 from .state import CellState
 from .workers import Worker
--- a/packages/core/src/quetzallock_core/cells/state.py
+++ b/packages/core/src/quetzallock_core/cells/state.py
@@ -13,18 +13,11 @@
 from .headroom import Headroom
 from .interference import Interference
 from .jobs import Job, Run, StepRun, Task, make_job, restore_job
-from .models import (
-    Bounds,
-    Decision,
-    Effect,
-    JobRecord,
-    LearnedRecord,
-    PaceRun,
-    StopRun,
-    WorkerEntry,
-)
+from .models import Bounds, WorkerEntry
+from .orders import Decision, Effect, PaceRun, StopRun
 from .packing import PolicyChooser
 from .placement import Placement
+from .records import JobRecord, LearnedRecord
 from .reservations import Reservations
 from .shares import Shares
 from .unverified import UnverifiedWorkers
--- a/packages/core/src/quetzallock_core/cells/unverified.py
+++ b/packages/core/src/quetzallock_core/cells/unverified.py
@@ -14,7 +14,8 @@
 from .contents import Contents
 from .isolation import may_have_begun
 from .jobs import Task
-from .models import Boot, ClockReference, HandOverRecord, LeasesRecord, WorkerRecord
+from .models import Boot
+from .records import ClockReference, HandOverRecord, LeasesRecord, WorkerRecord
 from .workers import Worker
 
 
--- a/packages/daemon/src/quetzallock_daemon/cells/owner.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/owner.py
@@ -12,16 +12,9 @@
 from quetzallock_core.cells.const import OWNERSHIP_VALID_MS
 from quetzallock_core.cells.contents import read_contents
 from quetzallock_core.cells.load import LoadControl
-from quetzallock_core.cells.models import (
-    Bounds,
-    Decision,
-    JobRecord,
-    PaceRun,
-    StartRun,
-    StopRun,
-    TicketOutcome,
-    WorkerEntry,
-)
+from quetzallock_core.cells.models import Bounds, WorkerEntry
+from quetzallock_core.cells.orders import Decision, PaceRun, StartRun, StopRun, TicketOutcome
+from quetzallock_core.cells.records import JobRecord
 
 from ..helpers import run_in_background, sleep
 from .clocks import BootClock, read_unix_ms
--- a/packages/daemon/src/quetzallock_daemon/cells/ports.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/ports.py
@@ -3,14 +3,8 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from quetzallock_core.cells.models import (
-    Inventory,
-    PaceRun,
-    QueuePolicy,
-    StartRun,
-    StopRun,
-    WorkerEntry,
-)
+from quetzallock_core.cells.models import Inventory, QueuePolicy, WorkerEntry
+from quetzallock_core.cells.orders import PaceRun, StartRun, StopRun
 from quetzallock_core.exceptions import QuetzallockError
 
 
--- a/packages/standins/src/quetzallock_standins/emulator/busy.py
+++ b/packages/standins/src/quetzallock_standins/emulator/busy.py
@@ -4,14 +4,8 @@
 from typing import Any, Final
 
 from quetzallock_core.cells.load import LoadControl
-from quetzallock_core.cells.models import (
-    Inventory,
-    JobSpec,
-    PaceRun,
-    QueuePolicy,
-    StartRun,
-    StopRun,
-)
+from quetzallock_core.cells.models import Inventory, JobSpec, QueuePolicy
+from quetzallock_core.cells.orders import PaceRun, StartRun, StopRun
 
 from .cluster import TICK_INTERVAL_MS, CellCluster, Owner
 from .processor import Processor
--- a/packages/standins/src/quetzallock_standins/emulator/cluster.py
+++ b/packages/standins/src/quetzallock_standins/emulator/cluster.py
@@ -11,17 +11,14 @@
 from quetzallock_core.cells.models import (
     Bounds,
     Inventory,
-    JobRecord,
     JobSpec,
-    PaceRun,
     QueuePolicy,
     Resources,
-    StartRun,
     StepSpec,
-    StopRun,
-    TicketOutcome,
     WorkerEntry,
 )
+from quetzallock_core.cells.orders import PaceRun, StartRun, StopRun, TicketOutcome
+from quetzallock_core.cells.records import JobRecord
 from quetzallock_core.clock import ManualClock
 from quetzallock_core.codec import encode
 
--- a/packages/standins/src/quetzallock_standins/emulator/workers.py
+++ b/packages/standins/src/quetzallock_standins/emulator/workers.py
@@ -3,16 +3,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
-from quetzallock_core.cells.models import (
-    EndRow,
-    Inventory,
-    PaceRun,
-    Resources,
-    RunningRow,
-    StartRun,
-    StopRun,
-    WorkerEntry,
-)
+from quetzallock_core.cells.models import EndRow, Inventory, Resources, RunningRow, WorkerEntry
+from quetzallock_core.cells.orders import PaceRun, StartRun, StopRun
 from quetzallock_core.cells.workers import compute_commitment
 
 from .ground_truth import GroundTruth
--- a/tests/core/cells/test_changing_capacity.py
+++ b/tests/core/cells/test_changing_capacity.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from quetzallock_core.cells.models import Decision, QueuePolicy, Resources, StepSpec
+from quetzallock_core.cells.models import QueuePolicy, Resources, StepSpec
+from quetzallock_core.cells.orders import Decision
 from quetzallock_standins.emulator import CellCluster, EmulatedWorker
 from quetzallock_standins.emulator.cluster import make_spec
 
--- a/tests/core/cells/test_ended_runs.py
+++ b/tests/core/cells/test_ended_runs.py
@@ -4,7 +4,7 @@
 
 from quetzallock_core.cells import ended_runs
 from quetzallock_core.cells.const import MAX_ORDER_DELAY_MS
-from quetzallock_core.cells.models import StopRun
+from quetzallock_core.cells.orders import StopRun
 from quetzallock_standins.emulator import CellCluster
 from quetzallock_standins.emulator.cluster import make_spec
 
--- a/tests/core/cells/test_evacuation.py
+++ b/tests/core/cells/test_evacuation.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from quetzallock_core.cells.models import Resources, StartRun
+from quetzallock_core.cells.models import Resources
+from quetzallock_core.cells.orders import StartRun
 from quetzallock_standins.emulator import CellCluster
 from quetzallock_standins.emulator.cluster import make_spec
 from quetzallock_standins.emulator.operator import EmulatedOperator
--- a/tests/core/cells/test_guards.py
+++ b/tests/core/cells/test_guards.py
@@ -5,7 +5,8 @@
 from quetzallock_core.cells import inventory
 from quetzallock_core.cells.answers import OTHER_BOOT
 from quetzallock_core.cells.jobs import Run
-from quetzallock_core.cells.models import Resources, StopRun
+from quetzallock_core.cells.models import Resources
+from quetzallock_core.cells.orders import StopRun
 from quetzallock_core.cells.placement import can_place
 from quetzallock_core.cells.workers import Worker
 from quetzallock_standins.emulator import CellCluster
--- a/tests/core/cells/test_preemption.py
+++ b/tests/core/cells/test_preemption.py
@@ -10,7 +10,7 @@
     ORDER_TIMEOUT_MS,
     UNREACHABLE_TIMEOUT_MS,
 )
-from quetzallock_core.cells.models import CrashRecord, QueuePolicy, Resources
+from quetzallock_core.cells.models import QueuePolicy, Resources
 from quetzallock_core.cells.preemption import (
     PREEMPTED_PAUSE_MS,
     PROTECTED_MS,
@@ -25,6 +25,7 @@
     MAX_QUEUE_SHARE,
     QUEUE_INTERVAL_MS,
 )
+from quetzallock_core.cells.records import CrashRecord
 from quetzallock_standins.emulator import CellCluster
 from quetzallock_standins.emulator.cluster import (
     INVENTORY_POLL_INTERVAL_MS,
--- a/tests/core/cells/test_shares.py
+++ b/tests/core/cells/test_shares.py
@@ -6,7 +6,8 @@
 from hypothesis import strategies as st
 
 from quetzallock_core.cells.contests import MIN_STARTS_PER_TURN, Contest
-from quetzallock_core.cells.models import JobRecord, LearnedRecord, QueuePolicy
+from quetzallock_core.cells.models import QueuePolicy
+from quetzallock_core.cells.records import JobRecord, LearnedRecord
 from quetzallock_core.cells.shares import (
     CREDIT_STARTS,
     HALF_LIFE_MS,
--- a/tests/core/cells/test_takeover.py
+++ b/tests/core/cells/test_takeover.py
@@ -1,7 +1,8 @@
 """Takeover and hand-over of a cell, on the emulator: no task runs twice and none is lost."""
 
 from quetzallock_core.cells.const import MAX_LEASE_MS, OWNERSHIP_VALID_MS
-from quetzallock_core.cells.models import Resources, StartRun
+from quetzallock_core.cells.models import Resources
+from quetzallock_core.cells.orders import StartRun
 from quetzallock_standins.emulator import CellCluster
 from quetzallock_standins.emulator.cluster import make_spec
 
--- a/tests/daemon/test_evacuations.py
+++ b/tests/daemon/test_evacuations.py
@@ -8,7 +8,8 @@
 import pytest
 from twisted.internet.task import Clock
 
-from quetzallock_core.cells.models import Bounds, Resources, StartRun, WorkerEntry
+from quetzallock_core.cells.models import Bounds, Resources, WorkerEntry
+from quetzallock_core.cells.orders import StartRun
 from quetzallock_daemon.cells.clocks import BootClock
 from quetzallock_daemon.cells.followers import ConfigurationFollower, choose_config_wait_ms
 from quetzallock_daemon.cells.owner import CellOwner
