Move long-running tasks so that a waiting task fits on one worker

Cause: a task that fits into the total free capacity but on no worker waits until long-running tasks end, also where moving one of them would make room. Change: under the policy 'pack', a task that is not best effort and has waited for 1 s gets its place by at most three moves off one worker, the fewest and smallest. Room for each moved task and the piece for the waiting one are reserved before the runs are stopped; the room of a moved task is kept beyond the end of its run, until it starts. One task of a step is away at a time, four in the cell, and no run younger than 30 s is moved, which holds across owners without a record. Decisions: run.moved and defragmentation.limited.

--- a/packages/core/src/quetzallock_core/cells/cell.py
+++ b/packages/core/src/quetzallock_core/cells/cell.py
@@ -8,6 +8,7 @@
 from .answers import OrderAnswers
 from .batches import BatchMaker
 from .contents import Contents
+from .defragmentation import Defragmentation
 from .inventory import InventoryReader
 from .jobs import JOB_CHART
 from .migration import Migration
@@ -55,6 +56,7 @@
         self._scheduler = Scheduler(self.state, order)
         self._migration = Migration(self.state)
         self._preemption = Preemption(self.state)
+        self._defragmentation = Defragmentation(self.state)
         self._wait_reporter = WaitReporter(self.state)
         self.batches = BatchMaker(self.state)
         self.answers = OrderAnswers(self.state)
@@ -181,6 +183,7 @@
             self._migration.migrate_paused_runs()
             self._migration.migrate_from_leaving_workers()
             self._preemption.preempt_for_waiting_tasks()
+            self._defragmentation.move_for_waiting_task()
             self._wait_reporter.report()
         self._open_due_jobs()
         self._expire_jobs(now)
--- a/packages/core/src/quetzallock_core/cells/migration.py
+++ b/packages/core/src/quetzallock_core/cells/migration.py
@@ -1,6 +1,7 @@
 """Moves runs to other workers: stops them where another worker has room for their tasks."""
 
 from collections import defaultdict
+from collections.abc import Iterable
 
 from .const import (
     MAX_LOST_WORK_MS,
@@ -8,7 +9,7 @@
     MIGRATE_PAUSED_AFTER_MS,
     ROOM_SEARCH_PAUSE_MS,
 )
-from .jobs import Run, StepRun
+from .jobs import Run, StepRun, Task
 from .pacing import PAUSED_PACE
 from .placement import Placement
 from .state import CellState
@@ -76,18 +77,10 @@
             if not worker.entry.is_draining or not worker.is_reachable(now):
                 continue
             for run in worker.runs.values():
-                if self._is_movable(run):
+                if is_movable(run, self._state):
                     runs_by_step[run.task.step].append(run)
         return runs_by_step
 
-    def _is_movable(self, run: Run) -> bool:
-        task = run.task
-        if run.state != "running" or len(task.runs) > 1:
-            return False
-        if not task.spec.lasting or task.spec.gang:
-            return False
-        return not self._state.unverified.may_be_running(task)
-
     def _migrate_step(self, runs: list[Run], placement: Placement) -> int:
         """Stop runs of one step while another worker has room, and return their number."""
         for number, run in enumerate(runs):
@@ -104,13 +97,29 @@
         self._state.stop_run(run, "worker is leaving")
 
 
+def is_movable(run: Run, state: CellState) -> bool:
+    """Return whether `run` is the only run of a lasting task, which could start again at once."""
+    task = run.task
+    if run.state != "running" or len(task.runs) > 1:
+        return False
+    if not task.spec.lasting or task.spec.gang:
+        return False
+    return not state.unverified.may_be_running(task)
+
+
 def count_movable(step: StepRun) -> int:
     """Return how many tasks of `step` may be moved now: one at least, if no other is away."""
     limit = step.spec.max_unavailable
     if limit is None:
         return len(step.tasks)
-    available = sum(
-        any(run.state == "running" and run.percent >= _FULL_PACE for run in task.runs.values())
-        for task in step.tasks
-    )
-    return max(0, max(1, limit) - (len(step.tasks) - available))
+    unavailable = sum(not _is_available(task) for task in step.tasks)
+    return max(0, max(1, limit) - unavailable)
+
+
+def has_unavailable_task(tasks: Iterable[Task]) -> bool:
+    """Return whether one of `tasks` is not fully at work."""
+    return not all(task.is_done or _is_available(task) for task in tasks)
+
+
+def _is_available(task: Task) -> bool:
+    return any(run.state == "running" and run.percent >= _FULL_PACE for run in task.runs.values())
--- a/packages/core/src/quetzallock_core/cells/reservations.py
+++ b/packages/core/src/quetzallock_core/cells/reservations.py
@@ -21,9 +21,16 @@
         """Return whether capacity is kept for a task of `step`."""
         return any(task.step is step for task in self.by_task)
 
-    def reserve_for_move(self, run: Run, target: Worker) -> None:
-        """Keep capacity on `target` for the task of `run` until that run has ended."""
-        self._add(Reservation(run.task, target, moved_run=run))
+    def reserve_for_move(self, run: Run, target: Worker, expires_at: int = 0) -> None:
+        """Keep capacity on `target` for the task of `run` until that run has ended.
+
+        Args:
+            run: The run that is being stopped.
+            target: Another worker.
+            expires_at: Local ms until which the capacity is kept also after the end, so that no
+                other waiting task takes it before the task starts again.
+        """
+        self._add(Reservation(run.task, target, moved_run=run, expires_at=expires_at))
 
     def reserve_for_waiting(
         self, task: Task, worker: Worker, preempted: tuple[Run, ...], expires_at: int
@@ -59,7 +66,10 @@
         """Process the end of a run: a move is over, or a preempted run has freed its resources."""
         reservation = self.by_task.get(run.task)
         if reservation is not None and reservation.moved_run is run:
-            self.release(run.task)
+            if reservation.expires_at and not run.task.job.is_over:
+                reservation.moved_run = None
+            else:
+                self.release(run.task)
         claim = self._by_preempted_run.pop(run, None)
         if claim is not None:
             del claim.preempted[run]
