--- a/packages/core/src/quetzallock_core/cells/cell.py
+++ b/packages/core/src/quetzallock_core/cells/cell.py
@@ -8,6 +8,7 @@
 from .answers import OrderAnswers
 from .batches import BatchMaker
 from .contents import Contents
+from .defragmentation import Defragmentation
 from .descriptions import describe_resources, describe_step
 from .evacuation import Evacuations
 from .evacuation_moves import EvacuationMoves
@@ -54,6 +55,7 @@
         self.evacuations = Evacuations(self.state)
         self._evacuation_moves = EvacuationMoves(self.state)
         self._preemption = Preemption(self.state)
+        self._defragmentation = Defragmentation(self.state)
         self._wait_reporter = WaitReporter(self.state)
         self.batches = BatchMaker(self.state)
         self.answers = OrderAnswers(self.state)
@@ -204,6 +206,7 @@
                 self._migration.migrate_from_leaving_workers()
                 self._evacuation_moves.move_from_evacuated_workers()
                 self._preemption.preempt_for_waiting_tasks()
+                self._defragmentation.move_for_waiting_task()
             self._wait_reporter.report()
         self._open_due_jobs()
         self._expire_jobs(now)
--- a/packages/core/src/quetzallock_core/cells/workers.py
+++ b/packages/core/src/quetzallock_core/cells/workers.py
@@ -321,6 +321,8 @@
         """Commit what a preempted run has freed to the task that it was preempted for."""
         held = reservation.compute_held()
         self.committed = self.committed + held - reservation.held
+        if reservation.task.spec.lasting:
+            self.lasting_cpu += held.cpu - reservation.held.cpu
         reservation.held = held
 
     def release(self, reservation: Reservation) -> None:
