Mend where headroom, reservations, gangs and shares meet

A long-running task's reservation counted as CPU that others hold, so that it was held back from its own capacity; gangs were not checked against the headroom; best-effort tasks that last were, though they commit no CPU; a withdrawn start was charged to its queue; reservations did not expire while the view of evacuations was too old. Each of the three faults of headroom has a test that fails without the change. WaitingStep and contention_group replace two names that meant several things.

--- a/packages/core/src/quetzallock_core/cells/cell.py
+++ b/packages/core/src/quetzallock_core/cells/cell.py
@@ -194,6 +194,7 @@
         self._drop_lapsed_unverified()
         for worker in list(state.workers.values()):
             self._check_worker(worker, now)
+        state.reservations.release_unusable(now)
         state.crashes.clear_or_give_up()
         state.headroom.update(state.open_steps, state.workers.values(), now)
         if self.may_order and not state.fenced:
--- a/packages/core/src/quetzallock_core/cells/contests.py
+++ b/packages/core/src/quetzallock_core/cells/contests.py
@@ -134,7 +134,7 @@
     return max(MIN_SERVICE_CPU, step.spec.needs.cpu) / 1_000 * duration_ms
 
 
-class Candidate(NamedTuple):
+class WaitingStep(NamedTuple):
     """A step with tasks that may start, and its key in the order of the policy.
 
     A tuple, since there may be thousands in each round.
@@ -146,11 +146,11 @@
     @property
     def group(self) -> tuple[object, ...]:
         """What the steps have in common among which shares decide."""
-        return self.step.pool, self.key[:CLASS_FIELDS]
+        return self.step.contention_group, self.key[:CLASS_FIELDS]
 
 
-Pools = dict[object, dict[ShareKey, list[Candidate]]]
-"""Candidates of the pools with several queues, by queue."""
+StepsByGroup = dict[object, dict[ShareKey, list[WaitingStep]]]
+"""Candidates of the groups with several queues, by queue."""
 
 
 class FairShares:
@@ -161,7 +161,7 @@
         self._reported_at: dict[ShareKey, int] = {}
 
     def arrange(
-        self, candidates: list[Candidate], now: int
+        self, candidates: list[WaitingStep], now: int
     ) -> list[tuple[StepRun, Contest[StepRun] | None]]:
         """Return the steps in the order of the policy, and the contest in which each takes part.
 
@@ -176,7 +176,7 @@
             return [(step, None) for _, step in candidates]
         steps_by_group: defaultdict[object, list[StepRun]] = defaultdict(list)
         for candidate in candidates:
-            if candidate.step.pool in contested:
+            if candidate.step.contention_group in contested:
                 steps_by_group[candidate.group].append(candidate.step)
         contests: dict[object, Contest[StepRun]] = {}
         for group, steps in steps_by_group.items():
@@ -194,9 +194,9 @@
         return contest
 
     def _advance_starved(
-        self, candidates: list[Candidate], contested: Pools, now: int
-    ) -> list[Candidate]:
-        """Let the first step of each starved queue compete with the least late steps of its pool.
+        self, candidates: list[WaitingStep], contested: StepsByGroup, now: int
+    ) -> list[WaitingStep]:
+        """Let the first step of each starved queue compete with the least late steps of its group.
 
         Otherwise a queue that floods with new jobs would delay the late jobs of another without
         bound. One step at a time, as late jobs have little or no value.
@@ -216,7 +216,7 @@
             for candidate in candidates
         ]
 
-    def _is_starved(self, key: ShareKey, candidates: list[Candidate], now: int) -> bool:
+    def _is_starved(self, key: ShareKey, candidates: list[WaitingStep], now: int) -> bool:
         waiting_since = min(candidate.step.ready_at for candidate in candidates)
         started_at = self._state.shares.get_started_at(key)
         return now - max(waiting_since, started_at) > MAX_QUEUE_WAIT_MS
@@ -230,15 +230,17 @@
             self._state.log_decision("queue.over_share", **contest.describe(key))
 
 
-def _find_contested(candidates: list[Candidate]) -> Pools:
-    """Return the candidates of each pool in which several queues wait."""
-    queues_by_pool: defaultdict[object, set[ShareKey]] = defaultdict(set)
+def _find_contested(candidates: list[WaitingStep]) -> StepsByGroup:
+    """Return the candidates of each group in which several queues wait."""
+    queues_by_group: defaultdict[object, set[ShareKey]] = defaultdict(set)
     for _, step in candidates:
-        queues_by_pool[step.pool].add(step.share_key)
-    contested: Pools = {pool: {} for pool, keys in queues_by_pool.items() if len(keys) > 1}
+        queues_by_group[step.contention_group].add(step.share_key)
+    contested: StepsByGroup = {
+        group: {} for group, keys in queues_by_group.items() if len(keys) > 1
+    }
     if contested:
         for candidate in candidates:
-            queues = contested.get(candidate.step.pool)
+            queues = contested.get(candidate.step.contention_group)
             if queues is not None:
                 queues.setdefault(candidate.step.share_key, []).append(candidate)
     return contested
--- a/packages/core/src/quetzallock_core/cells/headroom.py
+++ b/packages/core/src/quetzallock_core/cells/headroom.py
@@ -90,19 +90,31 @@
                 pool.demands[priority].update(demands[service, priority], now)
 
     def may_start(self, task: Task) -> bool:
-        """Return whether `task` may take CPU; only a long-running task that never ran may not.
+        """Return whether `task` may take CPU; only a long-running task that never ran may not."""
+        return self.may_start_all([task])
 
-        A task that has been at work is not held back: its users notice each second without it.
+    def may_start_all(self, tasks: list[Task]) -> bool:
+        """Return whether these tasks of one step may take CPU together.
+
+        Tasks that were ordered before are not held back, as their users notice each second without
+        them. After a takeover this holds for all tasks of a started job, since the journal does not
+        tell which of them ran.
         """
-        if not task.spec.lasting or task.has_run or (task.job.is_loaded and task.job.has_started):
+        job = tasks[0].job
+        if not _holds_cpu(tasks[0]) or (job.is_loaded and job.has_started):
             return True
-        pool = self._pools[task.job.policy.service]
-        if not pool.capacity:
+        pool = self._pools[job.policy.service]
+        new_cpu = sum(task.spec.needs.cpu for task in tasks if not task.has_run)
+        if not pool.capacity or not new_cpu:
             return True
-        limit = pool.compute_limit(task.job.policy.priority)
-        return pool.lasting_cpu + task.spec.needs.cpu <= limit
+        return pool.lasting_cpu + new_cpu <= pool.compute_limit(job.policy.priority)
 
     def add(self, task: Task) -> None:
-        """Count a task that has been placed since the last update."""
-        if task.spec.lasting:
+        """Count a task that was placed, or got a reservation, since the last update."""
+        if _holds_cpu(task):
             self._pools[task.job.policy.service].lasting_cpu += task.spec.needs.cpu
+
+
+def _holds_cpu(task: Task) -> bool:
+    """Return whether `task` commits CPU until its job is cancelled; best effort commits none."""
+    return task.spec.lasting and not task.spec.fills
--- a/packages/core/src/quetzallock_core/cells/jobs.py
+++ b/packages/core/src/quetzallock_core/cells/jobs.py
@@ -102,7 +102,7 @@
         crashes: Crashes of workers under it, of which it is suspected.
         exposures: Boots on which it may be running, as recorded for the next owner.
         excused_crashes: Number of further crashes, soon after a start of it, that were put down to
-            another task that was given up.
+            another task or to the loss of most of a rack.
         may_give_up_at: Local ms from which on its job may be given up for the crashes.
         crash_revision: The job's `crash_revision` at the last change of its crashes or exposures.
         has_run: This owner has ordered or found a run of it.
@@ -217,7 +217,8 @@
         ready_at: Local ms at which its predecessors were done; 0 while they are not.
         has_no_waiting_task: None of its tasks waits; reset when a run of one of them ends.
         share_key: Account that the service of its tasks is charged to.
-        pool: What it has in common with the steps whose queues share the capacity with its queue.
+        contention_group: What it has in common with the steps that compete for the same capacity by
+            fair share.
     """
 
     job: "Job"
@@ -229,13 +230,13 @@
     ready_at: int = 0
     has_no_waiting_task: bool = False
     share_key: ShareKey = field(init=False)
-    pool: tuple[str, int, bool] = field(init=False)
+    contention_group: tuple[str, int, bool] = field(init=False)
 
     def __post_init__(self) -> None:
         """Store what each round of placement reads of its queue."""
         policy = self.job.policy
         self.share_key = ShareKey(policy.queue, self.spec.lasting)
-        self.pool = (policy.service, policy.priority, self.spec.lasting)
+        self.contention_group = (policy.service, policy.priority, self.spec.lasting)
 
     @property
     def is_done(self) -> bool:
--- a/packages/core/src/quetzallock_core/cells/preemption.py
+++ b/packages/core/src/quetzallock_core/cells/preemption.py
@@ -104,7 +104,7 @@
     )
     if several is None or single is None:
         return single if several is None else several
-    return min(several, single, key=rate_victims)
+    return min(several, single, key=compute_victims_key)
 
 
 def _choose_several(
@@ -139,7 +139,7 @@
     )
 
 
-def rate_victims(victims: Victims) -> tuple[float, ...]:
+def compute_victims_key(victims: Victims) -> tuple[float, ...]:
     """Return the key by which the best choice of victims is the smallest."""
     highest = min((victim.priority for victim in victims), default=0)
     return (-highest, sum(victim.lost_core_ms for victim in victims), len(victims))
@@ -181,10 +181,9 @@
         self._searched_workers = 0
 
     def preempt_for_waiting_tasks(self) -> None:
-        """Preempt runs for tasks that wait too long, and release reservations without use."""
+        """Preempt runs for tasks that wait too long."""
         state = self._state
         now = state.clock.now()
-        state.reservations.release_unusable(now)
         steps = self._list_waiting_steps(now)
         if not steps:
             return
@@ -258,6 +257,7 @@
         now = search.now
         runs = tuple(victim.run for victim in choice.victims)
         state.reservations.reserve_for_waiting(task, choice.worker, runs, now + RESERVATION_MS)
+        state.headroom.add(task)
         for victim in choice.victims:
             run = victim.run
             run.task.preempted_at = now
@@ -326,7 +326,7 @@
         while choices:
             choice = min(
                 choices.values(),
-                key=lambda one: (one.worker.id in task.avoid, rate_victims(one.victims)),
+                key=lambda one: (one.worker.id in task.avoid, compute_victims_key(one.victims)),
             )
             del choices[choice.worker]
             counts = Counter(victim.queue for victim in choice.victims)
--- a/packages/core/src/quetzallock_core/cells/scheduler.py
+++ b/packages/core/src/quetzallock_core/cells/scheduler.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterator
 
 from .const import MIN_COPY_AGE_MS, ORDER_TIMEOUT_MS, STRAGGLER_FACTOR
-from .contests import Candidate, Contest, FairShares, compute_service
+from .contests import Contest, FairShares, WaitingStep, compute_service
 from .jobs import Run, StepRun, Task
 from .ordering import ORDERS
 from .orders import StartRun
@@ -43,7 +43,7 @@
             return
         state.placing.update(state.workers.values(), now, state.log_decision)
         placement = state.make_placement()
-        candidates = [Candidate(self._order(step, state.durations, now), step) for step in steps]
+        candidates = [WaitingStep(self._order(step, state.durations, now), step) for step in steps]
         arranged = self._fair_shares.arrange(candidates, now)
         for step, contest in arranged:
             if contest is None:
@@ -79,25 +79,27 @@
 
     def _start_tasks(self, step: StepRun, placement: Placement, now: int) -> Iterator[None]:
         placed: defaultdict[str, list[int]] = defaultdict(list)
-        for task in self._list_by_need(step, placement, now):
+        for task in self._sort_by_reservation(step, placement, now):
             if task.is_done or task.runs or not may_start(self._state, task, now):
                 continue
-            if not self._state.headroom.may_start(task):
+            reserved = self._find_reserved(task, placement, now)
+            if reserved is None and not self._state.headroom.may_start(task):
                 break
-            worker = self._find_reserved(task, placement, now) or placement.choose(task)
+            worker = reserved or placement.choose(task)
             if worker is None and task.is_crash_suspect:
                 continue
             if worker is None:
                 break
             self.start(task, worker, self._state.next_run_number(), now)
-            self._state.headroom.add(task)
+            if reserved is None:
+                self._state.headroom.add(task)
             placement.update_worker(worker)
             placed[worker.id].append(task.index)
             yield
         if placed:
             self._log_started(step, placed, now)
 
-    def _list_by_need(self, step: StepRun, placement: Placement, now: int) -> list[Task]:
+    def _sort_by_reservation(self, step: StepRun, placement: Placement, now: int) -> list[Task]:
         """Return the tasks of a step in the order in which they are placed.
 
         Those whose reserved capacity is free come first, and those that wait for theirs come last.
@@ -141,6 +143,8 @@
         """Start all tasks of a gang at once, which counts as one item."""
         if not all(task.is_waiting and may_start(self._state, task, now) for task in step.tasks):
             return
+        if not self._state.headroom.may_start_all(step.tasks):
+            return
         chosen = placement.choose_for_gang(step)
         if chosen is None:
             return
@@ -148,6 +152,7 @@
         placed: defaultdict[str, list[int]] = defaultdict(list)
         for task, worker in chosen.items():
             self.start(task, worker, number, now)
+            self._state.headroom.add(task)
             placed[worker.id].append(task.index)
             placement.update_worker(worker)
         self._log_started(step, placed, now)
@@ -190,6 +195,7 @@
         """End a run whose start was decided but not sent, so that its task waits again."""
         state = self._state
         state.log_decision("start.withdrawn", task=run.task.name, run=run.number, worker=run.worker)
+        state.shares.refund(run.task.step.share_key, run.service_core_ms, state.clock.now())
         state.end_run(run, "refuse")
         state.stop_gang(run.task.step, "start of another task of the gang was withdrawn")
 
--- a/tests/core/cells/test_fair_shares.py
+++ b/tests/core/cells/test_fair_shares.py
@@ -8,9 +8,9 @@
 from quetzallock_core.cells.contests import (
     MAX_QUEUE_WAIT_MS,
     REPORT_INTERVAL_MS,
-    Candidate,
     Contest,
     FairShares,
+    WaitingStep,
 )
 from quetzallock_core.cells.jobs import StepRun
 from quetzallock_core.cells.models import QueuePolicy, Resources
@@ -245,7 +245,7 @@
     queues_waiting: list[int] = []
 
     def check(
-        self: FairShares, candidates: list[Candidate], now: int
+        self: FairShares, candidates: list[WaitingStep], now: int
     ) -> list[tuple[StepRun, Contest[StepRun] | None]]:
         expected = [(item.step, None) for item in sorted(candidates, key=lambda item: item.key)]
         queues_waiting.append(len({item.step.job.policy.queue for item in candidates}))
--- a/tests/core/cells/test_headroom.py
+++ b/tests/core/cells/test_headroom.py
@@ -1,5 +1,7 @@
 """CPU that is kept free of new long-running tasks for short tasks."""
 
+import pytest
+
 from quetzallock_core.cells.headroom import MAX_HEADROOM_SHARE
 from quetzallock_core.cells.models import QueuePolicy, Resources
 from quetzallock_standins.emulator import CellCluster
@@ -79,3 +81,40 @@
     cluster.revive("w0")
     cluster.run(6_000)
     assert count_running_lasting(cluster) >= before
+
+
+def test_long_running_task_starts_in_capacity_that_is_reserved_for_it(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Its reservation is a commitment of its own, which must not count as other tasks' CPU."""
+    cluster = CellCluster(workers=1, capacity=CAPACITY)
+    cluster.run(500)
+    state = cluster.cell.state
+    monkeypatch.setattr(state.headroom, "may_start_all", lambda _tasks: False)
+    submit_lasting(cluster, "lasting0", count=1)
+    cluster.run(300)
+    assert count_running_lasting(cluster) == 0
+    task = state.jobs["lasting0"].list_tasks()[0]
+    expires_at = cluster.clock.now() + 5_000
+    state.reservations.reserve_for_waiting(task, state.workers["w0"], (), expires_at)
+    cluster.run(300)
+    assert count_running_lasting(cluster) == 1
+
+
+def test_best_effort_task_that_lasts_is_not_held_back() -> None:
+    cluster = CellCluster(workers=WORKERS, capacity=CAPACITY)
+    play_growing_load(cluster, POLICY)
+    step = make_step(1, lasting=True, fills=True, image="f", needs=Resources(500, 500, 0))
+    cluster.submit(make_spec("best-effort", step), SERVING_POLICY, {0: None})
+    cluster.run(300)
+    assert cluster.ground_truth.list_running("best-effort")
+
+
+def test_long_running_gang_leaves_headroom_as_a_whole() -> None:
+    cluster = CellCluster(workers=WORKERS, capacity=CAPACITY)
+    play_growing_load(cluster, POLICY)
+    small = Resources(100, 100, 0)
+    step = make_step(20, lasting=True, gang=True, needs=small)
+    cluster.submit(make_spec("gang", step), SERVING_POLICY, {0: None})
+    cluster.run(300)
+    assert not cluster.ground_truth.list_running("gang")
