Move no crash suspect, and count what a run really frees

Found by a review: a suspect's next start may be delayed, so that a move would leave it waiting; a long-running best-effort run frees no CPU; tasks that may not start kept others from moving out of an evacuated data centre.

--- a/packages/core/src/quetzallock_core/cells/defragmentation.py
+++ b/packages/core/src/quetzallock_core/cells/defragmentation.py
@@ -1,6 +1,7 @@
 """Moves long-running tasks so that a waiting task fits on one worker.
 
 For loads at which enough is free in total, but in pieces that are too small for the widest tasks.
+Takes effect only in pools whose placement policy is `pack`.
 """
 
 from collections.abc import Iterable
@@ -56,7 +57,7 @@
 
     @property
     def cost(self) -> tuple[int, int]:
-        """Number of moves, and the processor that is moved."""
+        """Number of moves, and the CPU that is moved."""
         return len(self.runs), sum(run.task.spec.needs.cpu for run in self.runs)
 
 
@@ -72,7 +73,7 @@
         The runs, `MAX_MOVES` at most; None where they do not free enough.
     """
     by_size = sorted(runs, key=lambda run: (run.task.spec.needs.cpu, run.number))
-    single = next((run for run in by_size if needs.fits_in(free + run.task.spec.needs)), None)
+    single = next((run for run in by_size if needs.fits_in(free + _compute_freed(run))), None)
     if single is not None:
         return (single,)
     largest_by_step = {run.task.step: run for run in by_size}
@@ -80,19 +81,24 @@
     for run in sorted(largest_by_step.values(), key=lambda run: -run.task.spec.needs.cpu):
         if len(chosen) == MAX_MOVES:
             return None
-        if needs.fits_in(free + run.task.spec.needs):
+        if needs.fits_in(free + _compute_freed(run)):
             steps = {other.task.step for other in chosen}
             last = next(
                 other
                 for other in by_size
-                if other.task.step not in steps and needs.fits_in(free + other.task.spec.needs)
+                if other.task.step not in steps and needs.fits_in(free + _compute_freed(other))
             )
             return (*chosen, last)
         chosen.append(run)
-        free = free + run.task.spec.needs
+        free = free + _compute_freed(run)
     return None
 
 
+def _compute_freed(run: Run) -> Resources:
+    spec = run.task.spec
+    return compute_commitment(spec.needs, spec.fills)
+
+
 class Defragmentation:
     """Moves long-running tasks of one cell for its waiting tasks."""
 
@@ -206,7 +212,9 @@
     ) -> list[Run]:
         runs = []
         for run in worker.runs.values():
-            if not run.task.spec.lasting or now - run.ordered_at < MIN_RUN_AGE_MS:
+            if not run.task.spec.lasting or run.task.is_crash_suspect:
+                continue
+            if now - run.ordered_at < MIN_RUN_AGE_MS:
                 continue
             step = run.task.step
             if step not in movable_steps:
@@ -237,6 +245,7 @@
             reserved.append(run)
             placement.update_worker(target)
         state.reservations.reserve_for_waiting(task, plan.worker, plan.runs, expires_at)
+        state.headroom.add(task)
         for run in plan.runs:
             self._move(run, task)
         return True
--- a/packages/core/src/quetzallock_core/cells/evacuation_moves.py
+++ b/packages/core/src/quetzallock_core/cells/evacuation_moves.py
@@ -8,6 +8,7 @@
 from .jobs import Run, StepRun, Task
 from .migration import count_movable, move_run
 from .placement import Placement
+from .scheduler import may_start
 from .state import CellState
 from .waiting import find_waiting_task
 from .workers import Worker
@@ -71,7 +72,7 @@
         task = run.task
         if run.state != "running" or len(task.runs) > 1 or task.spec.gang:
             return False
-        if not task.spec.lasting and not task.spec.saves:
+        if task.is_crash_suspect or not (task.spec.lasting or task.spec.saves):
             return False
         return not self._state.unverified.may_be_running(task)
 
@@ -118,7 +119,7 @@
     demands: dict[object, Task] = {}
     for step in state.open_steps:
         task = find_waiting_task(step, now)
-        if task is None or state.unverified.may_be_running(task):
+        if task is None or not may_start(state, task, now) or not state.headroom.may_start(task):
             continue
         spec = task.spec
         service = task.job.policy.service
