--- a/packages/core/src/quetzallock_core/cells/const.py
+++ b/packages/core/src/quetzallock_core/cells/const.py
@@ -70,11 +70,11 @@
 """Age of a run up to which a paused task without checkpoints is migrated, losing its work."""
 
 MAX_STEPS_MOVED_PER_TICK: Final = 16
-"""Maximum number of steps whose tasks one tick moves off leaving workers, as the owner does nothing
-else meanwhile."""
+"""Maximum number of steps whose tasks one tick moves off draining or evacuated workers, as the
+owner does nothing else meanwhile."""
 
 ROOM_SEARCH_PAUSE_MS: Final = 300
-"""Pause before room for the tasks of a step on leaving workers is searched again after none was
+"""Pause before capacity for the tasks of a step on such workers is searched again after none was
 found."""
 
 SERVING_PEAK_LOAD: Final = 0.6
--- a/packages/core/src/quetzallock_core/cells/evacuation.py
+++ b/packages/core/src/quetzallock_core/cells/evacuation.py
@@ -28,8 +28,8 @@
     def is_view_current(self) -> bool:
         """Return whether tasks may start: the view is recent enough to keep the bound.
 
-        An order that is sent now may be carried out up to `ORDER_TIMEOUT_MS` later. Until then,
-        the bound of no request that the view lacks may have passed.
+        A call is abandoned after `ORDER_TIMEOUT_MS`. Until then, the bound of no request that the
+        view lacks may have passed. Copies that the network delays longer are outside the bound.
         """
         if not self.is_active:
             return True
--- a/packages/core/src/quetzallock_core/cells/packing.py
+++ b/packages/core/src/quetzallock_core/cells/packing.py
@@ -26,7 +26,7 @@
 """Time after which the tasks that a job asked for count half; covers several swings of demand."""
 
 WIDE_SHARE: Final = 0.1
-"""Share of the requested processor that tasks must ask for together to count as the widest, so that
+"""Share of the requested CPU that tasks must ask for together to count as the widest, so that
 a single odd job does not decide the policy."""
 
 FORGOTTEN_CPU: Final = 1.0
@@ -38,7 +38,7 @@
 
     It answers a mix of sizes that changes with the jobs: wide tasks that came lately count although
     none of them waits at the moment, and those that no longer come are forgotten. Best-effort tasks
-    are left out, since they commit no processor, and long-running ones, since they are what is
+    are left out, since they commit no CPU, and long-running ones, since they are what is
     packed.
     """
 
--- a/packages/core/src/quetzallock_core/cells/policies.py
+++ b/packages/core/src/quetzallock_core/cells/policies.py
@@ -20,23 +20,23 @@
 PACK: Final = "pack"
 
 PACKING_COST: Final = 6.0
-"""Cost, for a long-running task, of a worker that it leaves quite free. Outweighs the costs of the
-images beside it, so that a worker is filled before the next one is begun, but not the cost of a
-suspect worker."""
+"""Cost, for a long-running task, of a worker that would otherwise be empty. Exceeds the costs of
+the images beside it, so that one worker is filled before the next, but not the cost of a suspect
+worker."""
 
 LASTING_PIECE_COST: Final = 1.0
-"""Cost, for a short task, of a piece that could hold another long-running task. Short tasks that
-always hold it would keep its worker from being filled, so they use the other pieces first."""
+"""Cost, for a short task, of free capacity that another long-running task could use. Short tasks
+that always hold it would keep its worker from being filled."""
 
 BESIDE_LASTING_COST: Final = 2.0
-"""Cost, for a short task in such a piece, of a worker that long-running tasks hold quite. Outweighs
-the best fit, so that short tasks gather on the workers that are filled last."""
+"""Further cost there, in proportion to the share that long-running tasks hold, so that short tasks
+gather on the workers that are filled last."""
 
 CROWDING_COST: Final = 4.0
-"""Cost, for a short task, of a worker with no idle processor for it. Outweighs the other three."""
+"""Cost, for a short task, of a worker with no idle CPU for it. Outweighs the other three."""
 
 PACK_FROM_SHARE: Final = 0.5
-"""Share of the pool's processor committed to long-running tasks from which on it may be packed.
+"""Share of the pool's CPU committed to long-running tasks from which on it may be packed.
 Below it, workers have whole pieces free however the tasks are spread."""
 
 SPREAD_BELOW_SHARE: Final = 0.4
@@ -63,7 +63,7 @@
     A long-running task counts the room beside the other long-running tasks, since the short ones
     are soon over. A short task counts the room that is free now, leaves room to the long-running
     tasks where these are filling a worker, and avoids workers on which it would compete for
-    processor. Best-effort tasks, which commit none, are spread.
+    CPU. Best-effort tasks, which commit none, are spread.
     """
     spec = task.spec
     if spec.fills:
@@ -73,7 +73,7 @@
     if spec.lasting:
         return PACKING_COST * (capacity - worker.lasting_cpu - needed) / capacity
     cost = (worker.free.cpu - needed) / capacity
-    if worker.has_lasting_piece:
+    if worker.fits_another_long_running:
         cost += LASTING_PIECE_COST + BESIDE_LASTING_COST * worker.lasting_cpu / capacity
     missing = max(0, needed - worker.idle_cpu)
     return cost + CROWDING_COST * missing / max(1, needed)
@@ -81,13 +81,13 @@
 
 @dataclass(frozen=True, slots=True)
 class PoolLoad:
-    """What decides the policy of one pool; processor in thousandths of a core.
+    """What decides the policy of one pool; CPU in thousandths of a core.
 
     Attributes:
         workers: Number of workers that accept tasks.
-        cpu: Processor that they offer.
-        lasting_cpu: Processor committed to long-running tasks on them.
-        widest_cpu: Processor of the widest tasks that recent jobs asked for.
+        cpu: CPU that they offer.
+        lasting_cpu: CPU committed to long-running tasks on them.
+        widest_cpu: CPU of the widest tasks that recent jobs asked for.
     """
 
     workers: int = 0
@@ -97,12 +97,12 @@
 
     @property
     def lasting_share(self) -> float:
-        """Share of the processor that is committed to long-running tasks."""
+        """Share of the CPU that is committed to long-running tasks."""
         return self.lasting_cpu / max(1, self.cpu)
 
     @property
     def spread_piece_cpu(self) -> float:
-        """Processor left beside the long-running tasks on each worker if they are spread evenly.
+        """CPU left beside the long-running tasks on each worker if they are spread evenly.
 
         The pieces that are free now would depend on the policy in force, which would then flip.
         """
--- a/packages/core/src/quetzallock_core/cells/waiting.py
+++ b/packages/core/src/quetzallock_core/cells/waiting.py
@@ -32,7 +32,8 @@
 """Reason of a new long-running task where the free CPU is kept for short tasks."""
 
 NO_OBSTACLE: Final = "none"
-"""Reason where the task could start by now, as room has just become free."""
+"""Reason where some worker has capacity: it has just become free, or the task may not start yet for
+another cause, such as a crash."""
 
 _REASONS: Final = (NO_OBSTACLE, *reversed(Obstacle))
 """Reasons, starting with the last check that a worker can fail."""
@@ -45,7 +46,8 @@
     Attributes:
         task: The first of them.
         waited_ms: Time since the step's predecessors were done.
-        reason: The last obstacle in the order of the checks: once it is gone, a task starts.
+        reason: The last obstacle in the order of the checks, or `UNVERIFIED` or `HEADROOM` where
+            these keep the task from all workers.
         obstacles: Number of workers by what keeps the task from them.
         largest_free: Resources that the worker with the most free processor has left.
         total_free: Resources that all workers have left.
--- a/packages/core/src/quetzallock_core/cells/workers.py
+++ b/packages/core/src/quetzallock_core/cells/workers.py
@@ -60,7 +60,8 @@
         moved_run: Run on another worker that is being stopped to move the task here; None if the
             task waits.
         preempted: Runs on the worker that are being stopped for the task.
-        expires_at: Local ms at which capacity for a waiting task is released.
+        expires_at: Local ms at which the capacity is released once the task waits; 0 if it is
+            released with the end of `moved_run`.
         held: What is committed for it by now: the commitment of the task, less that of `preempted`.
     """
 
@@ -92,7 +93,7 @@
         lasting_count: Number of these tasks.
         reservations: Capacity kept for tasks that are about to start here, by task name.
         crash_suspects: Those of the runs that were suspects of a crash at their start.
-        expected_extra_cpu: Processor use expected in addition to the commitments: that of the
+        expected_extra_cpu: CPU use expected in addition to the commitments: that of the
             best-effort tasks, less what the serving tasks leave unused. In thousandths of a core.
         clock_ms: Last reading of the worker's clock.
         clock_read_at: Local ms at which that reading arrived; it was taken no later.
@@ -186,7 +187,7 @@
         return self.entry.capacity.cpu - self.committed.cpu - self.expected_extra_cpu
 
     @property
-    def has_lasting_piece(self) -> bool:
+    def fits_another_long_running(self) -> bool:
         """Whether the room beside its long-running tasks would do for another one of their size."""
         piece = self.entry.capacity.cpu - self.lasting_cpu
         return piece * self.lasting_count >= self.lasting_cpu
