Pack a pool only if the widest tasks are clearly wider than an even piece

Cause: on the dispatch deployment the widest short tasks are up to 1.2 times as wide as an even piece. Change: packing begins where the widest tasks exceed 1.3 times the piece; on the prototyping deployment they are 1.47 times as wide.

--- a/packages/core/src/quetzallock_core/cells/policies.py
+++ b/packages/core/src/quetzallock_core/cells/policies.py
@@ -39,6 +39,10 @@
 """Share of the pool's CPU committed to long-running tasks from which on it may be packed.
 Below it, workers have whole pieces free however the tasks are spread."""
 
+PACK_PIECE_MARGIN: Final = 1.3
+"""Multiple of the even free piece of each worker that the widest tasks must exceed before a pool is
+packed. Slightly wider tasks find room anyway, as workers and the pieces on them differ."""
+
 SPREAD_BELOW_SHARE: Final = 0.4
 """Share below which a packed pool is spread again; the gap to `PACK_FROM_SHARE` avoids flipping."""
 
@@ -112,11 +116,11 @@
 def choose_policy(load: PoolLoad, current: str) -> str:
     """Return the name of the policy for a pool under `load` whose policy is `current`.
 
-    Packing is for pools whose long-running tasks, spread evenly, leave on each worker less than the
-    widest tasks need. Elsewhere it would only concentrate the load.
+    Packing is for pools whose long-running tasks, spread evenly, leave on each worker much less
+    than the widest tasks need. Elsewhere it would only concentrate the load.
     """
     if current == PACK:
         is_needed = load.spread_piece_cpu < SPREAD_PIECE_MARGIN * load.widest_cpu
         return PACK if is_needed and load.lasting_share >= SPREAD_BELOW_SHARE else SPREAD
-    is_needed = load.spread_piece_cpu < load.widest_cpu
+    is_needed = PACK_PIECE_MARGIN * load.spread_piece_cpu < load.widest_cpu
     return PACK if is_needed and load.lasting_share >= PACK_FROM_SHARE else SPREAD
