--- a/packages/core/src/quetzallock_core/cells/state.py
+++ b/packages/core/src/quetzallock_core/cells/state.py
@@ -12,7 +12,8 @@
 from .ended_runs import EndedRuns
 from .headroom import Headroom
 from .interference import Interference
-from .jobs import Job, Run, StepRun, Task, make_job, restore_job
+from .job_records import make_job, restore_job
+from .jobs import Job, Run, StepRun, Task
 from .models import Bounds, WorkerEntry
 from .orders import Decision, Effect, PaceRun, StopRun
 from .packing import PolicyChooser
