Measure what the owner of a cell spends its time on

Change: counters `owner.busy_ms.KIND`, `process.cpu_ms` and the numbers of inventories and orders; histograms `owner.lag`, `start.wait.KIND` and `job.accept`; one log line `owner.load` a second while the cell is owned. A processed event costs two clock reads; nothing more is logged per event. `tasks.started` tells the kind of the step and whether its tasks had started before. No scheduling decision changes.

Not run: the large deployment, and the cost there.

--- a/packages/core/src/quetzallock_core/cells/descriptions.py
+++ b/packages/core/src/quetzallock_core/cells/descriptions.py
@@ -1,6 +1,6 @@
 """Short descriptions of steps and resources for the log."""
 
-from .models import Resources, StepSpec
+from .models import QueuePolicy, Resources, StepSpec
 
 
 def describe_step(step: StepSpec) -> str:
@@ -17,3 +17,15 @@
 def describe_resources(resources: Resources) -> str:
     """Return processor, memory in MB and accelerators for the log."""
     return f"{resources.cpu}/{resources.memory_mb}/{resources.gpus}"
+
+
+def describe_kind(spec: StepSpec, policy: QueuePolicy) -> str:
+    """Return the kind of a step by which waits are counted.
+
+    Returns:
+        `lasting`, `best_effort`, or the priority of the queue for all others: `priority_0` is the
+        most urgent.
+    """
+    if spec.lasting:
+        return "lasting"
+    return "best_effort" if spec.fills else f"priority_{policy.priority}"
--- a/packages/core/src/quetzallock_core/cells/scheduler.py
+++ b/packages/core/src/quetzallock_core/cells/scheduler.py
@@ -2,9 +2,11 @@
 
 from collections import defaultdict, deque
 from collections.abc import Iterator
+from typing import Final
 
 from .const import MIN_COPY_AGE_MS, ORDER_TIMEOUT_MS, STRAGGLER_FACTOR
 from .contests import Contest, FairShares, WaitingStep, compute_service
+from .descriptions import describe_kind
 from .jobs import Run, StepRun, Task
 from .ordering import ORDERS
 from .orders import StartRun
@@ -12,6 +14,9 @@
 from .state import CellState
 from .workers import Worker
 
+STARTED_EVENT: Final = "tasks.started"
+"""Decision that tasks of a step start; its inputs tell the kind of step and how long it waited."""
+
 
 def may_start(state: CellState, task: Task, now: int) -> bool:
     """Return whether a waiting task may be started now, if there is a worker."""
@@ -79,6 +84,7 @@
 
     def _start_tasks(self, step: StepRun, placement: Placement, now: int) -> Iterator[None]:
         placed: defaultdict[str, list[int]] = defaultdict(list)
+        is_first_start = False
         for task in self._sort_by_reservation(step, placement, now):
             if task.is_done or task.runs or not may_start(self._state, task, now):
                 continue
@@ -90,6 +96,7 @@
                 continue
             if worker is None:
                 break
+            is_first_start |= not task.has_run
             self.start(task, worker, self._state.next_run_number(), now)
             if reserved is None:
                 self._state.headroom.add(task)
@@ -97,7 +104,7 @@
             placed[worker.id].append(task.index)
             yield
         if placed:
-            self._log_started(step, placed, now)
+            self._log_started(step, placed, now, is_first_start)
 
     def _sort_by_reservation(self, step: StepRun, placement: Placement, now: int) -> list[Task]:
         """Return the tasks of a step in the order in which they are placed.
@@ -129,14 +136,18 @@
         worker.reserve(reservation)
         return worker if obstacle is None else None
 
-    def _log_started(self, step: StepRun, placed: dict[str, list[int]], now: int) -> None:
+    def _log_started(
+        self, step: StepRun, placed: dict[str, list[int]], now: int, is_first_start: bool
+    ) -> None:
         self._state.log_decision(
-            "tasks.started",
+            STARTED_EVENT,
             job=step.job.id,
             occurrence=step.occurrence,
             step=step.number,
             on=dict(placed),
             waited_ms=now - step.ready_at,
+            kind=describe_kind(step.spec, step.job.policy),
+            again=not is_first_start,
         )
 
     def _start_gang(self, step: StepRun, placement: Placement, now: int) -> Iterator[None]:
@@ -150,12 +161,13 @@
             return
         number = self._state.next_run_number()
         placed: defaultdict[str, list[int]] = defaultdict(list)
+        is_first_start = any(not task.has_run for task in chosen)
         for task, worker in chosen.items():
             self.start(task, worker, number, now)
             self._state.headroom.add(task)
             placed[worker.id].append(task.index)
             placement.update_worker(worker)
-        self._log_started(step, placed, now)
+        self._log_started(step, placed, now, is_first_start)
         yield
 
     def start(self, task: Task, worker: Worker, number: int, now: int) -> None:
--- a/packages/core/src/quetzallock_core/cells/waiting.py
+++ b/packages/core/src/quetzallock_core/cells/waiting.py
@@ -5,11 +5,12 @@
 from dataclasses import dataclass, replace
 from typing import Final
 
-from .descriptions import describe_resources
+from .descriptions import describe_kind, describe_resources
 from .interference import Interference
 from .jobs import StepRun, Task
 from .models import Resources
 from .placement import Obstacle, Placement
+from .scheduler import may_start
 from .state import CellState
 from .workers import Worker, compute_commitment
 
@@ -110,6 +111,21 @@
     return reports
 
 
+def count_startable_steps(state: CellState, now: int) -> Counter[str]:
+    """Return the number of steps with a waiting task that may start now, by kind of step."""
+    return Counter(
+        describe_kind(step.spec, step.job.policy)
+        for step in state.open_steps
+        if _has_startable_task(state, step, now)
+    )
+
+
+def _has_startable_task(state: CellState, step: StepRun, now: int) -> bool:
+    if not step.job.is_stored or step.has_no_waiting_task:
+        return False
+    return any(task.is_waiting and may_start(state, task, now) for task in step.tasks)
+
+
 def find_waiting_task(step: StepRun, now: int) -> Task | None:
     """Return the first task of `step` that waits for a worker, or None."""
     if not step.job.is_stored or step.has_no_waiting_task:
--- a/packages/daemon/src/quetzallock_daemon/cells/const.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/const.py
@@ -73,6 +73,9 @@
 TICK_INTERVAL_MS: Final = 100
 """How often a cell processes what depends on time."""
 
+LOAD_REPORT_INTERVAL_MS: Final = 1_000
+"""Minimum time between two reports of an owner's load, which count all waiting steps."""
+
 INVENTORY_POLL_SLACK_MS: Final = 1_200
 """Added to the wait of an inventory poll to get its time limit."""
 
--- a/packages/daemon/src/quetzallock_daemon/cells/inventory.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/inventory.py
@@ -14,6 +14,7 @@
 
 from ..helpers import run_in_background
 from .const import INVENTORY_POLL_RETRY_PAUSE_MS
+from .load_meter import INVENTORY, LoadMeter
 from .ports import OrderAnswer, Workers
 
 _LOGGER = logging.getLogger(__name__)
@@ -25,6 +26,7 @@
     epoch: int
     cell: Cell
     load_control: LoadControl
+    meter: LoadMeter
     is_stopped: bool
     is_handing_over: bool
 
@@ -89,8 +91,17 @@
         )
         if owner.is_stopped or owner.is_handing_over:
             return INVENTORY_POLL_RETRY_PAUSE_MS
+        with owner.meter.measure(INVENTORY):
+            return self._handle_answer(worker, answer, now)
+
+    def _handle_answer(
+        self, worker: Worker, answer: Inventory | OrderAnswer | None, asked_at: int
+    ) -> int:
+        """Process the answer to a poll, and return the pause in ms before the next poll."""
+        owner = self._owner
         if isinstance(answer, Inventory):
-            owner.cell.handle_inventory(worker.id, answer, now)
+            owner.meter.inventories += 1
+            owner.cell.handle_inventory(worker.id, answer, asked_at)
             owner.run_effects()
             return owner.load_control.choose_pause_ms()
         owner.cell.handle_no_answer(worker.id)
--- a/packages/daemon/src/quetzallock_daemon/cells/journal.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/journal.py
@@ -12,6 +12,7 @@
 from ..helpers import run_in_background, sleep
 from .clocks import BootClock
 from .const import APPEND_PAUSE_MS, STORE_RETRY_PAUSE_MS, STORE_UNAVAILABLE_AFTER_MS
+from .load_meter import JOURNAL, LoadMeter
 from .ports import FencedError, Store, StoreRefusedError, StoreUnavailableError
 
 _LOGGER = logging.getLogger(__name__)
@@ -41,6 +42,7 @@
         on_change: Callable[[], None],
         on_fenced: Callable[[str], None],
         observe: Callable[[str, float], None],
+        meter: LoadMeter,
     ) -> None:
         self._reactor = reactor
         self._journal = journal
@@ -49,6 +51,7 @@
         self._on_change = on_change
         self._on_fenced = on_fenced
         self._observe = observe
+        self._meter = meter
         self._clock = BootClock()
         self._sequence = 0
         self._is_writing = False
@@ -73,7 +76,9 @@
         self._timer = None
         if self._is_stopped or self._is_writing:
             return
-        run_in_background(self._append(self._batches.pop_batch()))
+        with self._meter.measure(JOURNAL):
+            batch = self._batches.pop_batch()
+        run_in_background(self._append(batch))
 
     async def _append(self, batch: Batch) -> None:
         """Append one batch, and apply the changes that depend on its being durable."""
@@ -88,8 +93,9 @@
             self._is_writing = False
         if self._is_stopped:
             return
-        self._batches.handle_durable(batch)
-        self._on_change()
+        with self._meter.measure(JOURNAL):
+            self._batches.handle_durable(batch)
+            self._on_change()
 
     async def _write(self, batch: Batch) -> None:
         """Append a batch, and retry until it is written.
@@ -102,7 +108,8 @@
         self._sequence += 1
         may_be_written = False
         while not self._is_stopped:
-            records = _encode_records(batch)
+            with self._meter.measure(JOURNAL):
+                records = _encode_records(batch)
             if not records:
                 self._sequence -= 1
                 return
@@ -114,8 +121,9 @@
                 may_be_written |= not isinstance(error, StoreRefusedError)
                 _LOGGER.warning("append failed", extra={"cell": cell, "error": str(error)})
             if self.is_append_stuck and not may_be_written:
-                self._batches.withdraw_new_jobs(batch)
-                self._on_change()
+                with self._meter.measure(JOURNAL):
+                    self._batches.withdraw_new_jobs(batch)
+                    self._on_change()
             await sleep(self._reactor, STORE_RETRY_PAUSE_MS)
 
     async def write_hand_over(self, timeout_ms: int) -> None:
--- a/packages/daemon/src/quetzallock_daemon/cells/owner.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/owner.py
@@ -15,6 +15,8 @@
 from quetzallock_core.cells.models import Bounds, WorkerEntry
 from quetzallock_core.cells.orders import Decision, PaceRun, StartRun, StopRun, TicketOutcome
 from quetzallock_core.cells.records import JobRecord
+from quetzallock_core.cells.scheduler import STARTED_EVENT
+from quetzallock_core.cells.waiting import count_startable_steps
 
 from ..helpers import run_in_background, sleep
 from .clocks import BootClock, read_unix_ms
@@ -27,6 +29,15 @@
 )
 from .inventory import InventoryPoller
 from .journal import JournalId, JournalWriter
+from .load_meter import (
+    ENTRIES,
+    PLACEMENT,
+    REQUEST,
+    START_ANSWER,
+    STOP_ANSWER,
+    TICK,
+    LoadMeter,
+)
 from .messages import (
     CancelJobRequest,
     JobStateRequest,
@@ -56,6 +67,7 @@
         epoch: Epoch of the ownership; the store and workers reject calls with an older one.
         clock: Clock of all times named `_at`.
         load_control: Chooses when the workers are polled, by the lag of the owner's ticks.
+        meter: Adds up what the owner's time is spent on.
         cell: State and decisions of the cell; their effects are run by `run_effects`.
         ownership_confirmed_at: When the last call by which the store confirmed the ownership was
             sent.
@@ -87,6 +99,7 @@
         self.clock = BootClock()
         self.cell = Cell(number, epoch, bounds, self.clock, read_unix_ms)
         self.load_control = LoadControl()
+        self.meter = LoadMeter(number, counters)
         self._inventory_poller = InventoryPoller(reactor, self, workers, bounds)
         self._journal = JournalWriter(
             reactor,
@@ -96,12 +109,13 @@
             self.run_effects,
             self._handle_ownership_lost,
             observe,
+            self.meter,
         )
         self._tick_timer: Any = None
         self._tick_due_at = 0
         self._placement_timer: Any = None
         self._placement_pause_s = PLACEMENT_PAUSE_MS / 1_000
-        self._tickets: dict[int, tuple[Reply, int]] = {}
+        self._tickets: dict[int, tuple[Reply, int, int]] = {}
         self._last_ticket = 0
         self.ownership_confirmed_at = 0
         self.is_active = False
@@ -165,9 +179,10 @@
         """Process the entries of the cell's workers."""
         if not self.is_active or self.is_stopped:
             return
-        self.cell.handle_entries(entries)
-        self._inventory_poller.poll_new_workers()
-        self.run_effects()
+        with self.meter.measure(ENTRIES):
+            self.cell.handle_entries(entries)
+            self._inventory_poller.poll_new_workers()
+            self.run_effects()
 
     def handle_evacuations(self, data_centres: frozenset[str], confirmed_at: int) -> None:
         """Process the evacuated data centres; a cell that is not loaded yet gets them too.
@@ -178,12 +193,17 @@
         """
         if self.is_stopped:
             return
-        self.cell.handle_evacuations(data_centres, confirmed_at)
-        if self.is_active:
-            self.run_effects()
+        with self.meter.measure(ENTRIES):
+            self.cell.handle_evacuations(data_centres, confirmed_at)
+            if self.is_active:
+                self.run_effects()
 
     def handle_request(self, request: OwnerRequest, reply: Reply) -> None:
         """Answer a router's request, at once or when the outcome is durable."""
+        with self.meter.measure(REQUEST):
+            self._handle_request(request, reply)
+
+    def _handle_request(self, request: OwnerRequest, reply: Reply) -> None:
         if self.is_stopped or not self.is_active:
             _send_answer(reply, request, "not_owner")
             return
@@ -235,7 +255,7 @@
 
     def _register_ticket(self, request: OwnerRequest, reply: Reply) -> int:
         self._last_ticket += 1
-        self._tickets[self._last_ticket] = (reply, request.ticket)
+        self._tickets[self._last_ticket] = (reply, request.ticket, self.clock.now())
         return self._last_ticket
 
     def run_effects(self) -> None:
@@ -256,19 +276,37 @@
         if isinstance(effect, Decision):
             self._counters[effect.event] += 1
             _LOGGER.info(effect.event, extra={"cell": self.number, **effect.inputs})
+            if effect.event == STARTED_EVENT:
+                self._observe_start(effect.inputs)
         elif isinstance(effect, TicketOutcome):
-            registered = self._tickets.pop(effect.ticket, None)
-            if registered is not None:
-                registered[0](OwnerAnswer(registered[1], effect.outcome))
+            self._settle_ticket(effect)
         elif not self._may_send(effect):
             self._counters["orders.held_back"] += 1
         elif isinstance(effect, StartRun):
+            self.meter.starts += 1
             run_in_background(self._send_start(effect))
         elif isinstance(effect, StopRun):
+            self.meter.stops += 1
             run_in_background(self._send_stop(effect))
         elif isinstance(effect, PaceRun):
+            self.meter.paces += 1
             run_in_background(self._workers.pace(effect, self.epoch))
 
+    def _settle_ticket(self, outcome: TicketOutcome) -> None:
+        """Answer the router that waits for `outcome`."""
+        registered = self._tickets.pop(outcome.ticket, None)
+        if registered is None:
+            return
+        reply, ticket, registered_at = registered
+        if outcome.outcome == "accepted":
+            self._observe("job.accept", self.clock.now() - registered_at)
+        reply(OwnerAnswer(ticket, outcome.outcome))
+
+    def _observe_start(self, inputs: dict[str, Any]) -> None:
+        """Record how long a step had waited for a start, unless all its tasks had run before."""
+        if not inputs["again"]:
+            self._observe(f"start.wait.{inputs['kind']}", inputs["waited_ms"])
+
     def _may_send(self, order: object) -> bool:
         """Return whether an order may be sent now, which may be later than it was decided."""
         if isinstance(order, StartRun) and not self.cell.may_send_start(order):
@@ -280,28 +318,35 @@
         answer = await self._workers.start(order, self.epoch)
         self._observe("worker.start", self.clock.now() - started_at)
         if not self.is_stopped:
-            self.cell.answers.handle_start_answer(
-                order, answer.outcome, answer.clock_ms, started_at
-            )
-            self.run_effects()
+            with self.meter.measure(START_ANSWER):
+                self.cell.answers.handle_start_answer(
+                    order, answer.outcome, answer.clock_ms, started_at
+                )
+                self.run_effects()
 
     async def _send_stop(self, order: StopRun) -> None:
         started_at = self.clock.now()
         answer: OrderAnswer = await self._workers.stop(order, self.epoch)
         if not self.is_stopped:
-            self.cell.answers.handle_stop_answer(order, answer.outcome, answer.clock_ms, started_at)
-            self.run_effects()
+            with self.meter.measure(STOP_ANSWER):
+                self.cell.answers.handle_stop_answer(
+                    order, answer.outcome, answer.clock_ms, started_at
+                )
+                self.run_effects()
 
     def _place_waiting_tasks(self) -> None:
         """Run one placement round, and derive the pause before the next from its duration."""
         self._placement_timer = None
         if self.is_stopped:
             return
-        started_s = time.perf_counter()
-        self.cell.start_waiting_tasks()
-        took_s = time.perf_counter() - started_s
-        self._placement_pause_s = max(PLACEMENT_PAUSE_MS / 1_000, PLACEMENT_PAUSE_FACTOR * took_s)
-        self.run_effects()
+        with self.meter.measure(PLACEMENT):
+            started_s = time.perf_counter()
+            self.cell.start_waiting_tasks()
+            took_s = time.perf_counter() - started_s
+            self._placement_pause_s = max(
+                PLACEMENT_PAUSE_MS / 1_000, PLACEMENT_PAUSE_FACTOR * took_s
+            )
+            self.run_effects()
 
     async def hand_over(self) -> None:
         """Stop sending orders, and write the last records within `HAND_OVER_TIMEOUT_MS`."""
@@ -312,9 +357,16 @@
     def _tick(self) -> None:
         if self.is_stopped or self.is_handing_over:
             return
+        with self.meter.measure(TICK):
+            self._process_tick()
+        if self.meter.is_report_due and not self.is_stopped:
+            waiting = count_startable_steps(self.cell.state, self.clock.now())
+            self.meter.report(self.load_control.lag_ms, waiting)
+
+    def _process_tick(self) -> None:
         now = self.clock.now()
         if self._tick_due_at:
-            self.load_control.record_lag(now - self._tick_due_at)
+            self._record_lag(now - self._tick_due_at)
         self._tick_due_at = now + TICK_INTERVAL_MS
         self._tick_timer = self._reactor.callLater(TICK_INTERVAL_MS / 1_000, self._tick)
         self.cell.may_order = self.may_order
@@ -322,6 +374,12 @@
         self._inventory_poller.poll_new_workers()
         self.run_effects()
 
+    def _record_lag(self, lag_ms: int) -> None:
+        """Record how late a tick was."""
+        self.load_control.record_lag(lag_ms)
+        self.meter.record_lag(lag_ms)
+        self._observe("owner.lag", self.load_control.lag_ms)
+
     def _handle_ownership_lost(self, reason: str) -> None:
         if self.is_stopped:
             return
@@ -339,7 +397,8 @@
         for timer in (self._tick_timer, self._placement_timer):
             if timer is not None and timer.active():
                 timer.cancel()
-        for reply, ticket in self._tickets.values():
+        self.meter.publish()
+        for reply, ticket, _ in self._tickets.values():
             reply(OwnerAnswer(ticket, "unsettled"))
         self._tickets.clear()
 
--- /dev/null
+++ b/tests/daemon/test_load_meter.py
@@ -0,0 +1,223 @@
+"""The owner's load: busy time by kind of event, its log line and its counters."""
+
+import logging
+from collections import Counter
+from typing import Any
+
+import pytest
+from twisted.internet.task import Clock
+
+from quetzallock_core.cells.models import Bounds, Inventory, JobSpec, QueuePolicy
+from quetzallock_core.cells.orders import Decision, PaceRun, StartRun, StopRun, TicketOutcome
+from quetzallock_core.cells.scheduler import STARTED_EVENT
+from quetzallock_daemon.cells.clocks import BootClock
+from quetzallock_daemon.cells.const import LOAD_REPORT_INTERVAL_MS, TICK_INTERVAL_MS
+from quetzallock_daemon.cells.load_meter import INVENTORY, JOURNAL, PLACEMENT, TICK, LoadMeter
+from quetzallock_daemon.cells.messages import SubmitJobRequest
+from quetzallock_daemon.cells.owner import CellOwner
+from quetzallock_daemon.cells.ports import OrderAnswer
+
+JOB = "5c0e7a21d94b36f8"
+POLICY = QueuePolicy("queue", "pool")
+
+
+class FakeTime:
+    """Passing time and processor time of a process, in ms."""
+
+    def __init__(self) -> None:
+        self.ms = 0.0
+        self.processor_ms = 0.0
+
+    def spend(self, ms: float) -> None:
+        """Let time pass in which the process has the processor."""
+        self.ms += ms
+        self.processor_ms += ms
+
+    def read_s(self) -> float:
+        return self.ms / 1_000
+
+    def read_processor_s(self) -> float:
+        return self.processor_ms / 1_000
+
+
+def make_meter(time: FakeTime, counters: Counter[str]) -> LoadMeter:
+    return LoadMeter(0, counters, time.read_s, time.read_processor_s)
+
+
+def list_reports(caplog: pytest.LogCaptureFixture) -> list[dict[str, Any]]:
+    return [vars(record) for record in caplog.records if record.message == "owner.load"]
+
+
+def test_event_within_another_counts_only_as_its_own_kind() -> None:
+    """Counted twice, the kinds would add up to more than the time that has passed."""
+    time, counters = FakeTime(), Counter[str]()
+    meter = make_meter(time, counters)
+    with meter.measure(INVENTORY):
+        time.spend(10)
+        with meter.measure(JOURNAL):
+            time.spend(4)
+        time.spend(1)
+    time.spend(100)
+    with meter.measure(INVENTORY):
+        time.spend(2)
+    meter.publish()
+    assert counters["owner.busy_ms.inventory"] == 13
+    assert counters["owner.busy_ms.journal"] == 4
+    assert counters["process.cpu_ms"] == 117
+
+
+def test_event_that_fails_does_not_leave_its_kind_on() -> None:
+    """Otherwise all idle time after an exception would count as busy."""
+    time, counters = FakeTime(), Counter[str]()
+    meter = make_meter(time, counters)
+    with pytest.raises(ValueError), meter.measure(PLACEMENT):
+        time.spend(3)
+        raise ValueError
+    time.spend(500)
+    with meter.measure(TICK):
+        time.spend(1)
+    meter.publish()
+    assert counters["owner.busy_ms.placement"] == 3
+
+
+def test_counters_go_on_with_the_next_owner_and_keep_parts_of_a_millisecond() -> None:
+    time, counters = FakeTime(), Counter[str]()
+    for _ in range(2):
+        meter = make_meter(time, counters)
+        for _ in range(10):
+            with meter.measure(TICK):
+                time.spend(0.5)
+            meter.publish()
+    assert counters["owner.busy_ms.tick"] == 10
+
+
+def test_report_covers_the_time_since_the_last_one(caplog: pytest.LogCaptureFixture) -> None:
+    caplog.set_level(logging.INFO)
+    time, counters = FakeTime(), Counter[str]()
+    meter = make_meter(time, counters)
+    for spent_ms in (30, 50):
+        meter.starts += 2
+        meter.record_lag(spent_ms)
+        with meter.measure(PLACEMENT):
+            time.spend(spent_ms)
+        assert not meter.is_report_due
+        time.ms += LOAD_REPORT_INTERVAL_MS - spent_ms
+        with meter.measure(TICK):
+            pass
+        assert meter.is_report_due
+        meter.report(12.4, {"priority_0": 1})
+        assert not meter.is_report_due
+    first, second = list_reports(caplog)
+    assert (first["busy_ms"]["placement"], second["busy_ms"]["placement"]) == (30, 50)
+    assert (first["cpu_ms"], second["cpu_ms"]) == (30, 50)
+    assert (first["max_lag_ms"], second["max_lag_ms"]) == (30, 50)
+    assert (first["starts"], second["starts"]) == (2, 2)
+    assert second["interval_ms"] == LOAD_REPORT_INTERVAL_MS
+    assert (second["lag_ms"], second["waiting"]) == (12, {"priority_0": 1})
+
+
+class AnsweringWorkers:
+    """Workers that answer all calls at once."""
+
+    async def start(self, _order: StartRun, _epoch: int) -> OrderAnswer:
+        return OrderAnswer("", 0)
+
+    async def stop(self, _order: StopRun, _epoch: int) -> OrderAnswer:
+        return OrderAnswer("", 0)
+
+    async def pace(self, _order: PaceRun, _epoch: int) -> None:
+        """Accept the order."""
+
+
+class ObservedOwner:
+    """An owner of an empty cell in emulated time, and what it observes."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.reactor = Clock()
+        self.counters: Counter[str] = Counter()
+        self.observed: list[tuple[str, float]] = []
+        monkeypatch.setattr(BootClock, "now", lambda _: round(self.reactor.seconds() * 1_000))
+        unused: Any = None
+        workers: Any = AnsweringWorkers()
+        self.owner = CellOwner(
+            self.reactor,
+            0,
+            1,
+            Bounds(),
+            unused,
+            workers,
+            lambda _: None,
+            self.counters,
+            lambda operation, ms: self.observed.append((operation, ms)),
+        )
+        self.owner.meter._read_s = self.reactor.seconds
+        self.owner.meter._switched_s = self.owner.meter._reported_s = 0.0
+        self.owner.is_active = True
+
+    def emit(self, *effects: Any) -> None:
+        """Let the cell emit effects, and the owner run them."""
+        self.owner.ownership_confirmed_at = self.owner.clock.now()
+        for effect in effects:
+            self.owner.cell.state.emit(effect)
+        self.owner.run_effects()
+
+
+def test_owner_logs_its_load_once_a_second_while_it_owns_the_cell(
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    """A line for each event or tick would add to the load that it reports."""
+    caplog.set_level(logging.INFO)
+    observed = ObservedOwner(monkeypatch)
+    observed.owner._tick()
+    for _ in range(55):
+        observed.reactor.advance(TICK_INTERVAL_MS / 1_000)
+    assert len(list_reports(caplog)) == 5
+    assert sum(operation == "owner.lag" for operation, _ in observed.observed) == 55
+    observed.owner.stop()
+    for _ in range(30):
+        observed.reactor.advance(TICK_INTERVAL_MS / 1_000)
+    assert len(list_reports(caplog)) == 5
+
+
+def test_owner_counts_the_orders_that_it_sends(monkeypatch: pytest.MonkeyPatch) -> None:
+    observed = ObservedOwner(monkeypatch)
+    where = ("w", 1, "w:1", "j.0.0.0", 1)
+    observed.owner.cell.evacuations.handle_requests(frozenset(), 0)
+    observed.emit(
+        StartRun(*where, "", "", 0), StopRun(*where), PaceRun(*where, 50), PaceRun(*where, 60)
+    )
+    meter = observed.owner.meter
+    assert (meter.starts, meter.stops, meter.paces) == (1, 1, 2)
+
+
+def test_owner_counts_inventories(monkeypatch: pytest.MonkeyPatch) -> None:
+    observed = ObservedOwner(monkeypatch)
+    worker: Any = type("AnyWorker", (), {"id": "w"})()
+    inventory: Any = Inventory.__new__(Inventory)
+    monkeypatch.setattr(observed.owner.cell, "handle_inventory", lambda *_: None)
+    observed.owner._inventory_poller._handle_answer(worker, inventory, 0)
+    assert observed.owner.meter.inventories == 1
+
+
+def test_waits_for_a_start_are_observed_by_kind_but_not_those_of_repeated_starts(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    observed = ObservedOwner(monkeypatch)
+    observed.emit(
+        Decision(STARTED_EVENT, {"kind": "priority_0", "again": False, "waited_ms": 7}),
+        Decision(STARTED_EVENT, {"kind": "best_effort", "again": False, "waited_ms": 900}),
+        Decision(STARTED_EVENT, {"kind": "best_effort", "again": True, "waited_ms": 9_000}),
+    )
+    assert observed.observed == [("start.wait.priority_0", 7), ("start.wait.best_effort", 900)]
+
+
+def test_time_to_accept_a_job_is_observed(monkeypatch: pytest.MonkeyPatch) -> None:
+    observed = ObservedOwner(monkeypatch)
+    observed.owner.ownership_confirmed_at = observed.owner.clock.now()
+    monkeypatch.setattr(observed.owner._journal, "schedule_append", lambda: None)
+    observed.owner.handle_request(
+        SubmitJobRequest(9, 0, JobSpec(JOB, "", ()), POLICY), lambda _: None
+    )
+    observed.reactor.advance(0.03)
+    observed.emit(TicketOutcome(1, "accepted"))
+    assert observed.observed == [("job.accept", 30)]
