--- a/packages/standins/src/quetzallock_standins/emulator/busy.py
+++ b/packages/standins/src/quetzallock_standins/emulator/busy.py
@@ -3,6 +3,7 @@
 from functools import partial
 from typing import Any, Final
 
+from quetzallock_core.cells import Batch
 from quetzallock_core.cells.load import LoadControl
 from quetzallock_core.cells.models import Inventory, JobSpec, QueuePolicy
 from quetzallock_core.cells.orders import PaceRun, StartRun, StopRun
@@ -21,12 +22,20 @@
         processor: The owner's processor.
         load_control: Chooses what the owner puts off or rejects.
         rejected: Ids of jobs rejected at once.
+        are_appends_charged: Whether appending to the journal takes processor time too.
     """
 
-    def __init__(self, share: float, load_control: LoadControl, **fields: Any) -> None:
+    def __init__(
+        self,
+        share: float,
+        load_control: LoadControl,
+        are_appends_charged: bool = False,
+        **fields: Any,
+    ) -> None:
         self.processor = Processor(share)
         self.load_control = load_control
         self.rejected: set[str] = set()
+        self.are_appends_charged = are_appends_charged
         super().__init__(**fields)
 
     def offer(self, spec: JobSpec, policy: QueuePolicy, durations: dict[int, float | None]) -> bool:
@@ -79,3 +88,10 @@
     ) -> None:
         delay_ms = self.processor.take("order", self.clock.now())
         self.schedule(delay_ms, partial(super()._handle_answer, owner, order, answer, sent_at))
+
+    def _append(self, owner: Owner, batch: Batch) -> None:
+        if not self.are_appends_charged:
+            super()._append(owner, batch)
+            return
+        delay_ms = self.processor.take("append", self.clock.now())
+        self.schedule(delay_ms, partial(super()._append, owner, batch))
