Learn from the tasks of an image on a worker at once

Cause, the largest of three: each inventory updated the learned interference once for each serving task, though tasks of one image on one worker report under the same conditions. An update takes time in proportion to the square of the number of images, over dictionaries.

Change: one update for each image and worker, with the mean of the tasks and their number, which is equivalent but for the lower bound of a coefficient. The baseline tail is computed once for a step. Upper coefficients are kept until their image is observed again.

--- a/packages/core/src/quetzallock_core/cells/interference.py
+++ b/packages/core/src/quetzallock_core/cells/interference.py
@@ -6,12 +6,13 @@
 task uses.
 """
 
+from collections import defaultdict
 from collections.abc import Iterable
 from dataclasses import dataclass
 from math import exp, log, sqrt
 from typing import Final
 
-from .jobs import Run
+from .jobs import Run, StepRun
 from .regression import TermEstimates
 from .workers import Worker
 
@@ -75,6 +76,7 @@
     def __init__(self) -> None:
         self._estimates: dict[str, TermEstimates] = {}
         self._peak_tails: dict[str, float] = {}
+        self._upper_coefficients: dict[str, dict[str, float]] = {}
 
     def list_coefficients(self) -> tuple[tuple[str, str, float], ...]:
         """Return all learned coefficients: serving image, best-effort image, value."""
@@ -96,6 +98,7 @@
         """Load the estimates of an earlier owner."""
         for serving, best_effort, value in coefficients:
             self._get_estimates(serving).set(best_effort, value, _RESTORED_VARIANCE)
+        self._upper_coefficients.clear()
         self._peak_tails.update(peak_tails)
 
     def _get_estimates(self, serving: str) -> TermEstimates:
@@ -113,6 +116,13 @@
 
     def get_upper_coefficient(self, serving: str, best_effort: str) -> float:
         """Return a cautious, high estimate of the coefficient of a pair of images."""
+        known = self._upper_coefficients.setdefault(serving, {})
+        coefficient = known.get(best_effort)
+        if coefficient is None:
+            coefficient = known[best_effort] = self._compute_upper(serving, best_effort)
+        return coefficient
+
+    def _compute_upper(self, serving: str, best_effort: str) -> float:
         estimates = self._get_estimates(serving)
         margin = _CAUTION_DEVIATIONS * sqrt(max(estimates.variance(best_effort), 0.0))
         return min(max(estimates.mean(best_effort) + margin, 0.0), MAX_PRESSURE)
@@ -135,23 +145,34 @@
             )
             run.is_best_effort_colocated = bool(active_shares)
             run.reported_at = now
+        observed: defaultdict[str, list[float]] = defaultdict(list)
+        baselines: dict[StepRun, float | None] = {}
         for run in serving:
-            self._update_estimates(run, active_shares, now)
+            if run.metric <= 0:
+                continue
+            step = run.task.step
+            if step not in baselines:
+                baselines[step] = find_baseline_tail(run, now)
+            baseline = self._update_peak_tail(run, baselines[step])
+            observed[run.task.spec.image].append(log(run.metric / baseline))
+        if active_shares:
+            for image, pressures in observed.items():
+                mean = sum(pressures) / len(pressures)
+                self._get_estimates(image).observe(active_shares, mean, len(pressures))
+                self._upper_coefficients.pop(image, None)
+
+    def _update_peak_tail(self, run: Run, baseline: float | None) -> float:
+        """Learn the peak tail of a serving run's image, and return the run's baseline tail in ms.
 
-    def _update_estimates(self, run: Run, active_shares: dict[str, float], now: int) -> None:
-        if run.metric <= 0:
-            return
+        Without a measured `baseline` it is derived from the peak tail.
+        """
         image = run.task.spec.image
         peak = self.get_peak_tail(run)
-        baseline = find_baseline_tail(run, now)
         if baseline is None:
-            baseline = _DEFAULT_BASELINE_SHARE * peak
-        else:
-            self._peak_tails[image] = peak + (
-                _PEAK_RISE_WEIGHT if baseline > peak else _PEAK_FALL_WEIGHT
-            ) * (baseline - peak)
-        if active_shares:
-            self._get_estimates(image).observe(active_shares, log(run.metric / baseline))
+            return _DEFAULT_BASELINE_SHARE * peak
+        weight = _PEAK_RISE_WEIGHT if baseline > peak else _PEAK_FALL_WEIGHT
+        self._peak_tails[image] = peak + weight * (baseline - peak)
+        return baseline
 
     def _compute_pressure(self, serving: str, shares: dict[str, float]) -> float:
         """Return a cautious, high estimate of the pressure on a serving image."""
--- /dev/null
+++ b/tests/core/cells/test_decision_costs.py
@@ -0,0 +1,62 @@
+"""How often the owner evaluates what has not changed, as the number of workers and tasks grows."""
+
+from typing import Any
+
+import pytest
+
+from quetzallock_core.cells.models import Resources, StepSpec
+from quetzallock_core.cells.placement import STARVING_AFTER_MS
+from quetzallock_core.cells.regression import TermEstimates
+from quetzallock_standins.emulator import CellCluster
+from quetzallock_standins.emulator.cluster import make_spec
+
+from .common import BEST_EFFORT_POLICY, POLICY, SERVING_POLICY, make_step
+
+CAPACITY = Resources(8_000, 64_000, 0)
+WORKERS = 20
+
+
+def count_calls(monkeypatch: pytest.MonkeyPatch, owner: type, name: str) -> list[None]:
+    """Return a list that grows by one entry with each call of a method."""
+    calls: list[None] = []
+    method = getattr(owner, name)
+
+    def call(*args: Any, **kwargs: Any) -> Any:
+        calls.append(None)
+        return method(*args, **kwargs)
+
+    monkeypatch.setattr(owner, name, call)
+    return calls
+
+
+def make_colocated_cluster(serving_count: int) -> CellCluster:
+    """Return a cluster with serving tasks of one image and a best-effort task on one worker.
+
+    The memory of the other worker is committed.
+    """
+    cluster = CellCluster(workers=2, capacity=CAPACITY)
+    cluster.run(500)
+    full = StepSpec(1, Resources(100, CAPACITY.memory_mb, 0), lasting=True)
+    cluster.submit(make_spec("full", full), POLICY, {0: None})
+    serving = make_step(serving_count, lasting=True, image="s", target_ms=100)
+    cluster.submit(make_spec("serving", serving), SERVING_POLICY, {0: None})
+    cluster.run(1_500)
+    best_effort = make_step(1, fills=True, image="f", saves=True)
+    cluster.submit(make_spec("fills", best_effort), BEST_EFFORT_POLICY, {0: 60_000})
+    cluster.run(STARVING_AFTER_MS + 1_000)
+    return cluster
+
+
+def test_learning_costs_do_not_grow_with_the_tasks_of_an_image(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against an owner that spends its time on the same metric of each task of an image."""
+    counts = []
+    for serving_count in (1, 4):
+        cluster = make_colocated_cluster(serving_count)
+        with monkeypatch.context() as patch:
+            observed = count_calls(patch, TermEstimates, "observe")
+            cluster.run(1_000)
+        counts.append(len(observed))
+    assert counts[0] > 0
+    assert counts[1] <= counts[0]
--- a/tests/core/cells/test_learning.py
+++ b/tests/core/cells/test_learning.py
@@ -36,6 +36,21 @@
     assert estimates.mean("a") == 0.0
 
 
+def test_mean_of_observations_counts_as_much_as_each_of_them() -> None:
+    """Guards against learning from a worker's tasks at another rate than from one task each."""
+    single, combined = make_estimates(), make_estimates()
+    rng = Random(5)
+    for _ in range(50):
+        terms = {name: rng.uniform(0.02, 0.3) for name in rng.sample("abcd", 2)}
+        values = [1.0 + rng.gauss(0, 0.2) for _ in range(3)]
+        for value in values:
+            single.observe(terms, value)
+        combined.observe(terms, sum(values) / 3, 3)
+    for name in "abcd":
+        assert abs(single.mean(name) - combined.mean(name)) < 0.05
+        assert abs(single.variance(name) - combined.variance(name)) < 0.01
+
+
 def test_history_averages_over_the_metric_window() -> None:
     history = BestEffortHistory()
     history.record(1_000, {"a": 0.4})
