Search other workers for paused runs once a tick, and not again at once

Change: one placement a tick; the search ends at the first worker; where there is none, the step is searched again after 300 ms, as for runs on leaving workers.

Test: failed before with 10 searches in 10 ticks.

--- a/packages/core/src/quetzallock_core/cells/migration.py
+++ b/packages/core/src/quetzallock_core/cells/migration.py
@@ -24,32 +24,46 @@
     def __init__(self, state: CellState) -> None:
         self._state = state
         self._search_after: dict[StepRun, int] = {}
+        self._paused_search_after: dict[StepRun, int] = {}
 
     def migrate_paused_runs(self) -> None:
-        """Stop paused best-effort runs for which there is another worker."""
+        """Stop paused best-effort runs for which there is another worker.
+
+        A search without success is not repeated for the tasks of a step before
+        `ROOM_SEARCH_PAUSE_MS` have passed.
+        """
         state = self._state
         now = state.clock.now()
-        for worker in list(state.workers.values()):
-            paused = [
-                run
-                for run in worker.runs.values()
-                if run.pace == PAUSED_PACE
-                and run.state == "running"
-                and not state.unverified.may_be_running(run.task)
-                and now - run.paced_at >= MIGRATE_PAUSED_AFTER_MS
-            ]
-            for run in paused:
-                self._migrate_paused(run, now)
-
-    def _migrate_paused(self, run: Run, now: int) -> None:
-        state = self._state
-        if now - run.ordered_at > MAX_LOST_WORK_MS and not run.task.spec.saves:
+        self._paused_search_after = drop_past(self._paused_search_after, now)
+        paused = self._list_paused_runs(now)
+        if not paused:
             return
         placement = state.make_placement()
-        if placement.choose(run.task, excluded_worker=run.worker) is None:
-            return
-        run.task.avoid.add(run.worker)
-        state.stop_run(run, "interferes with serving tasks")
+        for run in paused:
+            step = run.task.step
+            if step in self._paused_search_after:
+                continue
+            if not placement.can_place_elsewhere(run.task, run.worker):
+                self._paused_search_after[step] = now + ROOM_SEARCH_PAUSE_MS
+                continue
+            run.task.avoid.add(run.worker)
+            state.stop_run(run, "interferes with serving tasks")
+            placement.update_worker(state.workers[run.worker])
+
+    def _list_paused_runs(self, now: int) -> list[Run]:
+        """Return the runs that have been paused for long and would lose little work."""
+        state = self._state
+        return [
+            run
+            for worker in state.workers.values()
+            if worker.best_effort_count
+            for run in worker.runs.values()
+            if run.pace == PAUSED_PACE
+            and run.state == "running"
+            and now - run.paced_at >= MIGRATE_PAUSED_AFTER_MS
+            and (now - run.ordered_at <= MAX_LOST_WORK_MS or run.task.spec.saves)
+            and not state.unverified.may_be_running(run.task)
+        ]
 
     def migrate_from_leaving_workers(self) -> None:
         """Stop lasting runs on draining workers, for each of which another worker has room.
@@ -60,7 +74,7 @@
         state = self._state
         now = state.clock.now()
         runs_by_step = self._group_leaving_runs(now)
-        self._search_after = {step: at for step, at in self._search_after.items() if at > now}
+        self._search_after = drop_past(self._search_after, now)
         steps = [step for step in runs_by_step if step not in self._search_after]
         if not steps:
             return
@@ -92,6 +106,11 @@
         return len(runs)
 
 
+def drop_past(times: dict[StepRun, int], now: int) -> dict[StepRun, int]:
+    """Return the steps whose time is still to come."""
+    return {step: at for step, at in times.items() if at > now}
+
+
 def move_run(state: CellState, run: Run, target: Worker, reason: str) -> None:
     """Stop a run, and keep room for its task on another worker until the run has ended."""
     state.reservations.reserve_for_move(run, target)
--- a/packages/core/src/quetzallock_core/cells/placement.py
+++ b/packages/core/src/quetzallock_core/cells/placement.py
@@ -229,6 +229,15 @@
                 best, lowest_cost = worker, cost
         return best
 
+    def can_place_elsewhere(self, task: Task, worker_id: str) -> bool:
+        """Return whether there is another worker than `worker_id` without harmful interference."""
+        return any(
+            worker.id != worker_id
+            and task.name not in worker.runs
+            and self._compute_total_cost(task, worker, is_starving=False) is not None
+            for worker in self.workers
+        )
+
     def _choose_ranked(self, task: Task, is_starving: bool) -> Worker | None:
         ranking = self._ranking
         if (
--- a/tests/core/cells/test_decision_costs.py
+++ b/tests/core/cells/test_decision_costs.py
@@ -4,11 +4,14 @@
 
 import pytest
 
+from quetzallock_core.cells import inventory
+from quetzallock_core.cells.const import MIGRATE_PAUSED_AFTER_MS, ROOM_SEARCH_PAUSE_MS
 from quetzallock_core.cells.models import Resources, StepSpec
+from quetzallock_core.cells.pacing import PAUSED_PACE
 from quetzallock_core.cells.placement import STARVING_AFTER_MS, Placement
 from quetzallock_core.cells.regression import TermEstimates
 from quetzallock_standins.emulator import CellCluster
-from quetzallock_standins.emulator.cluster import make_spec
+from quetzallock_standins.emulator.cluster import TICK_INTERVAL_MS, make_spec
 
 from .common import BEST_EFFORT_POLICY, POLICY, SERVING_POLICY, make_step
 
@@ -77,3 +80,19 @@
         task.avoid.add(f"w{number}")
         assert placement.choose(task) is not None
     assert len(evaluated) == WORKERS
+
+
+def test_paused_runs_without_another_worker_are_searched_for_at_an_interval(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against an evaluation of all workers in each tick for each paused run."""
+    cluster = make_colocated_cluster(1)
+    state = cluster.cell.state
+    monkeypatch.setattr(inventory, "plan_pace_changes", lambda *_: [])
+    for run in state.jobs["fills"].occurrences[0].steps[0].tasks[0].runs.values():
+        state.pace_run(run, PAUSED_PACE)
+    cluster.run(MIGRATE_PAUSED_AFTER_MS)
+    evaluated = count_calls(monkeypatch, Placement, "_compute_total_cost")
+    period_ms = 10 * TICK_INTERVAL_MS
+    cluster.run(period_ms)
+    assert 0 < len(evaluated) <= period_ms // ROOM_SEARCH_PAUSE_MS + 1
