Log what makes a job fail in one line

Cause: a job that fails for its ends was logged as job.over with no more, and one that fails for crashes as task.given_up with worker ids only. Change: job.failed names the cause, the task, the limit, each end listed as failed (task, run, worker, boot; of all tasks of a gang) and each crash (run, worker, boot, age, what the owner knew). No decision changes.

--- a/packages/core/src/quetzallock_core/cells/crashes.py
+++ b/packages/core/src/quetzallock_core/cells/crashes.py
@@ -42,8 +42,8 @@
     def log_decision(self, event: str, **inputs: Any) -> None:
         """Count a decision and emit it for the log."""
 
-    def finish_job(self, job: Job, event: str) -> None:
-        """End `job` by the chart's `event`, and stop its runs."""
+    def fail_job(self, task: Task, cause: str) -> None:
+        """Fail the job of `task`, and log all that has led to it."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -169,12 +169,13 @@
         loss = WorkerLoss(boot, entry.rack or entry.data_centre, lost_at)
         risky = [run for run in runs if not is_past_crash_risk(run, worker)]
         if self._handle_common_cause(loss):
-            self._excuse_runs(risky)
+            self._excuse_runs(risky, boot)
             return
         for run in runs:
             age_ms = max(0, worker.contact_at - run.ordered_at)
             is_bystander = bool(risky) and run not in risky
-            crash = CrashRecord(*boot, age_ms, risky == [run], is_bystander, run.has_begun)
+            is_only = risky == [run]
+            crash = CrashRecord(*boot, age_ms, is_only, is_bystander, run.has_begun, run.number)
             self._add_crash(run.task, crash)
         for task in exposed:
             self._add_crash(task, CrashRecord(*boot))
@@ -239,24 +240,40 @@
             return False
         state.log_decision("crash.common_cause", rack=loss.rack, workers=len(lost))
         for task in list(self.by_task):
-            task.excused_crashes += sum(
-                (crash.worker, crash.boot_ms) in together and _had_just_started(crash)
-                for crash in task.crashes
+            self._add_excused(
+                task,
+                [
+                    (crash.worker, crash.boot_ms)
+                    for crash in task.crashes
+                    if (crash.worker, crash.boot_ms) in together and _had_just_started(crash)
+                ],
             )
         self._withdraw(together)
         return True
 
-    def _excuse_runs(self, runs: list[Run]) -> None:
+    def _excuse_runs(self, runs: list[Run], boot: Boot) -> None:
         """Count a crash under runs that had just started, without a charge for it."""
         for run in runs:
             task = run.task
             if task.is_done or task.job.is_over:
                 continue
-            task.excused_crashes += 1
+            self._add_excused(task, [boot])
             self.by_task[task] = None
             task.may_give_up_at = self._state.clock.now() + GIVE_UP_DELAY_MS
             self._mark_changed(task)
 
+    def _add_excused(self, task: Task, boots: list[Boot]) -> None:
+        """Count crashes that are put down to another cause; only their number is kept."""
+        task.excused_crashes += len(boots)
+        for worker, boot_ms in boots:
+            self._state.log_decision(
+                "task.crash_excused",
+                task=task.name,
+                worker=worker,
+                born=boot_ms,
+                excused=task.excused_crashes,
+            )
+
     def _withdraw(self, boots: set[Boot]) -> None:
         """Take the crashes of these boots back from all suspects."""
         for task in list(self.by_task):
@@ -285,8 +302,11 @@
             task=task.name,
             worker=crash.worker,
             born=crash.boot_ms,
+            run=crash.run,
+            age_ms=crash.age_ms,
             crashes=len(task.crashes),
             only_suspect=crash.is_only_suspect,
+            confirmed=crash.is_confirmed,
         )
 
     def clear_or_give_up(self) -> None:
@@ -322,7 +342,7 @@
             crashes=task.crash_count,
             workers=[crash.worker for crash in crashes],
         )
-        self._state.finish_job(task.job, "fail")
+        self._state.fail_job(task, "crashes")
         self.by_task.pop(task, None)
         self._excuse({(crash.worker, crash.boot_ms) for crash in crashes})
 
@@ -332,9 +352,13 @@
         A task that had just started then keeps their number, as it may crash its workers too.
         """
         for task in list(self.by_task):
-            task.excused_crashes += sum(
-                (crash.worker, crash.boot_ms) in boots and not crash.is_bystander
-                for crash in task.crashes
+            self._add_excused(
+                task,
+                [
+                    (crash.worker, crash.boot_ms)
+                    for crash in task.crashes
+                    if (crash.worker, crash.boot_ms) in boots and not crash.is_bystander
+                ],
             )
         self._withdraw(boots)
 
--- a/packages/core/src/quetzallock_core/cells/inventory.py
+++ b/packages/core/src/quetzallock_core/cells/inventory.py
@@ -180,7 +180,13 @@
         state.dirty[task.job] = None
         if row.how != "done":
             state.log_decision(
-                "run.ended", task=row.task, run=row.run, how=row.how, worker=worker.id
+                "run.ended",
+                task=row.task,
+                run=row.run,
+                how=row.how,
+                worker=worker.id,
+                born=worker.entry.boot_ms,
+                end=row.number,
             )
 
     def _handle_done(
@@ -225,7 +231,7 @@
             state.requeue(task, row.checkpoint)
         if task.spec.lasting:
             return
-        state.fail_task(task, row.run)
+        state.fail_task(task, row.run, worker.boot)
 
     def list_stalled(self, now: int) -> list[Run]:
         """Return runs that have used no processor for `STALL_TIMEOUT_MS`, although they should.
--- a/packages/core/src/quetzallock_core/cells/job_records.py
+++ b/packages/core/src/quetzallock_core/cells/job_records.py
@@ -35,6 +35,7 @@
         task.is_done = row.is_done
         task.step.done += row.is_done
         task.failed_runs = set(row.failed_runs)
+        task.failed_on = {run: (worker, boot_ms) for run, worker, boot_ms in row.failed_on}
         task.checkpoint = row.checkpoint
         task.crashes = row.crashes
         task.exposures = row.exposures
--- a/packages/core/src/quetzallock_core/cells/jobs.py
+++ b/packages/core/src/quetzallock_core/cells/jobs.py
@@ -94,6 +94,8 @@
 
     Attributes:
         failed_runs: Numbers of the runs that ended as failed.
+        failed_on: Boots that listed these ends first, by run number; unknown for some ends that an
+            earlier version has recorded.
         checkpoint: Newest checkpoint, or empty.
         runs: Runs that may be going on, by run number.
         not_before: Local ms before which it is not started again.
@@ -115,6 +117,7 @@
     index: int
     is_done: bool = False
     failed_runs: set[int] = field(default_factory=set)
+    failed_on: dict[int, Boot] = field(default_factory=dict)
     checkpoint: str = ""
     runs: dict[int, Run] = field(default_factory=dict)
     not_before: int = 0
@@ -163,6 +166,7 @@
             () if self.is_done else self.crashes,
             () if self.is_done else self.exposures,
             0 if self.is_done else self.excused_crashes,
+            () if self.is_done else tuple((run, *boot) for run, boot in self.failed_on.items()),
         )
 
     @property
--- a/packages/core/src/quetzallock_core/cells/records.py
+++ b/packages/core/src/quetzallock_core/cells/records.py
@@ -27,6 +27,7 @@
         is_only_suspect: All other runs there had worked for some time.
         is_bystander: The run itself had, and another run there had not.
         is_confirmed: The boot had answered that the run had begun.
+        run: Number of the run; 0 if only the record of its start is known.
     """
 
     worker: str
@@ -35,6 +36,7 @@
     is_only_suspect: bool = False
     is_bystander: bool = False
     is_confirmed: bool = False
+    run: int = 0
 
 
 @message(215)
@@ -48,6 +50,7 @@
         crashes: Crashes of workers under it, of which it is suspected.
         exposures: Boots on which it may be running. If one of them has crashed, it is a suspect.
         excused_crashes: Number of further crashes, put down to another task that was given up.
+        failed_on: Run, worker and its boot of each end as failed, to explain a failed job.
     """
 
     occurrence: int
@@ -59,6 +62,7 @@
     crashes: tuple[CrashRecord, ...] = ()
     exposures: tuple[Boot, ...] = ()
     excused_crashes: int = 0
+    failed_on: tuple[tuple[int, str, int], ...] = ()
 
 
 @message(216)
--- a/packages/core/src/quetzallock_core/cells/state.py
+++ b/packages/core/src/quetzallock_core/cells/state.py
@@ -14,7 +14,7 @@
 from .interference import Interference
 from .job_records import make_job, restore_job
 from .jobs import Job, Run, StepRun, Task
-from .models import Bounds, WorkerEntry
+from .models import Boot, Bounds, WorkerEntry
 from .orders import Decision, Effect, PaceRun, StopRun
 from .packing import PolicyChooser
 from .placement import Placement
@@ -22,6 +22,7 @@
 from .reservations import Reservations
 from .shares import Shares
 from .unverified import UnverifiedWorkers
+from .verdicts import describe_verdict
 from .workers import Worker
 
 
@@ -325,14 +326,25 @@
         if finished == job.repetitions:
             self.finish_job(job, "complete")
 
-    def fail_task(self, task: Task, run_number: int) -> None:
-        """Process a run of `task` that ended as failed."""
+    def fail_task(self, task: Task, run_number: int, boot: Boot) -> None:
+        """Process a run of `task` that ended as failed, as `boot` has listed."""
         task.failed_runs.add(run_number)
+        task.failed_on.setdefault(run_number, boot)
         self.dirty[task.job] = None
         if task.attempts < task.job.policy.max_attempts or task.job.is_over:
             return
         if not task.runs:
-            self.finish_job(task.job, "fail")
+            self.fail_job(task, "ends")
+
+    def fail_job(self, task: Task, cause: str) -> None:
+        """Fail the job of `task`, and log all that has led to it.
+
+        Args:
+            task: The task whose ends or crashes are too many.
+            cause: `ends` or `crashes`.
+        """
+        self.log_decision("job.failed", cause=cause, **describe_verdict(task))
+        self.finish_job(task.job, "fail")
 
     def drop_worker(self, worker: Worker, reason: str) -> None:
         """Drop a boot of a worker whose runs are all over.
