--- a/tests/core/cells/test_crash_evidence.py
+++ b/tests/core/cells/test_crash_evidence.py
@@ -169,3 +169,32 @@
         cluster.revive("w0")
         cluster.cell.handle_entries(cluster._list_entries())
     assert len(run.task.crashes) == 1
+
+
+def test_job_of_which_no_run_has_begun_is_not_failed_for_crashes() -> None:
+    """Guards against a job that is failed although neither a run nor a crash was its own.
+
+    Its start orders are late, and each worker that one was sent to crashes and returns. This failed
+    the job until starts that had not begun were no longer charged.
+    """
+    cluster = make_cluster()
+    cluster.order_delay_rate = 1.0
+    submit_plain(cluster, "a", count=1)
+    task = cluster.cell.state.jobs["a"].find_task(0, 0, 0)
+    assert task is not None
+    crashed_under: set[int] = set()
+    for _ in range(2_000):
+        cluster.run(5)
+        runs = list(task.runs.values())
+        is_start_late = len(crashed_under) < 3 and all(run.state == "ordered" for run in runs)
+        cluster.order_delay_rate = 1.0 if is_start_late else 0.0
+        for run in runs:
+            is_overdue = is_start_late and cluster.clock.now() > run.ordered_at + 400
+            if is_overdue and run.number not in crashed_under:
+                crashed_under.add(run.number)
+                cluster.workers[run.worker].crash()
+                cluster.schedule(200, lambda worker=run.worker: cluster.revive(worker))  # type: ignore[misc]
+    cluster.run(SETTLE_MS)
+    assert len(crashed_under) >= 2
+    assert not count_crashes(cluster, task.name)
+    assert cluster.cell.find_state("a") == "completed"
