Fail a job whose last attempt was listed while a later run was at work

Cause: fail_task fails a job only if no run of the task may be going on. A run that had failed behind a cut is listed after the lease has ended its run for the owner and a later run has started. If that run then ends without done or failed (lost with its worker, lapsed, stopped), nothing looked at the attempts again: the task may not start, and the job was shown as running for ever, also under each next owner. Change: such tasks are kept, and their jobs fail in the tick in which no run of them may be going on any more.

Measured: test_job_without_attempts_left_fails_once_its_last_run_is_lost fails before in all 4 cases (gang or not, owner killed or not; the job is still running 15 s later) and passes. test_verdicts, test_takeover, test_cell and test_ended_runs pass.

--- a/packages/core/src/quetzallock_core/cells/cell.py
+++ b/packages/core/src/quetzallock_core/cells/cell.py
@@ -196,6 +196,7 @@
             self._check_worker(worker, now)
         state.reservations.release_unusable(now)
         state.crashes.clear_or_give_up()
+        state.fail_exhausted_jobs()
         state.headroom.update(state.open_steps, state.workers.values(), now)
         if self.may_order and not state.fenced:
             state.ended_runs.stop_on_new_boots()
--- a/packages/core/src/quetzallock_core/cells/state.py
+++ b/packages/core/src/quetzallock_core/cells/state.py
@@ -48,6 +48,7 @@
         ended_boots: Boots of workers that are over although the platform's list may still have
             their entries.
         due_jobs: Jobs with repetitions that may become due.
+        exhausted: Tasks without attempts left of which a run may still be going on.
         is_start_due: Something has changed that may allow a waiting task to start.
         has_worker_changes: The journal lacks changes of workers.
     """
@@ -83,6 +84,7 @@
         self.dropped_workers: list[str] = []
         self.ended_boots: set[tuple[str, int]] = set()
         self.due_jobs: dict[Job, None] = {}
+        self.exhausted: dict[Task, None] = {}
         self.is_start_due = False
         self.has_worker_changes = False
         self._effects: list[Effect] = []
@@ -126,6 +128,7 @@
             self.durations.add_work(job.policy.queue, job.work)
             self.placing.add_job(job, now)
             self.open_job(job)
+            self.exhausted.update(dict.fromkeys(_list_exhausted(job)))
         self.crashes.restore(self.unverified.locations, self.unverified.unbegun)
         self.log_decision(
             "cell.restored",
@@ -333,9 +336,23 @@
         self.dirty[task.job] = None
         if task.attempts < task.job.policy.max_attempts or task.job.is_over:
             return
-        if not task.runs:
+        if task.runs:
+            self.exhausted[task] = None
+        else:
             self.fail_job(task, "ends")
 
+    def fail_exhausted_jobs(self) -> None:
+        """Fail the jobs of tasks that may neither start again nor be running any more.
+
+        Their last attempt was listed as failed late, when a later run had been started.
+        """
+        for task in list(self.exhausted):
+            if task.is_done or task.job.is_over:
+                del self.exhausted[task]
+            elif not task.runs and not self.unverified.may_be_running(task):
+                del self.exhausted[task]
+                self.fail_job(task, "ends")
+
     def fail_job(self, task: Task, cause: str) -> None:
         """Fail the job of `task`, and log all that has led to it.
 
@@ -418,3 +435,14 @@
             worker.is_lease_suspended = True
         self.log_decision("worker.known", worker=entry.worker, born=entry.boot_ms, rack=entry.rack)
         return worker
+
+
+def _list_exhausted(job: Job) -> list[Task]:
+    """Return the unfinished tasks of `job` that have no attempts left."""
+    if job.is_over:
+        return []
+    return [
+        task
+        for task in job.list_tasks()
+        if not task.is_done and task.attempts and task.attempts >= job.policy.max_attempts
+    ]
--- a/tests/core/cells/test_verdicts.py
+++ b/tests/core/cells/test_verdicts.py
@@ -1,5 +1,6 @@
 """The log line of a job that fails: it names all that has counted against the job."""
 
+from dataclasses import replace
 from typing import Any
 
 import pytest
@@ -86,3 +87,40 @@
     starts = {(run, worker) for _, _, run, worker in cluster.ground_truth.starts}
     assert {(crash["run"], crash["worker"]) for crash in verdict["crashes"]} == starts
     assert all(crash["born"] and crash["how"] == "crash" for crash in verdict["crashes"])
+
+
+@pytest.mark.parametrize("is_gang", [False, True])
+@pytest.mark.parametrize("is_owner_killed", [False, True])
+def test_job_without_attempts_left_fails_once_its_last_run_is_lost(
+    is_owner_killed: bool, is_gang: bool
+) -> None:
+    """Guards against a job that neither starts nor fails for the rest of its life.
+
+    Its last attempt is listed as failed after a cut, when a later run is already at work. That run
+    is then lost with its worker.
+    """
+    cluster = CellCluster(workers=3)
+    cluster.run(500)
+    policy = replace(POLICY, max_attempts=1)
+    cluster.submit(make_spec("a", make_step(1, gang=is_gang)), policy, {0: 20_000})
+    cluster.run(500)
+    ((_, task, _, first),) = cluster.ground_truth.starts
+    cut_off = cluster.workers[first]
+    cut_off.is_isolated = True
+    cut_off.runs[task].fails = True
+    cluster.run(9_000)
+    second = cluster.ground_truth.starts[-1][3]
+    assert second != first
+    cut_off.is_isolated = False
+    cluster.run(1_000)
+    assert cluster.cell.find_state("a") == "running"
+    if is_owner_killed:
+        cluster.kill_owner()
+    cluster.workers[second].crash()
+    cluster.run(200)
+    cluster.revive(second)
+    if is_owner_killed:
+        cluster.take_over()
+    cluster.run(15_000)
+    assert cluster.cell.find_state("a") == "failed"
+    assert not cluster.ground_truth.violations
