Run background coroutines without a deferred of their own

Cause: an order and each step of a poll ran through ensureDeferred, which makes a deferred, a state of cancellation and a context for each coroutine, although nobody awaits or cancels it.

Change: run_in_background resumes the coroutine itself; failures are logged as before.

--- a/packages/daemon/src/quetzallock_daemon/helpers.py
+++ b/packages/daemon/src/quetzallock_daemon/helpers.py
@@ -34,8 +34,27 @@
 
 
 def run_in_background(coroutine: Coroutine[Any, Any, Any]) -> None:
-    """Run a coroutine whose result is not awaited; an exception that it raises is logged."""
-    ensureDeferred(coroutine).addErrback(_log_failure)
+    """Run a coroutine whose result is not awaited; an exception that it raises is logged.
+
+    An owner runs one for each order. `ensureDeferred` would add to each a deferred of its result, a
+    way to cancel it and a context of its own, which nobody uses here.
+    """
+    _resume_coroutine(None, coroutine)
+
+
+def _resume_coroutine(result: Any, coroutine: Coroutine[Any, Any, Any]) -> None:
+    """Run a coroutine until it ends or awaits a deferred that has no result yet."""
+    try:
+        if isinstance(result, Failure):
+            awaited = result.throwExceptionIntoGenerator(coroutine)
+        else:
+            awaited = coroutine.send(None)
+    except StopIteration:
+        return
+    except BaseException:
+        _log_failure(Failure())
+        return
+    awaited.addBoth(_resume_coroutine, coroutine)
 
 
 def _log_failure(failure: Failure) -> None:
