--- a/packages/core/src/quetzallock_core/cells/models.py
+++ b/packages/core/src/quetzallock_core/cells/models.py
@@ -166,6 +166,7 @@
     A tuple, since a busy owner reads thousands of rows in a second.
 
     Attributes:
+        checkpoint: Its newest checkpoint; None or empty if there is none.
         percent: Current pace in percent of full speed, or progress of the startup.
         metric: Tail latency in ms of a serving task; processor use of any other, in thousandths of
             a core.
@@ -173,9 +174,9 @@
 
     task: str
     run: int
-    checkpoint: str
+    checkpoint: str | None
     percent: int
-    metric: float
+    metric: float = 0
 
 
 class EndRow(NamedTuple):
@@ -184,13 +185,14 @@
     Attributes:
         number: Sequence number of the end within the worker's boot.
         how: How it ended: `done`, `failed` or another reason.
+        checkpoint: Its newest checkpoint; None or empty if there is none.
     """
 
     number: int
     task: str
     run: int
     how: str
-    checkpoint: str
+    checkpoint: str | None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/quetzallock_core/cells/state.py
+++ b/packages/core/src/quetzallock_core/cells/state.py
@@ -289,7 +289,7 @@
         if run.task.spec.fills:
             worker.record_best_effort_shares(self.clock.now())
 
-    def requeue(self, task: Task, checkpoint: str) -> None:
+    def requeue(self, task: Task, checkpoint: str | None) -> None:
         """Let a task whose run is over wait for its next start."""
         if checkpoint:
             task.checkpoint = checkpoint
