Learn in proportion to the observed images, not to all images ever seen

Change: covariances are kept within the latest observation of an image only; an observation updates its own images. All others count as independent, as before they are observed together.

Tests: the number of kept covariances (failed before), and valid variances while images meet in turns.

--- a/packages/core/src/quetzallock_core/cells/regression.py
+++ b/packages/core/src/quetzallock_core/cells/regression.py
@@ -1,4 +1,9 @@
-"""Recursive least squares for a sum of named terms whose coefficients drift slowly."""
+"""Recursive least squares for a sum of named terms whose coefficients drift slowly.
+
+The work of an observation depends on the number of its terms only, not on that of all terms: of
+the covariances only those within the latest observation of a term are kept. The others count as
+independent, as they do before they are observed together.
+"""
 
 from dataclasses import dataclass, field
 
@@ -20,41 +25,26 @@
     noise_variance: float
     drift: float
     minimum: float
-    _positions: dict[str, int] = field(default_factory=dict)
-    _means: list[float] = field(default_factory=list)
-    _covariance: list[list[float]] = field(default_factory=list)
+    _means: dict[str, float] = field(default_factory=dict)
+    _covariance: dict[str, dict[str, float]] = field(default_factory=dict)
 
     def set(self, name: str, mean: float, variance: float) -> None:
         """Set the coefficient of `name`."""
-        position = self._positions.get(name)
-        if position is None:
-            position = self._add(name)
-        self._means[position] = mean
-        self._covariance[position] = [0.0] * len(self._means)
-        self._covariance[position][position] = variance
-
-    def _add(self, name: str) -> int:
-        """Add a term without covariance to the others, and return its position."""
-        position = self._positions[name] = len(self._means)
-        self._means.append(self.prior)
-        for row in self._covariance:
-            row.append(0.0)
-        self._covariance.append([])
-        return position
+        self._means[name] = mean
+        self._covariance[name] = {name: variance}
 
     def mean(self, name: str) -> float:
         """Return the coefficient of `name`."""
-        position = self._positions.get(name)
-        return self.prior if position is None else self._means[position]
+        return self._means.get(name, self.prior)
 
     def variance(self, name: str) -> float:
         """Return the variance of the coefficient of `name`."""
-        position = self._positions.get(name)
-        return self.prior_variance if position is None else self._covariance[position][position]
+        row = self._covariance.get(name)
+        return self.prior_variance if row is None else row[name]
 
     def list_means(self) -> dict[str, float]:
         """Return the coefficients of all observed terms."""
-        return dict(zip(self._positions, self._means, strict=True))
+        return dict(self._means)
 
     def observe(self, terms: dict[str, float], value: float, count: int = 1) -> None:
         """Update the estimates with observations of the sum of coefficients times terms.
@@ -65,37 +55,34 @@
             count: Number of observations with the same terms.
         """
         for name in terms:
-            if name not in self._positions:
+            if name not in self._means:
                 self.set(name, self.prior, self.prior_variance)
-        weights = [(self._positions[name], x) for name, x in terms.items()]
-        for position, _ in weights:
-            self._covariance[position][position] += count * self.drift
-        covariances = self._compute_covariances(weights)
+            self._covariance[name][name] += count * self.drift
+        covariances = self._compute_covariances(terms)
         innovation_variance = self.noise_variance / count
-        innovation_variance += sum(covariances[p] * x for p, x in weights)
-        error = value - sum(self._means[p] * x for p, x in weights)
-        gains = [covariance / innovation_variance for covariance in covariances]
-        self._means = [
-            max(mean + gain * error, self.minimum)
-            for mean, gain in zip(self._means, gains, strict=True)
-        ]
-        self._reduce_covariance(covariances, gains)
+        innovation_variance += sum(covariances[name] * x for name, x in terms.items())
+        error = value - sum(self._means[name] * x for name, x in terms.items())
+        for name, covariance in covariances.items():
+            mean = self._means[name] + covariance / innovation_variance * error
+            self._means[name] = max(mean, self.minimum)
+        self._reduce_covariance(covariances, innovation_variance)
 
-    def _compute_covariances(self, weights: list[tuple[int, float]]) -> list[float]:
-        """Return the covariance of each coefficient with the weighted sum of coefficients."""
-        covariances = [0.0] * len(self._means)
-        for position, x in weights:
-            # A covariance matrix is symmetric: its row is its column.
-            row = self._covariance[position]
-            covariances = [
-                covariance + value * x for covariance, value in zip(covariances, row, strict=True)
-            ]
-        return covariances
+    def _compute_covariances(self, terms: dict[str, float]) -> dict[str, float]:
+        """Return the covariance of each of `terms` with the sum of coefficients times `terms`."""
+        return {
+            name: sum(self._covariance[name].get(other, 0.0) * x for other, x in terms.items())
+            for name in terms
+        }
 
-    def _reduce_covariance(self, covariances: list[float], gains: list[float]) -> None:
-        for position, gain in enumerate(gains):
-            if gain:
-                row = self._covariance[position]
-                self._covariance[position] = [
-                    value - gain * other for value, other in zip(row, covariances, strict=True)
-                ]
+    def _reduce_covariance(self, covariances: dict[str, float], innovation_variance: float) -> None:
+        """Update the covariances within the observed terms, and drop those with other terms."""
+        for name, covariance in covariances.items():
+            row = self._covariance[name]
+            for other in row:
+                if other not in covariances:
+                    del self._covariance[other][name]
+            gain = covariance / innovation_variance
+            self._covariance[name] = {
+                other: row.get(other, 0.0) - gain * other_covariance
+                for other, other_covariance in covariances.items()
+            }
--- a/tests/core/cells/test_learning.py
+++ b/tests/core/cells/test_learning.py
@@ -23,6 +23,27 @@
     assert estimates.variance("a") < 1.0
 
 
+def test_observation_updates_its_own_terms_only() -> None:
+    """Guards against learning whose work grows with all terms that were ever observed."""
+    estimates = make_estimates()
+    for number in range(50):
+        estimates.observe({f"a{number}": 0.2, f"b{number}": 0.1, "c": 0.1}, 1.0)
+    estimates.observe({"c": 0.2}, 1.0)
+    kept = sum(len(row) for row in estimates._covariance.values())
+    assert kept == 101 + 2 * 50
+
+
+def test_covariance_stays_valid_while_terms_meet_in_turns() -> None:
+    """Guards against a negative variance after dropped covariances."""
+    estimates = make_estimates()
+    rng = Random(7)
+    names = [f"t{number}" for number in range(12)]
+    for _ in range(3_000):
+        terms = {name: rng.uniform(0.02, 0.5) for name in rng.sample(names, rng.randrange(1, 5))}
+        estimates.observe(terms, rng.gauss(1, 0.3), rng.randrange(1, 4))
+        assert all(0 < estimates.variance(name) < 10 for name in names)
+
+
 def test_unobserved_term_has_the_prior() -> None:
     estimates = make_estimates()
     assert estimates.mean("x") == 2.0
