Place no task for which no worker has room

Change: a round knows the most that any worker of a pool has free, and passes over tasks that need more.

Test: failed before.

--- a/packages/core/src/quetzallock_core/cells/placement.py
+++ b/packages/core/src/quetzallock_core/cells/placement.py
@@ -145,6 +145,40 @@
 """Cost, position in the list of workers, version of the worker, and the worker."""
 
 
+@dataclass(slots=True)
+class _Room:
+    """The most of each resource that any worker of a pool has free.
+
+    Attributes:
+        cpu: Thousandths of a core.
+        memory_mb: Memory in MB.
+        gpus: Number of accelerators.
+        idle_cpu: Processor that no task is expected to use, in thousandths of a core.
+    """
+
+    cpu: int = 0
+    memory_mb: int = 0
+    gpus: int = 0
+    idle_cpu: int = 0
+
+    def add(self, worker: Worker) -> None:
+        """Take a worker of the pool into account."""
+        free = worker.free
+        self.cpu = max(self.cpu, free.cpu)
+        self.memory_mb = max(self.memory_mb, free.memory_mb)
+        self.gpus = max(self.gpus, free.gpus)
+        self.idle_cpu = max(self.idle_cpu, worker.idle_cpu)
+
+    def is_short_for(self, spec: StepSpec) -> bool:
+        """Return whether no worker can have room for a task of `spec`."""
+        needs = spec.needs
+        if needs.memory_mb > self.memory_mb or needs.gpus > self.gpus:
+            return True
+        if spec.fills:
+            return self.idle_cpu < MIN_IDLE_SHARE * needs.cpu
+        return needs.cpu > self.cpu
+
+
 @dataclass(slots=True)
 class _Ranking:
     """The workers that tasks of one step may start on, cheapest first.
@@ -183,6 +217,9 @@
         self._profiles: dict[str, ColocationProfile] = {}
         self._unplaceable: defaultdict[tuple[str, ...], list[Resources]] = defaultdict(list)
         self._ranking: _Ranking | None = None
+        self._rooms: defaultdict[str, _Room] = defaultdict(_Room)
+        for worker in self.workers:
+            self._rooms[worker.entry.service].add(worker)
 
     def choose(self, task: Task, excluded_worker: str = "") -> Worker | None:
         """Return the best worker that `task` may start on, or None.
@@ -193,6 +230,8 @@
                 harmful interference is returned, however long the task has waited.
         """
         spec = task.spec
+        if self._rooms[task.job.policy.service].is_short_for(spec):
+            return None
         waited_ms = self._now - task.step.ready_at
         is_starving = spec.fills and not excluded_worker and waited_ms > STARVING_AFTER_MS
         demand_key = (
@@ -231,6 +270,8 @@
 
     def can_place_elsewhere(self, task: Task, worker_id: str) -> bool:
         """Return whether there is another worker than `worker_id` without harmful interference."""
+        if self._rooms[task.job.policy.service].is_short_for(task.spec):
+            return False
         return any(
             worker.id != worker_id
             and task.name not in worker.runs
--- a/tests/core/cells/test_decision_costs.py
+++ b/tests/core/cells/test_decision_costs.py
@@ -82,6 +82,23 @@
     assert len(evaluated) == WORKERS
 
 
+def test_tasks_for_which_no_worker_has_room_are_not_evaluated(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against rounds that grow with the steps that wait for room."""
+    cluster = CellCluster(workers=WORKERS, capacity=CAPACITY)
+    cluster.run(500)
+    needs = Resources(CAPACITY.cpu // 2 + 1, 1_000, 0)
+    cluster.submit(make_spec("full", StepSpec(WORKERS, needs)), POLICY, {0: 9_000})
+    cluster.run(500)
+    for number in range(5):
+        step = StepSpec(1, Resources(CAPACITY.cpu // 2 + number, 1_000, 0))
+        cluster.submit(make_spec(f"waits{number}", step), POLICY, {0: 9_000})
+    evaluated = count_calls(monkeypatch, Placement, "_compute_total_cost")
+    cluster.run(500)
+    assert not evaluated
+
+
 def test_paused_runs_without_another_worker_are_searched_for_at_an_interval(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
