Dispatch ready sockets without Twisted's log context

Cause: for each socket that is ready Twisted looks up a log prefix, copies a dictionary and enters a context, five calls in Python, so that lines of its own log name the protocol. The daemon logs through the standard library, which does not use it.

Change: the platform's daemon replaces the reactor's doIteration with one that reads and writes ready sockets directly. Errors that a protocol raises are logged and close its connection as before. This is for all sockets, those of callers and peers included.

tests/daemon/test_helpers.py: passes, with a new case with real sockets.

--- a/tests/daemon/test_helpers.py
+++ b/tests/daemon/test_helpers.py
@@ -74,3 +74,53 @@
     awaited.callback(None)
     assert [record.message for record in caplog.records] == ["background coroutine failed"]
     assert "cause" in caplog.records[0].__dict__["error"]
+
+
+DISPATCH = """
+import logging, sys
+from twisted.internet.protocol import Factory, Protocol
+from twisted.python import log
+from quetzallock_daemon.helpers import dispatch_without_log_context, reactor
+log.PythonLoggingObserver().start()
+logging.basicConfig(stream=sys.stdout, format="%(message)s", level=logging.CRITICAL)
+
+class Echo(Protocol):
+    def dataReceived(self, data):
+        self.transport.write(data)
+
+class Caller(Protocol):
+    def connectionMade(self):
+        self.transport.write(b"x" * 1_000_000)
+        self.size = 0
+
+    def dataReceived(self, data):
+        self.size += len(data)
+        if self.size == 1_000_000:
+            print("echoed", flush=True)
+            raise ValueError("raised by the protocol")
+
+    def connectionLost(self, reason):
+        print("lost", flush=True)
+        reactor.callLater(0, reactor.stop)
+
+dispatch_without_log_context(reactor)
+server = reactor.listenTCP(0, Factory.forProtocol(Echo), interface="127.0.0.1")
+client = Factory.forProtocol(Caller)
+client.doStart = client.doStop = client.startedConnecting = client.clientConnectionLost = (
+    lambda *args: None
+)
+reactor.connectTCP("127.0.0.1", server.getHost().port, client)
+reactor.callLater(10, reactor.stop)
+reactor.run()
+"""
+
+
+def test_protocols_are_called_without_a_log_context() -> None:
+    """Guards against sockets that are not served, and errors of a protocol that are not logged."""
+    output = subprocess.run(
+        [sys.executable, "-c", DISPATCH], capture_output=True, text=True, check=True, timeout=30
+    )
+    lines = output.stdout.splitlines()
+    assert lines[0] == "echoed"
+    assert lines[-1] == "lost"
+    assert any("raised by the protocol" in line for line in lines)
