Process inventories with fewer steps for each row

Cause: each inventory was compared run by run even if it lists all runs, each row of a serving task went through checks that hold anyway, and the baseline tail looked at each field of all tasks of the job, the least selective first.

Change: missing runs are looked for only if fewer runs are listed than known; lost pace orders only among the slowed runs; the filter of the baseline tail is a list with its bounds computed once.

--- a/packages/core/src/quetzallock_core/cells/interference.py
+++ b/packages/core/src/quetzallock_core/cells/interference.py
@@ -206,16 +206,19 @@
     whose coefficient is estimated too low would otherwise raise the baseline that it is measured
     against.
     """
-    metrics = sorted(
+    target_ms = run.task.spec.target_ms
+    since = now - _RECENT_METRIC_MS
+    metrics = [
         other.metric
         for task in run.task.step.tasks
         for other in task.runs.values()
-        if other.reported_at
-        and now - other.reported_at < _RECENT_METRIC_MS
-        and other.pressure < _BASELINE_PRESSURE
-        and not (other.is_best_effort_colocated and other.metric > other.task.spec.target_ms)
+        if other.pressure < _BASELINE_PRESSURE
         and other.metric > 0
-    )
+        and other.reported_at
+        and other.reported_at > since
+        and not (other.is_best_effort_colocated and other.metric > target_ms)
+    ]
+    metrics.sort()
     return metrics[len(metrics) // 4] if metrics else None
 
 
--- a/packages/core/src/quetzallock_core/cells/inventory.py
+++ b/packages/core/src/quetzallock_core/cells/inventory.py
@@ -5,6 +5,7 @@
 from .models import EndRow, Inventory, RunningRow
 from .orders import StopRun
 from .pacing import (
+    FULL_PACE,
     estimate_pace,
     exceeds_ordered_pace,
     plan_pace_changes,
@@ -18,8 +19,6 @@
 """Processor use, as a share of what the task needs, up to which a batch task counts as
 making no progress."""
 
-_FULL_PACE = 100
-
 
 class InventoryReader:
     """Compares workers' inventories with the owner's state, and updates the state."""
@@ -59,9 +58,11 @@
                 self._handle_end(worker, row, now)
                 changed = True
         listed = {self._handle_running(worker, row, now) for row in inventory.running}
-        for run in list(worker.runs.values()):
-            if run not in listed:
-                changed |= self._check_missing(run, inventory.clock_ms)
+        listed.discard(None)
+        if len(listed) < len(worker.runs):
+            for run in list(worker.runs.values()):
+                if run not in listed:
+                    changed |= self._check_missing(run, inventory.clock_ms)
         if is_first:
             state.unverified.remove_worker(worker.id)
         state.crashes.handle_inventory(worker, is_first)
@@ -76,7 +77,8 @@
             update_best_effort_block(worker, now)
         if not worker.best_effort_count:
             return
-        for run in list(worker.runs.values()):
+        slowed = [run for run in worker.runs.values() if run.pace != FULL_PACE]
+        for run in slowed:
             if run.task.spec.fills and exceeds_ordered_pace(run, now):
                 state.pace_run(run, run.pace)
         for change in plan_pace_changes(worker, state.interference, now):
@@ -138,10 +140,13 @@
         spec = run.task.spec
         if spec.target_ms:
             update_over_target(run, now)
-        if spec.target_ms or spec.fills or spec.gang or run.pace < _FULL_PACE:
             run.progressed_at = now
-            return
-        if row.metric > _STALL_CPU_SHARE * spec.needs.cpu:
+        elif (
+            spec.fills
+            or row.metric > _STALL_CPU_SHARE * spec.needs.cpu
+            or spec.gang
+            or run.pace < FULL_PACE
+        ):
             run.progressed_at = now
 
     def _check_missing(self, run: Run, clock_ms: int) -> bool:
