Read no header of the answers to calls, and make an answer a tuple

Cause: for each header of an answer the parser called a method in Python, for Retry-After, which no caller of the client uses. The answer was a frozen data class, whose fields are set one by one through object.__setattr__.

Change: the client reads no headers; Reply is a tuple of status and body.

tests/daemon/test_transport.py, tests/platform/test_workers.py, test_evacuations.py, test_find_owner.py: pass.

--- a/packages/daemon/src/quetzallock_daemon/transport/client.py
+++ b/packages/daemon/src/quetzallock_daemon/transport/client.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from heapq import heappop, heappush
 from math import inf
-from typing import Any, Final
+from typing import Any, Final, NamedTuple
 
 import httptools
 from twisted.internet.defer import Deferred
@@ -34,13 +34,14 @@
     code = "not_connected"
 
 
-@dataclass(frozen=True, slots=True)
-class Reply:
-    """A complete answer: status, body, and the `Retry-After` header or an empty string."""
+class Reply(NamedTuple):
+    """A complete answer.
+
+    A tuple, since a busy owner reads thousands of answers in a second.
+    """
 
     status: int
     body: bytes
-    retry_after: str = ""
 
 
 @dataclass(slots=True)
@@ -124,7 +125,6 @@
         self._address = address
         self._parser: Any = None
         self._body: list[bytes] = []
-        self._retry_after = ""
         self._call: _Call | None = None
 
     def connectionMade(self) -> None:  # noqa: N802
@@ -137,7 +137,6 @@
         transport: Any = self.transport
         self._call = call
         self._body = []
-        self._retry_after = ""
         self._parser = httptools.HttpResponseParser(self)
         call.connection = self
         request, call.request = call.request, b""
@@ -160,11 +159,6 @@
             self._fail_call(f"cannot parse the answer: {error}")
             self.abort()
 
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Store the `Retry-After` header, the only one that callers of the client use."""
-        if name.lower() == b"retry-after":
-            self._retry_after = value.decode("latin-1")
-
     def on_body(self, body: bytes) -> None:
         """Store a part of the body."""
         self._body.append(body)
@@ -174,7 +168,7 @@
         call, self._call = self._call, None
         if call is None:
             return
-        reply = Reply(self._parser.get_status_code(), b"".join(self._body), self._retry_after)
+        reply = Reply(self._parser.get_status_code(), b"".join(self._body))
         self._client.release_connection(self._address, self, self._parser.should_keep_alive())
         self._client.finish_call(call, reply)
 
