--- a/packages/daemon/src/quetzallock_daemon/helpers.py
+++ b/packages/daemon/src/quetzallock_daemon/helpers.py
@@ -4,14 +4,11 @@
 import logging
 import time
 from collections.abc import Callable, Coroutine
-from functools import partial
 from io import BytesIO
 from typing import Any, Final
 
 from twisted.internet import reactor as _reactor
 from twisted.internet.defer import Deferred, ensureDeferred
-from twisted.internet.epollreactor import EPollReactor
-from twisted.python import log
 from twisted.python.failure import Failure
 from twisted.web.client import FileBodyProducer
 from twisted.web.http import Request
@@ -26,34 +23,6 @@
 reactor.seconds = time.monotonic
 
 
-def dispatch_without_log_context(reactor: Any) -> None:
-    """Let an epoll reactor call what is ready without a log context for each call.
-
-    The context names the protocol in the lines of Twisted's own log, which is not in use. To set it
-    takes longer than to read a short answer. An error that a protocol raises is reported as before.
-    """
-    has_epoll = isinstance(reactor, EPollReactor)
-    if has_epoll:
-        reactor.doIteration = partial(_dispatch_ready, reactor)
-
-
-def _dispatch_ready(reactor: Any, timeout_s: float | None) -> None:
-    """Wait for sockets that are ready, as `EPollReactor.doPoll` does, and read or write them."""
-    selectables = reactor._selectables
-    try:
-        ready = reactor._poller.poll(-1 if timeout_s is None else timeout_s, len(selectables))
-    except InterruptedError:
-        return
-    for descriptor, event in ready:
-        selectable = selectables.get(descriptor)
-        if selectable is None:
-            continue
-        try:
-            reactor._doReadOrWrite(selectable, descriptor, event)
-        except Exception:
-            log.err()
-
-
 def with_timeout(deferred: Deferred[Any], timeout_ms: int) -> Deferred[Any]:
     """Cancel `deferred` after `timeout_ms` ms and return it."""
     return deferred.addTimeout(timeout_ms / 1_000, reactor)
