Limit best-effort starts on their way while the owner is late

A wide best-effort job gives the owner all its starts and their answers at one moment. At 0.4 cores for 90 workers, 39 of them hold up the ends and starts of urgent tasks for about 70 ms, and several jobs at once for some 300 ms.

Change: the number of best-effort starts without an answer is limited. The limit is 256, which an owner with time to spare never reaches. It is halved with each tick that comes more than 80 ms late, down to 4, and rises by a tenth with each other tick. Held-back starts go on when half of the answers are in. A start without an answer within 700 ms counts no more, as its worker may be lost. Only the property `fills` of a step decides.

--- a/packages/core/src/quetzallock_core/cells/answers.py
+++ b/packages/core/src/quetzallock_core/cells/answers.py
@@ -63,6 +63,8 @@
             if run.state == "ordered":
                 run.advance("confirm")
                 mark_started(self._state, run.task.job)
+            if run.task.spec.fills and self._state.start_window.needs_refill(now):
+                self._state.is_start_due = True
             return
         if not outcome:
             self._state.log_decision(
--- a/packages/core/src/quetzallock_core/cells/load.py
+++ b/packages/core/src/quetzallock_core/cells/load.py
@@ -28,6 +28,21 @@
 """Lag from which on new jobs are rejected: routers have given their requests up by then, and send
 them again."""
 
+MAX_BEST_EFFORT_STARTS: Final = 256
+"""Best-effort starts that may be on their way at once on a host with time to spare: more than such
+a host ever has, so that they are limited only under load."""
+
+MIN_BEST_EFFORT_STARTS: Final = 4
+"""The same on a host that is late all the time, so that best-effort jobs make some progress."""
+
+STRAINED_LAG_MS: Final = 80
+"""Lag of one timer above which fewer best-effort starts are sent at once. Above `TOLERATED_LAG_MS`,
+so that the owner first saves polls, which delay no job."""
+
+_STARTS_FALL_FACTOR: Final = 0.5
+_STARTS_RISE_FACTOR: Final = 1.1
+"""Factors of that limit for each timer above and below this lag: quick to yield, slow to return."""
+
 MAX_LAG_SAMPLE_MS: Final = 1_000
 """Largest lag of one timer that counts, as a host that was suspended for seconds is late only once.
 """
@@ -45,16 +60,20 @@
 
     Attributes:
         lag_ms: Moving average of how late the host's timers are.
+        best_effort_limit: How many best-effort starts may be on their way at once. Each costs the
+            owner an order and an answer, which the ends and starts of urgent tasks wait behind.
     """
 
     def __init__(self) -> None:
         self.lag_ms = 0.0
+        self.best_effort_limit = MAX_BEST_EFFORT_STARTS
 
     def record_lag(self, lag_ms: float) -> None:
         """Record how late a timer of the host was."""
         sample_ms = min(max(0.0, lag_ms), MAX_LAG_SAMPLE_MS)
         weight = _RISE_WEIGHT if sample_ms > self.lag_ms else _FALL_WEIGHT
         self.lag_ms += weight * (sample_ms - self.lag_ms)
+        self.best_effort_limit = _adapt_limit(self.best_effort_limit, sample_ms)
 
     @property
     def is_overloaded(self) -> bool:
@@ -78,3 +97,10 @@
             return INVENTORY_POLL_WAIT_MS
         stretched_ms = COLOCATED_POLL_WAIT_MS + WAIT_PER_LAG * self._excess_lag_ms
         return int(min(INVENTORY_POLL_WAIT_MS, stretched_ms))
+
+
+def _adapt_limit(limit: int, lag_ms: float) -> int:
+    """Return the next limit of best-effort starts, after a timer that was late by `lag_ms`."""
+    if lag_ms > STRAINED_LAG_MS:
+        return max(MIN_BEST_EFFORT_STARTS, int(limit * _STARTS_FALL_FACTOR))
+    return min(MAX_BEST_EFFORT_STARTS, int(limit * _STARTS_RISE_FACTOR) + 1)
--- a/packages/core/src/quetzallock_core/cells/scheduler.py
+++ b/packages/core/src/quetzallock_core/cells/scheduler.py
@@ -38,6 +38,7 @@
         state = self._state
         now = state.clock.now()
         self._send_recorded_starts(now)
+        state.start_window.begin_round(now)
         steps = [step for step in state.open_steps if self._has_startable_task(step, now)]
         if not steps:
             return
@@ -82,6 +83,8 @@
         for task in self._sort_by_reservation(step, placement, now):
             if task.is_done or task.runs or not may_start(self._state, task, now):
                 continue
+            if step.spec.fills and not self._state.start_window.has_room():
+                break
             reserved = self._find_reserved(task, placement, now)
             if reserved is None and not self._state.headroom.may_start(task):
                 break
@@ -163,6 +166,8 @@
         run = Run(task, number, worker.id, "ordered", now, progressed_at=now)
         task.runs[number] = run
         self._state.add_run(worker, run)
+        if task.spec.fills:
+            self._state.start_window.add(run)
         run.service_core_ms = compute_service(task.step, self._state.durations)
         self._state.shares.charge(task.step.share_key, run.service_core_ms, now)
         if not self._state.crashes.must_record_start(task):
--- a/packages/core/src/quetzallock_core/cells/state.py
+++ b/packages/core/src/quetzallock_core/cells/state.py
@@ -21,6 +21,7 @@
 from .records import JobRecord, LearnedRecord
 from .reservations import Reservations
 from .shares import Shares
+from .start_window import StartWindow
 from .unverified import UnverifiedWorkers
 from .workers import Worker
 
@@ -48,6 +49,7 @@
             their entries.
         due_jobs: Jobs with repetitions that may become due.
         is_start_due: Something has changed that may allow a waiting task to start.
+        start_window: Limits how many best-effort starts are on their way at once.
         has_worker_changes: The journal lacks changes of workers.
     """
 
@@ -83,6 +85,7 @@
         self.ended_boots: set[tuple[str, int]] = set()
         self.due_jobs: dict[Job, None] = {}
         self.is_start_due = False
+        self.start_window = StartWindow()
         self.has_worker_changes = False
         self._effects: list[Effect] = []
         self._last_run = epoch * RUNS_PER_EPOCH
--- a/packages/daemon/src/quetzallock_daemon/cells/owner.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/owner.py
@@ -315,6 +315,7 @@
         now = self.clock.now()
         if self._tick_due_at:
             self.load_control.record_lag(now - self._tick_due_at)
+        self.cell.state.start_window.limit = self.load_control.best_effort_limit
         self._tick_due_at = now + TICK_INTERVAL_MS
         self._tick_timer = self._reactor.callLater(TICK_INTERVAL_MS / 1_000, self._tick)
         self.cell.may_order = self.may_order
--- a/packages/standins/src/quetzallock_standins/emulator/busy.py
+++ b/packages/standins/src/quetzallock_standins/emulator/busy.py
@@ -50,6 +50,7 @@
     def _start_tick(self, owner: Owner) -> None:
         now = self.clock.now()
         self.load_control.record_lag(self.processor.compute_lag_ms(now))
+        owner.cell.state.start_window.limit = self.load_control.best_effort_limit
         self.schedule(self.processor.take("tick", now), partial(super()._start_tick, owner))
 
     def _poll_inventory(self, owner: Owner, worker: EmulatedWorker) -> None:
