Poll a late owner's workers by what is about to end there

A late owner polled all workers equally often. With fewer best-effort starts the lag is low, so that polls were no longer stretched and took the processor time of the starts that were held back.

Change: polls are stretched as the limit of best-effort starts falls below half of the usual one, too. The pause is over when a run of a task that is neither best effort nor long-running is expected to end; other ends are batched. The bounds (pause 300 ms, wait 1,000 ms) stay as they were, so leases and the limit of 1,500 ms for an answer are as safe as before. A worker with a serving task over its target is not kept waiting for the starts, so that pace orders come as soon.

--- a/packages/core/src/quetzallock_core/cells/load.py
+++ b/packages/core/src/quetzallock_core/cells/load.py
@@ -1,8 +1,10 @@
 """Chooses what an owner puts off or rejects while its host is late with all work."""
 
+from math import inf
 from typing import Final
 
 from .const import INVENTORY_POLL_WAIT_MS
+from .durations import DurationEstimates
 from .workers import Worker
 
 MIN_POLL_PAUSE_MS: Final = 15
@@ -35,6 +37,18 @@
 MIN_BEST_EFFORT_STARTS: Final = 4
 """The same on a host that is late all the time, so that best-effort jobs make some progress."""
 
+STRAINED_STARTS: Final = 128
+"""Limit of best-effort starts below which polls are stretched too, since more of them would only
+take the time of these starts. Half of the usual one: a single late timer stretches nothing."""
+
+STRAINED_PAUSE_MS: Final = 400
+"""Pause added between two polls of a worker where no urgent task is about to end, as the limit
+falls from `STRAINED_STARTS` to 0."""
+
+STRAINED_WAIT_MS: Final = 600
+"""Wait added in the same way for a worker with both kinds of tasks, unless a serving task there is
+over its target, which the best-effort tasks are to be slowed down for."""
+
 STRAINED_LAG_MS: Final = 80
 """Lag of one timer above which fewer best-effort starts are sent at once. Above `TOLERATED_LAG_MS`,
 so that the owner first saves polls, which delay no job."""
@@ -84,10 +98,26 @@
     def _excess_lag_ms(self) -> float:
         return max(0.0, self.lag_ms - TOLERATED_LAG_MS)
 
-    def choose_pause_ms(self) -> int:
-        """Return the pause after a poll, in ms."""
-        stretched_ms = MIN_POLL_PAUSE_MS + PAUSE_PER_LAG * self._excess_lag_ms
-        return int(min(MAX_POLL_PAUSE_MS, stretched_ms))
+    @property
+    def _strain(self) -> float:
+        """How far the limit of best-effort starts has fallen below `STRAINED_STARTS`, from 0 to 1.
+
+        Unlike the lag it remains high while the limit keeps the lag low.
+        """
+        return max(0.0, 1 - self.best_effort_limit / STRAINED_STARTS)
+
+    def choose_pause_ms(self, worker: Worker, durations: DurationEstimates, now: int) -> int:
+        """Return the pause after a poll of `worker`, in ms.
+
+        Nobody waits for the end of a single best-effort task, so a late owner batches these ends.
+        The pause is over when a run of an urgent task is expected to end.
+        """
+        stretched_ms = PAUSE_PER_LAG * self._excess_lag_ms + STRAINED_PAUSE_MS * self._strain
+        if not stretched_ms:
+            return MIN_POLL_PAUSE_MS
+        pause_ms = min(MAX_POLL_PAUSE_MS, MIN_POLL_PAUSE_MS + stretched_ms)
+        urgent_end_ms = _expect_urgent_end(worker, durations, now)
+        return int(max(MIN_POLL_PAUSE_MS, min(pause_ms, urgent_end_ms)))
 
     def choose_wait_ms(self, worker: Worker) -> int:
         """Return how long `worker` may keep a poll open while no run ends, in ms."""
@@ -95,8 +125,25 @@
             return 0
         if not (worker.serving_count and worker.best_effort_count):
             return INVENTORY_POLL_WAIT_MS
-        stretched_ms = COLOCATED_POLL_WAIT_MS + WAIT_PER_LAG * self._excess_lag_ms
-        return int(min(INVENTORY_POLL_WAIT_MS, stretched_ms))
+        stretched_ms = WAIT_PER_LAG * self._excess_lag_ms
+        if self._strain and not any(run.over_target_since for run in worker.runs.values()):
+            stretched_ms += STRAINED_WAIT_MS * self._strain
+        return int(min(INVENTORY_POLL_WAIT_MS, COLOCATED_POLL_WAIT_MS + stretched_ms))
+
+
+def _expect_urgent_end(worker: Worker, durations: DurationEstimates, now: int) -> float:
+    """Return in how many ms the next run of an urgent task is expected to end; infinity if none is.
+
+    Urgent are tasks that are neither best effort nor long-running.
+    """
+    return min(
+        (
+            run.ordered_at + durations.expect(run.task.step) - now
+            for run in worker.runs.values()
+            if not run.task.spec.fills and not run.task.spec.lasting
+        ),
+        default=inf,
+    )
 
 
 def _adapt_limit(limit: int, lag_ms: float) -> int:
--- a/packages/daemon/src/quetzallock_daemon/cells/inventory.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/inventory.py
@@ -92,7 +92,8 @@
         if isinstance(answer, Inventory):
             owner.cell.handle_inventory(worker.id, answer, now)
             owner.run_effects()
-            return owner.load_control.choose_pause_ms()
+            durations = owner.cell.state.durations
+            return owner.load_control.choose_pause_ms(worker, durations, owner.clock.now())
         owner.cell.handle_no_answer(worker.id)
         if isinstance(answer, OrderAnswer):
             owner.cell.answers.handle_inventory_refusal(worker.id, answer.outcome)
--- a/packages/standins/src/quetzallock_standins/emulator/busy.py
+++ b/packages/standins/src/quetzallock_standins/emulator/busy.py
@@ -81,7 +81,12 @@
         self, owner: Owner, worker: EmulatedWorker, answer: Inventory | Answer, asked_at: int
     ) -> None:
         self._handle_inventory_answer(owner, worker.id, answer, asked_at)
-        pause_ms = self.load_control.choose_pause_ms()
+        state = owner.cell.state
+        cell_worker = state.workers.get(worker.id)
+        pause_ms = TICK_INTERVAL_MS
+        if cell_worker is not None:
+            now = self.clock.now()
+            pause_ms = self.load_control.choose_pause_ms(cell_worker, state.durations, now)
         self.schedule(pause_ms, lambda: self._poll_inventory(owner, worker))
 
     def _handle_answer(
