--- a/packages/core/src/quetzallock_core/cells/state.py
+++ b/packages/core/src/quetzallock_core/cells/state.py
@@ -21,6 +21,7 @@
 from .records import JobRecord, LearnedRecord
 from .reservations import Reservations
 from .shares import Shares
+from .start_window import StartWindow
 from .unverified import UnverifiedWorkers
 from .verdicts import describe_verdict
 from .workers import Worker
@@ -50,6 +51,7 @@
         due_jobs: Jobs with repetitions that may become due.
         exhausted: Tasks without attempts left of which a run may still be going on.
         is_start_due: Something has changed that may allow a waiting task to start.
+        start_window: Limits how many best-effort starts are on their way at once.
         has_worker_changes: The journal lacks changes of workers.
     """
 
@@ -86,6 +88,7 @@
         self.due_jobs: dict[Job, None] = {}
         self.exhausted: dict[Task, None] = {}
         self.is_start_due = False
+        self.start_window = StartWindow()
         self.has_worker_changes = False
         self._effects: list[Effect] = []
         self._last_run = epoch * RUNS_PER_EPOCH
--- a/packages/standins/src/quetzallock_standins/emulator/busy.py
+++ b/packages/standins/src/quetzallock_standins/emulator/busy.py
@@ -50,6 +50,7 @@
     def _start_tick(self, owner: Owner) -> None:
         now = self.clock.now()
         self.load_control.record_lag(self.processor.compute_lag_ms(now))
+        owner.cell.state.start_window.limit = self.load_control.best_effort_limit
         self.schedule(self.processor.take("tick", now), partial(super()._start_tick, owner))
 
     def _poll_inventory(self, owner: Owner, worker: EmulatedWorker) -> None:
@@ -80,7 +81,12 @@
         self, owner: Owner, worker: EmulatedWorker, answer: Inventory | Answer, asked_at: int
     ) -> None:
         self._handle_inventory_answer(owner, worker.id, answer, asked_at)
-        pause_ms = self.load_control.choose_pause_ms()
+        state = owner.cell.state
+        cell_worker = state.workers.get(worker.id)
+        pause_ms = TICK_INTERVAL_MS
+        if cell_worker is not None:
+            now = self.clock.now()
+            pause_ms = self.load_control.choose_pause_ms(cell_worker, state.durations, now)
         self.schedule(pause_ms, lambda: self._poll_inventory(owner, worker))
 
     def _handle_answer(
