Charge crashes under runs that had worked for some time less

Cause: a crash under a run past its risky time, with nothing risky beside it, counted like a crash at the start of a run. Two crashes of which only one had hit a fresh run, or three under runs that had worked for seconds, gave a harmless job up on workers that crash by themselves. Change: the crash record says whether the run had worked past its risky time. Such crashes count only for the largest number (5 in all), no longer for the 2 or 3. A task that crashes its worker late is so given up within 5 crashes; the platform allows 3 starts after 3 crashes. Emulated tasks may crash their worker after any time.

--- a/packages/core/src/quetzallock_core/cells/const.py
+++ b/packages/core/src/quetzallock_core/cells/const.py
@@ -95,15 +95,17 @@
 """Time that the metrics in a worker's inventory cover."""
 
 MAX_CRASHES: Final = 3
-"""Workers that may crash under one task; its job is then given up. With crashes that were put down
-to another task, the last must have found no other risky run on its worker."""
+"""Workers that may crash soon after a start of one task; its job is then given up. With crashes
+that were put down to another task, the last must have found no other risky run on its worker."""
 
 MAX_CRASHES_WITH_EXCUSED: Final = 5
-"""The same with the crashes that were put down to another task, whatever ran at the last."""
+"""The same with the crashes that were put down to another task and those under runs that had worked
+for some time, whatever ran at the last."""
 
 MIN_CRASHES_TO_GIVE_UP: Final = 2
 """Crashes under one task from which on its job may be given up. Each of them must have hit a run
-that its worker had confirmed, since a start order may also reach no worker any more."""
+that its worker had confirmed, since a start order may also reach no worker any more, and that had
+just started, since workers also crash by themselves."""
 
 GIVE_UP_DELAY_MS: Final = 500
 """Pause after a repeated crash, in which other workers may prove to be lost for the same cause."""
--- a/packages/core/src/quetzallock_core/cells/crashes.py
+++ b/packages/core/src/quetzallock_core/cells/crashes.py
@@ -174,8 +174,15 @@
         for run in runs:
             age_ms = max(0, worker.contact_at - run.ordered_at)
             is_bystander = bool(risky) and run not in risky
-            is_only = risky == [run]
-            crash = CrashRecord(*boot, age_ms, is_only, is_bystander, run.has_begun, run.number)
+            crash = CrashRecord(
+                *boot,
+                age_ms,
+                is_only_suspect=risky == [run],
+                is_bystander=is_bystander,
+                is_confirmed=run.has_begun,
+                run=run.number,
+                had_worked=run not in risky,
+            )
             self._add_crash(run.task, crash)
         for task in exposed:
             self._add_crash(task, CrashRecord(*boot))
@@ -382,13 +389,19 @@
 
 
 def must_give_up(task: Task) -> bool:
-    """Return whether the crashes under `task` are certainly, or too often, its own."""
-    charged = [crash for crash in task.crashes if not crash.is_bystander]
-    if len(charged) >= MAX_CRASHES:
+    """Return whether the crashes under `task` are certainly, or too often, its own.
+
+    What crashes its worker mostly does so at its start. A crash under a run that had worked says
+    little, as workers also crash by themselves, so it counts only for the largest number.
+    """
+    at_start = [crash for crash in task.crashes if not (crash.is_bystander or crash.had_worked)]
+    if len(at_start) >= MAX_CRASHES:
         return True
     if len(task.crashes) + task.excused_crashes >= MAX_CRASHES_WITH_EXCUSED:
         return True
-    if not charged or not task.crashes[-1].is_only_suspect:
+    if not at_start or not task.crashes[-1].is_only_suspect:
         return False
-    confirmed = sum(crash.is_confirmed for crash in charged)
-    return confirmed >= MIN_CRASHES_TO_GIVE_UP or task.crash_count >= MAX_CRASHES
+    confirmed = sum(crash.is_confirmed for crash in at_start)
+    if confirmed >= MIN_CRASHES_TO_GIVE_UP:
+        return True
+    return len(at_start) + task.excused_crashes >= MAX_CRASHES
--- a/packages/core/src/quetzallock_core/cells/records.py
+++ b/packages/core/src/quetzallock_core/cells/records.py
@@ -28,6 +28,7 @@
         is_bystander: The run itself had, and another run there had not.
         is_confirmed: The boot had answered that the run had begun.
         run: Number of the run; 0 if only the record of its start is known.
+        had_worked: The run had worked past the time in which it may be expected to crash a worker.
     """
 
     worker: str
@@ -37,6 +38,7 @@
     is_bystander: bool = False
     is_confirmed: bool = False
     run: int = 0
+    had_worked: bool = False
 
 
 @message(215)
--- a/packages/core/src/quetzallock_core/cells/verdicts.py
+++ b/packages/core/src/quetzallock_core/cells/verdicts.py
@@ -44,4 +44,5 @@
         "only_suspect": crash.is_only_suspect,
         "bystander": crash.is_bystander,
         "confirmed": crash.is_confirmed,
+        "had_worked": crash.had_worked,
     }
--- a/packages/standins/src/quetzallock_standins/emulator/workers.py
+++ b/packages/standins/src/quetzallock_standins/emulator/workers.py
@@ -15,7 +15,7 @@
 SHRINK_TOLERANCE_MS = 600
 """How long after a shrink a start that fits into the larger capacity breaks no promise."""
 CRASH_DELAY_MS = 10
-"""Time from the start of a task that crashes its worker to the crash."""
+"""Time from the start of a task that crashes its worker to the crash, unless it says otherwise."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,6 +62,7 @@
         fails: Whether it fails on every worker; of no effect without a duration.
         is_best_effort: Whether it uses only processor time that others leave.
         crashes_worker: Whether it crashes each worker that starts it.
+        crash_delay_ms: Time from its start to that crash.
         is_gang: Whether it ends when another task of its step is lost with its worker.
     """
 
@@ -73,6 +74,7 @@
     target_ms: int = 0
     crashes_worker: bool = False
     is_gang: bool = False
+    crash_delay_ms: int = CRASH_DELAY_MS
 
 
 def _compute_even_load(_clock_ms: float) -> float:
@@ -211,7 +213,9 @@
             behaviour.target_ms,
             left,
             behaviour.fails or self.mode == "grey",
-            crashes_at=self.clock_ms + CRASH_DELAY_MS if behaviour.crashes_worker else None,
+            crashes_at=(
+                self.clock_ms + behaviour.crash_delay_ms if behaviour.crashes_worker else None
+            ),
         )
         self.ground_truth.record_start(order.task, order.run, self.id, self.entry.boot_ms)
 
--- a/tests/core/cells/test_crash_evidence.py
+++ b/tests/core/cells/test_crash_evidence.py
@@ -1,5 +1,6 @@
 """Which runs are charged with the crash of a worker: those that it may really have begun."""
 
+from dataclasses import replace
 from random import Random
 
 import pytest
@@ -14,6 +15,7 @@
 from .test_crashing_tasks import (
     MAX_CRASHES,
     SETTLE_MS,
+    STARTS_AFTER_CRASHES,
     count_crashes,
     list_states,
     make_cluster,
@@ -198,3 +200,54 @@
     assert len(crashed_under) >= 2
     assert not count_crashes(cluster, task.name)
     assert cluster.cell.find_state("a") == "completed"
+
+
+def crash_under(cluster: CellCluster, task: str, after_ms: int) -> None:
+    """Let the worker of `task` crash `after_ms` after its next start, and return soon."""
+    starts = len(cluster.ground_truth.starts)
+    for _ in range(2_000):
+        if len(cluster.ground_truth.starts) > starts:
+            break
+        cluster.run(5)
+    cluster.run(after_ms)
+    worker = cluster.workers[cluster.ground_truth.starts[-1][3]]
+    assert task in worker.runs
+    worker.crash()
+    cluster.schedule(200, lambda: cluster.revive(worker.id))
+
+
+@pytest.mark.parametrize("ages_ms", [(2_000, 2_000, 2_000), (2_000, 200), (2_000, 2_000, 200)])
+@pytest.mark.parametrize("is_lasting", [False, True])
+def test_runs_that_had_worked_for_long_do_not_fail_their_job(
+    ages_ms: tuple[int, ...], is_lasting: bool
+) -> None:
+    """Guards against a harmless job given up since its worker crashes by itself again and again.
+
+    What crashes its worker mostly does so at its start.
+    """
+    cluster = make_cluster()
+    step = make_step(1, lasting=is_lasting)
+    cluster.submit(make_spec("a", step), POLICY, {0: None if is_lasting else 8_000})
+    for age_ms in ages_ms:
+        crash_under(cluster, "a.0.0.0", age_ms)
+    cluster.run(SETTLE_MS)
+    assert cluster.cell.find_state("a") == ("running" if is_lasting else "completed")
+
+
+@pytest.mark.parametrize("delay_ms", [700, 3_000, 8_000])
+@pytest.mark.parametrize("is_lasting", [False, True])
+def test_task_that_crashes_its_worker_late_is_given_up(delay_ms: int, is_lasting: bool) -> None:
+    """Guards against starts without end of a task that works for some time before each crash.
+
+    The platform allows `STARTS_AFTER_CRASHES` starts after `MAX_CRASHES` workers have crashed.
+    """
+    cluster = make_cluster()
+    submit_crashing(cluster, "deadly", make_step(1, lasting=is_lasting))
+    name = "deadly.0.0.0"
+    behaviour = cluster.behaviours[name]
+    cluster.behaviours[name] = replace(behaviour, duration_ms=None, crash_delay_ms=delay_ms)
+    jobs = submit_harmless_jobs(cluster)
+    cluster.run(2 * SETTLE_MS)
+    assert cluster.cell.find_state("deadly") == "failed"
+    assert count_crashes(cluster, name) < MAX_CRASHES + STARTS_AFTER_CRASHES
+    assert list_states(cluster, jobs) == {"completed"}
