Keep what is known of runs that had worked when their worker is lost

Cause: the record of a run on a worker that gives no answer named only the boot. Once the lease had ended the run, a worker that then left the list was charged as a crash at the run's start, though the run had worked for long. A job was shown as failed after three workers were cut off for good, one after the other, none of which had crashed. The next owner took a run that it had adopted for one that had just started, too. The crashes charged for them count as those under runs that had worked. A new start on the boot takes the mark back. The cells tests of crashes and verdicts pass.

--- a/packages/core/src/quetzallock_core/cells/crashes.py
+++ b/packages/core/src/quetzallock_core/cells/crashes.py
@@ -71,7 +71,10 @@
         self._are_earlier_starts_unknown = False
 
     def restore(
-        self, locations: dict[str, Boot] | None, unbegun: set[tuple[str, Boot]] | None = None
+        self,
+        locations: dict[str, Boot] | None,
+        unbegun: set[tuple[str, Boot]] | None = None,
+        worked: set[tuple[str, Boot]] | None = None,
     ) -> None:
         """Load the suspects of the journal.
 
@@ -80,6 +83,7 @@
                 takeover, where only the recorded starts are known.
             unbegun: Task and boot of the runs among them that had not begun by then. The workers
                 refuse their start orders, which are the previous owner's.
+            worked: Task and boot of those that had worked past their risky time.
         """
         self._are_earlier_starts_unknown = locations is None
         unbegun = unbegun or set()
@@ -98,6 +102,8 @@
                 continue
             if boot not in running_task.exposures:
                 self._add_exposure(running_task, boot)
+            if (name, boot) in (worked or ()):
+                self._mark_worked(running_task, boot)
 
     def _find_task(self, name: str) -> Task | None:
         parts = parse_task_name(name)
@@ -129,8 +135,25 @@
     def expose_runs(self, worker: Worker) -> None:
         """Record all runs on a worker that does not answer, before its end is known."""
         for run in worker.runs.values():
-            if may_have_begun(run, worker):
-                self.expose(run.task, worker)
+            if not may_have_begun(run, worker):
+                continue
+            self.expose(run.task, worker)
+            if is_past_crash_risk(run, worker):
+                self._mark_worked(run.task, worker.boot)
+
+    def handle_start(self, task: Task, worker: Worker) -> None:
+        """Forget that an earlier run of `task` on this boot has worked: the new one has not."""
+        if worker.boot in task.worked_on:
+            task.worked_on = tuple(boot for boot in task.worked_on if boot != worker.boot)
+
+    def _mark_worked(self, task: Task, boot: Boot) -> None:
+        """Record that an exposed run has worked past its risky time.
+
+        The journal gets it with the next change of the job, as no start depends on it.
+        """
+        if boot in task.worked_on or boot not in task.exposures:
+            return
+        task.worked_on = (*task.worked_on, boot)[-MAX_CRASHES:]
 
     def _add_exposure(self, task: Task, boot: Boot) -> None:
         task.exposures = (*task.exposures, boot)[-MAX_CRASHES:]
@@ -145,6 +168,7 @@
 
     def _remove_exposure(self, task: Task, boot: Boot) -> None:
         task.exposures = tuple(other for other in task.exposures if other != boot)
+        task.worked_on = tuple(other for other in task.worked_on if other != boot)
         self._mark_changed(task)
 
     def _mark_changed(self, task: Task) -> None:
@@ -162,12 +186,16 @@
             return
         runs = [run for run in worker.runs.values() if may_have_begun(run, worker)]
         not_begun = {run.task for run in worker.runs.values()} - {run.task for run in runs}
-        exposed = [task for task in self._pop_exposed(boot) if task not in not_begun]
+        risky = [run for run in runs if not _has_worked_on(run, worker)]
+        exposed = {
+            task: had_worked
+            for task, had_worked in self._pop_exposed(boot).items()
+            if task not in not_begun
+        }
         if entry.is_draining:
             return
         lost_at = worker.contact_at if worker.contact_at >= 0 else self._state.clock.now()
         loss = WorkerLoss(boot, entry.rack or entry.data_centre, lost_at)
-        risky = [run for run in runs if not is_past_crash_risk(run, worker)]
         if self._handle_common_cause(loss):
             self._excuse_runs(risky, boot)
             return
@@ -184,23 +212,23 @@
                 had_worked=run not in risky,
             )
             self._add_crash(run.task, crash)
-        for task in exposed:
-            self._add_crash(task, CrashRecord(*boot))
+        for task, had_worked in exposed.items():
+            self._add_crash(task, CrashRecord(*boot, had_worked=had_worked))
 
     def handle_new_boot(self, new: Boot) -> None:
         """Process the entry of a boot: the earlier boots under its id are over."""
         for boot in [boot for boot in self._exposed if boot[0] == new[0] and boot != new]:
-            for task in self._pop_exposed(boot):
-                self._add_crash(task, CrashRecord(*boot))
+            for task, had_worked in self._pop_exposed(boot).items():
+                self._add_crash(task, CrashRecord(*boot, had_worked=had_worked))
 
     def handle_unseen_end(self, boot: Boot) -> None:
         """Process a boot that has left the list before this owner got any answer.
 
         Whether it crashed or left as announced is unknown, so only suspects are charged with it.
         """
-        for task in self._pop_exposed(boot):
+        for task, had_worked in self._pop_exposed(boot).items():
             if task.is_crash_suspect:
-                self._add_crash(task, CrashRecord(*boot))
+                self._add_crash(task, CrashRecord(*boot, had_worked=had_worked))
 
     def handle_inventory(self, worker: Worker, is_first: bool) -> None:
         """Process an inventory after its rows: the boot has not crashed."""
@@ -208,16 +236,20 @@
         if is_first:
             self._handle_return(boot)
         for task in list(self._exposed.get(boot, ())):
-            if task.name not in worker.runs:
+            run = worker.runs.get(task.name)
+            if run is None:
                 self.end_exposure(task, boot)
+            elif is_past_crash_risk(run, worker):
+                self._mark_worked(task, boot)
 
     def _handle_return(self, boot: Boot) -> None:
         """Take back what was recorded of a boot that seemed to be lost."""
         self._losses = deque(loss for loss in self._losses if loss.boot != boot)
         self._withdraw({boot})
 
-    def _pop_exposed(self, boot: Boot) -> list[Task]:
-        tasks = list(self._exposed.pop(boot, {}))
+    def _pop_exposed(self, boot: Boot) -> dict[Task, bool]:
+        """Return the exposed tasks, and for each whether its run had worked for some time."""
+        tasks = {task: boot in task.worked_on for task in self._exposed.pop(boot, {})}
         for task in tasks:
             self._remove_exposure(task, boot)
         return tasks
@@ -374,6 +406,11 @@
     return loss.rack == rack and abs(loss.at - at) <= COMMON_CAUSE_WINDOW_MS
 
 
+def _has_worked_on(run: Run, worker: Worker) -> bool:
+    """Return whether this owner or an earlier one has seen `run` work past its risky time."""
+    return is_past_crash_risk(run, worker) or worker.boot in run.task.worked_on
+
+
 def _had_just_started(crash: CrashRecord) -> bool:
     is_age_known = crash.is_only_suspect or crash.is_confirmed
     return is_age_known and crash.age_ms < CRASH_RISK_MS
--- a/packages/core/src/quetzallock_core/cells/job_records.py
+++ b/packages/core/src/quetzallock_core/cells/job_records.py
@@ -39,5 +39,6 @@
         task.checkpoint = row.checkpoint
         task.crashes = row.crashes
         task.exposures = row.exposures
+        task.worked_on = row.worked_on
         task.excused_crashes = row.excused_crashes
     return job
--- a/packages/core/src/quetzallock_core/cells/jobs.py
+++ b/packages/core/src/quetzallock_core/cells/jobs.py
@@ -103,6 +103,7 @@
         avoid: Ids of workers on which it failed or was stopped, which cost more in placement.
         crashes: Crashes of workers under it, of which it is suspected.
         exposures: Boots on which it may be running, as recorded for the next owner.
+        worked_on: Those of `exposures` on which its run has worked past its risky time.
         excused_crashes: Number of further crashes, soon after a start of it, that were put down to
             another task or to the loss of most of a rack.
         may_give_up_at: Local ms from which on its job may be given up for the crashes.
@@ -125,6 +126,7 @@
     avoid: set[str] = field(default_factory=set)
     crashes: tuple[CrashRecord, ...] = ()
     exposures: tuple[Boot, ...] = ()
+    worked_on: tuple[Boot, ...] = ()
     excused_crashes: int = 0
     may_give_up_at: int = 0
     crash_revision: int = 0
@@ -148,6 +150,7 @@
             self.checkpoint,
             self.crashes,
             self.exposures,
+            self.worked_on,
             self.excused_crashes,
         )
         if current != self._packed_fields:
@@ -167,6 +170,7 @@
             () if self.is_done else self.exposures,
             0 if self.is_done else self.excused_crashes,
             () if self.is_done else tuple((run, *boot) for run, boot in self.failed_on.items()),
+            () if self.is_done else self.worked_on,
         )
 
     @property
--- a/packages/core/src/quetzallock_core/cells/records.py
+++ b/packages/core/src/quetzallock_core/cells/records.py
@@ -53,6 +53,7 @@
         exposures: Boots on which it may be running. If one of them has crashed, it is a suspect.
         excused_crashes: Number of further crashes, put down to another task that was given up.
         failed_on: Run, worker and its boot of each end as failed, to explain a failed job.
+        worked_on: Those of `exposures` on which its run has worked past its risky time.
     """
 
     occurrence: int
@@ -65,6 +66,7 @@
     exposures: tuple[Boot, ...] = ()
     excused_crashes: int = 0
     failed_on: tuple[tuple[int, str, int], ...] = ()
+    worked_on: tuple[Boot, ...] = ()
 
 
 @message(216)
@@ -151,11 +153,13 @@
         leases: Worker, its boot and the ms, from the writing of the record, after which its lease
             has lapsed at the latest. The owner renews no lease after it has written the record.
         unbegun: Those of the runs that had not begun, as far as the workers had answered.
+        worked: Those that had worked past the time in which they may be expected to crash a worker.
     """
 
     runs: tuple[tuple[str, str, int], ...]
     leases: tuple[tuple[str, int, int], ...] = ()
     unbegun: tuple[tuple[str, str, int], ...] = ()
+    worked: tuple[tuple[str, str, int], ...] = ()
 
 
 @message(229)
--- a/packages/core/src/quetzallock_core/cells/scheduler.py
+++ b/packages/core/src/quetzallock_core/cells/scheduler.py
@@ -165,6 +165,7 @@
         self._state.add_run(worker, run)
         run.service_core_ms = compute_service(task.step, self._state.durations)
         self._state.shares.charge(task.step.share_key, run.service_core_ms, now)
+        self._state.crashes.handle_start(task, worker)
         if not self._state.crashes.must_record_start(task):
             self.send_start(run, worker, now)
             return
--- a/packages/core/src/quetzallock_core/cells/state.py
+++ b/packages/core/src/quetzallock_core/cells/state.py
@@ -129,7 +129,9 @@
             self.placing.add_job(job, now)
             self.open_job(job)
             self.exhausted.update(dict.fromkeys(_list_exhausted(job)))
-        self.crashes.restore(self.unverified.locations, self.unverified.unbegun)
+        self.crashes.restore(
+            self.unverified.locations, self.unverified.unbegun, self.unverified.worked
+        )
         self.log_decision(
             "cell.restored",
             cell=self.number,
--- a/packages/core/src/quetzallock_core/cells/unverified.py
+++ b/packages/core/src/quetzallock_core/cells/unverified.py
@@ -12,7 +12,7 @@
 from ..clock import Clock
 from .const import CLOCK_DRIFT, LEASE_MARGIN_MS, MAX_CLOCK_REFERENCES, OWNERSHIP_VALID_MS
 from .contents import Contents
-from .isolation import may_have_begun
+from .isolation import is_past_crash_risk, may_have_begun
 from .jobs import Task
 from .models import Boot
 from .records import ClockReference, HandOverRecord, LeasesRecord, WorkerRecord
@@ -42,6 +42,7 @@
         locations: The boot that may run each task, as recorded by an owner that handed the cell
             over; None after any other takeover.
         unbegun: Task and boot of those of its runs that had not begun when it did so.
+        worked: Task and boot of those that had worked past their risky time.
     """
 
     def __init__(self, workers: Mapping[str, Worker], clock: Clock) -> None:
@@ -50,6 +51,7 @@
         self.by_boot: dict[Boot, UnverifiedWorker] = {}
         self.locations: dict[str, Boot] | None = None
         self.unbegun: set[tuple[str, Boot]] = set()
+        self.worked: set[tuple[str, Boot]] = set()
         self._longest_wait_ms = 0
 
     def restore(self, contents: Contents, lease_ms: int) -> None:
@@ -67,6 +69,8 @@
             self.locations = {task: (worker, boot_ms) for task, worker, boot_ms in runs}
             unbegun = contents.hand_over.unbegun
             self.unbegun = {(task, (worker, boot_ms)) for task, worker, boot_ms in unbegun}
+            worked = contents.hand_over.worked
+            self.worked = {(task, (worker, boot_ms)) for task, worker, boot_ms in worked}
         if contents.hand_over is not None:
             leases = contents.hand_over.leases
             remaining_ms = {(worker, boot_ms): left_ms for worker, boot_ms, left_ms in leases}
@@ -174,16 +178,19 @@
             return LeasesRecord(leases)
         runs = []
         unbegun = []
+        worked = []
         for worker in self._workers.values():
             for run in worker.runs.values():
                 runs.append((run.task.name, worker.id, worker.entry.boot_ms))
                 if not may_have_begun(run, worker):
                     unbegun.append(runs[-1])
+                elif is_past_crash_risk(run, worker) or worker.boot in run.task.worked_on:
+                    worked.append(runs[-1])
         locations = self.locations or {}
         runs += [
             (task, *location) for task, location in locations.items() if location in self.by_boot
         ]
-        return HandOverRecord(tuple(runs), leases, tuple(unbegun))
+        return HandOverRecord(tuple(runs), leases, tuple(unbegun), tuple(worked))
 
     def _list_leases(self) -> list[tuple[str, int, int]]:
         """Return worker, boot and the ms until its lease has lapsed, of all that may run tasks."""
--- a/tests/core/cells/test_crash_evidence.py
+++ b/tests/core/cells/test_crash_evidence.py
@@ -251,3 +251,32 @@
     assert cluster.cell.find_state("deadly") == "failed"
     assert count_crashes(cluster, name) < MAX_CRASHES + STARTS_AFTER_CRASHES
     assert list_states(cluster, jobs) == {"completed"}
+
+
+@pytest.mark.parametrize("owner_change", ["none", "killed", "handed over"])
+def test_workers_that_are_cut_off_for_good_do_not_fail_a_job_at_work_there(
+    owner_change: str,
+) -> None:
+    """Guards against a job given up for workers that left the list and the network, unheard.
+
+    None of them has crashed. Its runs had worked there for seconds, as the owner knows or knew.
+    """
+    cluster = CellCluster(workers=8)
+    cluster.run(500)
+    cluster.submit(make_spec("a", make_step(1, lasting=True)), POLICY, {0: None})
+    for _ in range(3):
+        cluster.run(3_000)
+        (name,) = cluster.ground_truth.list_running("a")
+        (lost,) = [worker for worker in cluster.workers.values() if name in worker.runs]
+        lost.is_isolated = lost.has_broken_connections = True
+        cluster.unlisted_workers.add(lost.id)
+        if owner_change == "handed over":
+            cluster.hand_over()
+        cluster.run(500)
+        if owner_change == "killed":
+            cluster.kill_owner()
+            cluster.take_over()
+        cluster.run(11_000)
+    cluster.run(5_000)
+    assert cluster.cell.find_state("a") == "running"
+    assert cluster.ground_truth.list_running("a")
