--- a/packages/core/src/quetzallock_core/cells/records.py
+++ b/packages/core/src/quetzallock_core/cells/records.py
@@ -28,6 +28,7 @@
         is_bystander: The run itself had, and another run there had not.
         is_confirmed: The boot had answered that the run had begun.
         run: Number of the run; 0 if only the record of its start is known.
+        had_worked: The run had worked past the time in which it may be expected to crash a worker.
     """
 
     worker: str
@@ -37,6 +38,7 @@
     is_bystander: bool = False
     is_confirmed: bool = False
     run: int = 0
+    had_worked: bool = False
 
 
 @message(215)
@@ -51,6 +53,7 @@
         exposures: Boots on which it may be running. If one of them has crashed, it is a suspect.
         excused_crashes: Number of further crashes, put down to another task that was given up.
         failed_on: Run, worker and its boot of each end as failed, to explain a failed job.
+        worked_on: Those of `exposures` on which its run has worked past its risky time.
     """
 
     occurrence: int
@@ -63,6 +66,7 @@
     exposures: tuple[Boot, ...] = ()
     excused_crashes: int = 0
     failed_on: tuple[tuple[int, str, int], ...] = ()
+    worked_on: tuple[Boot, ...] = ()
 
 
 @message(216)
@@ -149,11 +153,13 @@
         leases: Worker, its boot and the ms, from the writing of the record, after which its lease
             has lapsed at the latest. The owner renews no lease after it has written the record.
         unbegun: Those of the runs that had not begun, as far as the workers had answered.
+        worked: Those that had worked past the time in which they may be expected to crash a worker.
     """
 
     runs: tuple[tuple[str, str, int], ...]
     leases: tuple[tuple[str, int, int], ...] = ()
     unbegun: tuple[tuple[str, str, int], ...] = ()
+    worked: tuple[tuple[str, str, int], ...] = ()
 
 
 @message(229)
