Place urgent tasks in the pause after a long placement round

After a round over all waiting tasks the owner pauses for three times as long as the round took, and a task that became runnable in the meantime waited for that too, whoever waited for it.

The round over all tasks follows when its pause is over. The timers move from the owner to `PlacementRounds`.

--- a/packages/core/src/quetzallock_core/cells/cell.py
+++ b/packages/core/src/quetzallock_core/cells/cell.py
@@ -181,11 +181,20 @@
     def start_waiting_tasks(self) -> None:
         """Start the waiting tasks for which there is a worker."""
         self.state.is_start_due = False
-        if not self.may_order or self.state.fenced or self.batches.has_hand_over:
-            return
-        if self.evacuations.is_view_current():
+        if self._may_start_tasks():
             self._scheduler.start_waiting_tasks()
 
+    def start_urgent_tasks(self) -> None:
+        """Start those of the waiting tasks that are not best effort, which takes less time."""
+        self.state.is_start_due = False
+        if self._may_start_tasks():
+            self._scheduler.start_urgent_tasks()
+
+    def _may_start_tasks(self) -> bool:
+        if not self.may_order or self.state.fenced or self.batches.has_hand_over:
+            return False
+        return self.evacuations.is_view_current()
+
     def tick(self) -> None:
         """Process everything that depends on time: leases, repeated orders, due jobs, expiry."""
         state = self.state
--- a/packages/core/src/quetzallock_core/cells/scheduler.py
+++ b/packages/core/src/quetzallock_core/cells/scheduler.py
@@ -35,11 +35,21 @@
 
     def start_waiting_tasks(self) -> None:
         """Start all waiting tasks for which there is a worker, in the order of the policy."""
+        self._state.start_window.begin_round(self._state.clock.now())
+        self._start_tasks_of(list(self._state.open_steps))
+
+    def start_urgent_tasks(self) -> None:
+        """Start the same but the best-effort tasks, so that others need not wait for their round.
+
+        Long-running tasks are included, since they come before the short ones in the order.
+        """
+        self._start_tasks_of([step for step in self._state.open_steps if not step.spec.fills])
+
+    def _start_tasks_of(self, open_steps: list[StepRun]) -> None:
         state = self._state
         now = state.clock.now()
         self._send_recorded_starts(now)
-        state.start_window.begin_round(now)
-        steps = [step for step in state.open_steps if self._has_startable_task(step, now)]
+        steps = [step for step in open_steps if self._has_startable_task(step, now)]
         if not steps:
             return
         state.placing.update(state.workers.values(), now, state.log_decision)
--- a/packages/daemon/src/quetzallock_daemon/cells/owner.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/owner.py
@@ -1,7 +1,6 @@
 """Runs one owned cell: loads its state, writes its journal and calls its workers."""
 
 import logging
-import time
 from collections import Counter
 from collections.abc import Callable
 from typing import Any
@@ -20,8 +19,6 @@
 from .clocks import BootClock, read_unix_ms
 from .const import (
     HAND_OVER_TIMEOUT_MS,
-    PLACEMENT_PAUSE_FACTOR,
-    PLACEMENT_PAUSE_MS,
     STORE_RETRY_PAUSE_MS,
     TICK_INTERVAL_MS,
 )
@@ -35,6 +32,7 @@
     OwnerRequest,
     SubmitJobRequest,
 )
+from .placement import PlacementRounds
 from .ports import (
     FencedError,
     OrderAnswer,
@@ -99,8 +97,7 @@
         )
         self._tick_timer: Any = None
         self._tick_due_at = 0
-        self._placement_timer: Any = None
-        self._placement_pause_s = PLACEMENT_PAUSE_MS / 1_000
+        self._placement = PlacementRounds(reactor, self.cell, self.run_effects)
         self._tickets: dict[int, tuple[Reply, int]] = {}
         self._last_ticket = 0
         self.ownership_confirmed_at = 0
@@ -245,10 +242,8 @@
         if self.cell.state.fenced:
             self._handle_ownership_lost("a worker has received calls of a newer owner")
             return
-        if self.cell.state.is_start_due and self._placement_timer is None and self.is_active:
-            self._placement_timer = self._reactor.callLater(
-                self._placement_pause_s, self._place_waiting_tasks
-            )
+        if self.cell.state.is_start_due and self.is_active and not self.is_stopped:
+            self._placement.schedule()
         if self.is_active and not self.is_handing_over:
             self._journal.schedule_append()
 
@@ -292,17 +287,6 @@
             self.cell.answers.handle_stop_answer(order, answer.outcome, answer.clock_ms, started_at)
             self.run_effects()
 
-    def _place_waiting_tasks(self) -> None:
-        """Run one placement round, and derive the pause before the next from its duration."""
-        self._placement_timer = None
-        if self.is_stopped:
-            return
-        started_s = time.perf_counter()
-        self.cell.start_waiting_tasks()
-        took_s = time.perf_counter() - started_s
-        self._placement_pause_s = max(PLACEMENT_PAUSE_MS / 1_000, PLACEMENT_PAUSE_FACTOR * took_s)
-        self.run_effects()
-
     async def hand_over(self) -> None:
         """Stop sending orders, and write the last records within `HAND_OVER_TIMEOUT_MS`."""
         self.is_handing_over = True
@@ -337,9 +321,9 @@
         """
         self.is_stopped = True
         self._journal.stop()
-        for timer in (self._tick_timer, self._placement_timer):
-            if timer is not None and timer.active():
-                timer.cancel()
+        self._placement.stop()
+        if self._tick_timer is not None and self._tick_timer.active():
+            self._tick_timer.cancel()
         for reply, ticket in self._tickets.values():
             reply(OwnerAnswer(ticket, "unsettled"))
         self._tickets.clear()
--- a/tests/core/cells/test_placement.py
+++ b/tests/core/cells/test_placement.py
@@ -98,3 +98,25 @@
     cluster.cell.start_waiting_tasks()
     assert all(task.runs for task in state.jobs["new"].list_tasks())
     assert len(computed) <= len(cluster.workers) + 20
+
+
+def test_urgent_round_starts_all_but_best_effort_tasks() -> None:
+    """A round over many best-effort tasks takes long, and short tasks would wait for it."""
+    cluster = CellCluster(workers=2)
+    cluster.run(500)
+    state = cluster.cell.state
+    for name, fields in (
+        ("best-effort", {"fills": True}),
+        ("short", {}),
+        ("long", {"lasting": True}),
+    ):
+        cluster.submit(make_spec(name, make_step(2, **fields)), POLICY, {0: 9_000})
+        state.jobs[name].is_stored = True
+        state.open_job(state.jobs[name])
+    cluster.cell.start_urgent_tasks()
+    started = {
+        name: any(task.runs for task in job.list_tasks()) for name, job in state.jobs.items()
+    }
+    assert started == {"best-effort": False, "short": True, "long": True}
+    cluster.cell.start_waiting_tasks()
+    assert all(task.runs for task in state.jobs["best-effort"].list_tasks())
