Keep at least 16 best-effort starts on their way on a late host

Cause: with 4, an owner whose timers are late for another cause than these starts, such as a host that is stopped now and then, would let best-effort jobs hardly begin.

Change: the lower limit is 16.

--- a/packages/core/src/quetzallock_core/cells/load.py
+++ b/packages/core/src/quetzallock_core/cells/load.py
@@ -34,8 +34,9 @@
 """Best-effort starts that may be on their way at once on a host with time to spare: more than such
 a host ever has, so that they are limited only under load."""
 
-MIN_BEST_EFFORT_STARTS: Final = 4
-"""The same on a host that is late all the time, so that best-effort jobs make some progress."""
+MIN_BEST_EFFORT_STARTS: Final = 16
+"""The same on a host that is late all the time. Not less, as its timers may be late for another
+cause than these starts, and best-effort jobs must go on."""
 
 STRAINED_STARTS: Final = 128
 """Limit of best-effort starts below which polls are stretched too, since more of them would only
