Show that room released within a placement round is not used in it

Cause: `_Room` takes the most free room of any worker at the begin of a round. The start of a task on one worker releases what another worker has kept for it (`Reservations.handle_start`), so free room can grow during the round. A task that only fits there is passed over until the next round. Change: a test only; nothing is fixed here. Measured: fails on (choose returns None); passes with `is_short_for` replaced by one that always returns False.

--- a/tests/core/cells/test_placement.py
+++ b/tests/core/cells/test_placement.py
@@ -100,3 +100,29 @@
     cluster.cell.start_waiting_tasks()
     assert all(task.runs for task in state.jobs["new"].list_tasks())
     assert len(computed) <= len(cluster.workers) + 20
+
+
+def test_room_that_a_start_elsewhere_releases_is_used_in_the_same_round() -> None:
+    """With room as of the begin of the round, a task that fits there now would be passed over."""
+    cluster = CellCluster(workers=2, capacity=CAPACITY)
+    cluster.run(500)
+    state = cluster.cell.state
+    now = state.clock.now()
+    tasks = []
+    for number, cpu in enumerate((2_000, 5_000, 7_000)):
+        spec = make_spec(f"job{number}", make_step(1, needs=Resources(cpu, 1_000, 0)))
+        cluster.submit(spec, POLICY, {0: 9_000})
+        job = state.jobs[spec.job]
+        job.is_stored = True
+        state.open_job(job)
+        tasks += job.list_tasks()
+    filler, moved, widest = tasks
+    scheduler = cluster.cell._scheduler
+    scheduler.start(filler, state.workers["w1"], state.next_run_number(), now)
+    state.reservations.reserve_for_waiting(moved, state.workers["w0"], (), now + 1_000)
+    placement = state.make_placement()
+    worker = placement.choose(moved)
+    assert worker is state.workers["w1"]
+    scheduler.start(moved, worker, state.next_run_number(), now)
+    placement.update_worker(worker)
+    assert placement.choose(widest) is state.workers["w0"]
