Show that one paused run without another worker holds back its step

Cause: `migrate_paused_runs` notes a failed search by step, but what another worker means depends on the run: each excludes its own worker, and suspects of a crash are kept apart. The runs are searched in the order of the workers, so the same run fails first after each pause, and the others are never searched. Change: a test only; nothing is fixed here.

--- a/tests/core/cells/test_decision_costs.py
+++ b/tests/core/cells/test_decision_costs.py
@@ -113,3 +113,32 @@
     period_ms = 10 * TICK_INTERVAL_MS
     cluster.run(period_ms)
     assert 0 < len(evaluated) <= period_ms // ROOM_SEARCH_PAUSE_MS + 1
+
+
+def test_paused_run_is_moved_although_another_of_its_step_has_no_other_worker(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a run that stays paused since the search for the first one always fails."""
+    cluster = CellCluster(workers=2, capacity=CAPACITY)
+    cluster.run(500)
+    monkeypatch.setattr(inventory, "plan_pace_changes", lambda *_: [])
+    needs = Resources(1_000, CAPACITY.memory_mb // 2, 0)
+    fills = StepSpec(2, needs, estimate_ms=500, fills=True, saves=True, image="f")
+    cluster.submit(make_spec("fills", fills), BEST_EFFORT_POLICY, {0: 60_000})
+    cluster.run(500)
+    cluster.submit(make_spec("full", StepSpec(1, needs, lasting=True)), POLICY, {0: None})
+    state = cluster.cell.state
+    full = state.jobs["full"]
+    full.is_stored = True
+    state.open_job(full)
+    scheduler = cluster.cell._scheduler
+    now = state.clock.now()
+    scheduler.start(full.list_tasks()[0], state.workers["w1"], state.next_run_number(), now)
+    cluster.run(500)
+    tasks = state.jobs["fills"].list_tasks()
+    runs = {run.worker: run for task in tasks for run in task.runs.values()}
+    assert set(runs) == {"w0", "w1"}
+    for run in runs.values():
+        state.pace_run(run, PAUSED_PACE)
+    cluster.run(MIGRATE_PAUSED_AFTER_MS + 5 * ROOM_SEARCH_PAUSE_MS)
+    assert runs["w1"].state != "running"
