Drop the covariances of a term that is set anew

Cause: `TermEstimates.set` replaces the row of a term, but the rows of others keep their covariances with it. No caller does so today: an owner restores its estimates before it observes. Change: `set` drops both sides.

--- a/packages/core/src/quetzallock_core/cells/regression.py
+++ b/packages/core/src/quetzallock_core/cells/regression.py
@@ -29,7 +29,10 @@
     _covariance: dict[str, dict[str, float]] = field(default_factory=dict)
 
     def set(self, name: str, mean: float, variance: float) -> None:
-        """Set the coefficient of `name`."""
+        """Set the coefficient of `name`, independent of all others."""
+        for other in self._covariance.get(name, ()):
+            if other != name:
+                del self._covariance[other][name]
         self._means[name] = mean
         self._covariance[name] = {name: variance}
 
--- a/tests/core/cells/test_learning.py
+++ b/tests/core/cells/test_learning.py
@@ -90,3 +90,13 @@
     worker.record_contact(5_000, 100_000, 100_000)
     assert worker.extend_lease(6_000, 100_000) == 11_000
     assert worker.compute_lapse_at() >= 100_000 + 6_000 / 0.98
+
+
+def test_term_that_is_set_anew_leaves_no_covariances_behind() -> None:
+    """A covariance on one side only would stop the learning with a KeyError."""
+    estimates = TermEstimates(2.0, 9.0, 0.15, 0.002, minimum=0.0)
+    estimates.observe({"a": 1.0, "b": 1.0}, 1.0)
+    estimates.set("a", 1.0, 2.0)
+    estimates.observe({"b": 1.0}, 1.0)
+    assert estimates.mean("a") == 1.0
+    assert estimates.variance("a") == 2.0
