Count reserved capacity as room of a placement round

Cause: the most that any worker has free was taken at the begin of a round, but a start elsewhere releases what is reserved for its task; a task that fits only there was passed over until the next round.

Change: reserved capacity counts as free in that bound, so that the worker is evaluated.

Test: test_room_that_a_start_elsewhere_releases_is_used_in_the_same_round failed before.

--- a/packages/core/src/quetzallock_core/cells/placement.py
+++ b/packages/core/src/quetzallock_core/cells/placement.py
@@ -149,6 +149,8 @@
 class _Room:
     """The most of each resource that any worker of a pool has free.
 
+    Reserved capacity counts as free, as a reservation may be released during the round.
+
     Attributes:
         cpu: Thousandths of a core.
         memory_mb: Memory in MB.
@@ -164,10 +166,14 @@
     def add(self, worker: Worker) -> None:
         """Take a worker of the pool into account."""
         free = worker.free
+        idle_cpu = worker.idle_cpu
+        for reservation in worker.reservations.values():
+            free = free + reservation.held
+            idle_cpu += max(reservation.held.cpu, reservation.task.spec.needs.cpu)
         self.cpu = max(self.cpu, free.cpu)
         self.memory_mb = max(self.memory_mb, free.memory_mb)
         self.gpus = max(self.gpus, free.gpus)
-        self.idle_cpu = max(self.idle_cpu, worker.idle_cpu)
+        self.idle_cpu = max(self.idle_cpu, idle_cpu)
 
     def is_short_for(self, spec: StepSpec) -> bool:
         """Return whether no worker can have room for a task of `spec`."""
