Pause the search for another worker by run, not by step

Cause: a failed search for one paused run held back all runs of its step, though each excludes its own worker; the first one failed again after each pause, and the others were never searched.

Change: the pause is kept by run.

Test: test_paused_run_is_moved_although_another_of_its_step_has_no_other_worker failed before.

--- a/packages/core/src/quetzallock_core/cells/migration.py
+++ b/packages/core/src/quetzallock_core/cells/migration.py
@@ -2,6 +2,7 @@
 
 from collections import defaultdict
 from collections.abc import Iterable
+from typing import TypeVar
 
 from .const import (
     MAX_LOST_WORK_MS,
@@ -17,6 +18,8 @@
 
 _FULL_PACE = 100
 
+_Key = TypeVar("_Key")
+
 
 class Migration:
     """Moves runs of one cell between its workers."""
@@ -24,13 +27,12 @@
     def __init__(self, state: CellState) -> None:
         self._state = state
         self._search_after: dict[StepRun, int] = {}
-        self._paused_search_after: dict[StepRun, int] = {}
+        self._paused_search_after: dict[Run, int] = {}
 
     def migrate_paused_runs(self) -> None:
         """Stop paused best-effort runs for which there is another worker.
 
-        A search without success is not repeated for the tasks of a step before
-        `ROOM_SEARCH_PAUSE_MS` have passed.
+        A search without success is not repeated before `ROOM_SEARCH_PAUSE_MS` have passed.
         """
         state = self._state
         now = state.clock.now()
@@ -40,11 +42,8 @@
             return
         placement = state.make_placement()
         for run in paused:
-            step = run.task.step
-            if step in self._paused_search_after:
-                continue
             if not placement.can_place_elsewhere(run.task, run.worker):
-                self._paused_search_after[step] = now + ROOM_SEARCH_PAUSE_MS
+                self._paused_search_after[run] = now + ROOM_SEARCH_PAUSE_MS
                 continue
             run.task.avoid.add(run.worker)
             state.stop_run(run, "interferes with serving tasks")
@@ -59,6 +58,7 @@
             if worker.best_effort_count
             for run in worker.runs.values()
             if run.pace == PAUSED_PACE
+            and run not in self._paused_search_after
             and run.state == "running"
             and now - run.paced_at >= MIGRATE_PAUSED_AFTER_MS
             and (now - run.ordered_at <= MAX_LOST_WORK_MS or run.task.spec.saves)
@@ -106,9 +106,9 @@
         return len(runs)
 
 
-def drop_past(times: dict[StepRun, int], now: int) -> dict[StepRun, int]:
-    """Return the steps whose time is still to come."""
-    return {step: at for step, at in times.items() if at > now}
+def drop_past(times: dict[_Key, int], now: int) -> dict[_Key, int]:
+    """Return the entries whose time is still to come."""
+    return {key: at for key, at in times.items() if at > now}
 
 
 def move_run(state: CellState, run: Run, target: Worker, reason: str) -> None:
