--- /dev/null
+++ b/review/scripts/__init__.py
@@ -0,0 +1,1 @@
+"""The scenarios of the review's cases."""
