--- a/review/scripts/many_ends.py
+++ b/review/scripts/many_ends.py
@@ -8,7 +8,7 @@
 
 from .common import CouldNotRunError, has_trouble, main
 
-WORKERS = 6
+WORKERS = 4
 JOBS = 4
 TASKS = 2_000
 WORK_MS = (400, 800)
