--- a/review/scripts/foreign_entry.py
+++ b/review/scripts/foreign_entry.py
@@ -1,55 +1,48 @@
-"""Another writer writes one faulty entry of a worker; cancels of accepted jobs must be answered."""
+"""Another writer writes one faulty entry of a worker, and the owner is restarted as planned."""
 
 import asyncio
 import json
 import random
+import signal
 import time
 
-from standins.deployment import Deployment
+from standins.deployment import Deployment, Host
 from standins.workers import TaskKind
 
 from .common import CouldNotRunError, has_trouble, main
 
 WORKERS = 12
-JOBS = 6
+JOBS = 4
+TASKS = 2
 ENTRY_ID = "i-5d1c90ab77"
-ACK_S = 4.0
-"""`ackMs` of the rules."""
-TRIED_S = 20.0
-"""How long the requesters go on asking for the cancel."""
-PAUSE_S = 0.5
+GRACE_S = 6.0
+"""`graceS` of the rules."""
+CALM_S = 15.0
+"""Longer than `contactMs`, a lease and a takeover after the restart."""
+WATCHED_S = 6.0
+IDLE_S = 3.0
 
 
-async def cancel(deployment: Deployment, job: str) -> float | None:
-    """Cancel a job, with retries; return the seconds until a 2xx or 410, None without one."""
-    began = time.monotonic()
-    while time.monotonic() - began < TRIED_S:
-        status, _answer = await deployment.request("DELETE", "watch", job)
-        if 200 <= status < 300 or status == 410:
-            return time.monotonic() - began
-        await asyncio.sleep(PAUSE_S)
-    return None
-
-
-async def hand_in(deployment: Deployment) -> float | None:
-    """Submit another job in the meantime, with retries under one id; return when it was accepted."""
-    job = f"{random.getrandbits(64):016x}"
-    deployment.world.kinds[f"{job}.0.0.0"] = TaskKind(500, 256, 500)
-    body = {"spec": "check", "steps": [{"count": 1, "cpu": 500, "memMb": 256, "estimateMs": 500}]}
-    began = time.monotonic()
-    while time.monotonic() - began < TRIED_S:
-        status, _answer = await deployment.request("POST", "quick", job, body)
-        if 200 <= status < 300:
-            return time.monotonic() - began
-        await asyncio.sleep(PAUSE_S)
-    return None
+async def restart(deployment: Deployment, host: Host) -> None:
+    """Stop a host as the platform does, and start it again."""
+    assert host.process is not None
+    deployment.world.write(f"SIGTERM to {host.name}, which owns the cell")
+    host.send(signal.SIGTERM)
+    until = time.monotonic() + GRACE_S
+    while host.process.poll() is None and time.monotonic() < until:
+        await asyncio.sleep(0.05)
+    host.send(signal.SIGKILL)
+    host.process.wait()
+    deployment.world.write(f"{host.name} has ended, and is started again 0.5 s later")
+    await asyncio.sleep(0.5)
+    host.start()
 
 
 async def scenario(deployment: Deployment) -> list[str]:
     """Play the case."""
     await deployment.start(WORKERS)
     world = deployment.world
-    step = {"count": 2, "cpu": 1000, "memMb": 512, "longRunning": True}
+    step = {"count": TASKS, "cpu": 1000, "memMb": 512, "longRunning": True}
     jobs = []
     for _ in range(JOBS):
         job = await deployment.submit("watch", {"spec": "watcher", "steps": [step]}, None)
@@ -66,16 +59,54 @@
         world.write(f"another writer writes the entry {ENTRY_ID}: {json.dumps(entry)}")
         deployment.store.put("keyed.servers", ENTRY_ID, json.dumps(entry).encode())
     await asyncio.sleep(2.0)
-    other, *waits = await asyncio.gather(hand_in(deployment), *(cancel(deployment, job) for job in jobs))
-    late = [job for job, wait in zip(jobs, waits, strict=True) if wait is None or wait > ACK_S]
-    never = sum(wait is None for wait in waits)
-    world.write(f"the job handed in meanwhile: {'never accepted' if other is None else f'{other:.2f} s'}")
-    if len(late) >= 3 and len(late) * 10 > len(jobs):
-        return [
-            f"{len(late)} of {len(jobs)} cancels of accepted jobs had no 2xx or 410 after {ACK_S} s,"
-            f" {never} of them none within {TRIED_S} s of retries, with the store up and all links whole"
-        ]
-    return []
+    owner = deployment.find_owner()
+    if owner is None:
+        raise CouldNotRunError("no owner")
+    await restart(deployment, owner)
+    await asyncio.sleep(CALM_S)
+    findings = await watch(deployment, jobs)
+    await show_rest(deployment, jobs[0])
+    return findings
+
+
+async def watch(deployment: Deployment, jobs: list[str]) -> list[str]:
+    """Return the tasks that have no run for `IDLE_S` and more."""
+    world = deployment.world
+    tasks = [f"{job}.0.0.{index}" for job in jobs for index in range(TASKS)]
+    idle_s = dict.fromkeys(tasks, 0.0)
+    longest_s = dict(idle_s)
+    last = time.monotonic()
+    until = last + WATCHED_S
+    while time.monotonic() < until:
+        await asyncio.sleep(0.1)
+        passed_s, last = time.monotonic() - last, time.monotonic()
+        running = {task for worker in deployment.workers for task in worker.runs}
+        for task in tasks:
+            idle_s[task] = 0.0 if task in running else idle_s[task] + passed_s
+            longest_s[task] = max(longest_s[task], idle_s[task])
+    states = [(await deployment.request("GET", "watch", job))[1].get("state") for job in jobs]
+    idle = [task for task in tasks if longest_s[task] >= IDLE_S]
+    for task in idle:
+        ended = [end for end in world.ends if end[1] == task]
+        world.write(f"{task} has no run for {longest_s[task]:.1f} s and more; its last ended {ended[-1][4]}"
+                    f" at {ended[-1][0]:.3f} s")
+    if not idle:
+        return []
+    return [
+        f"{len(idle)} of {len(tasks)} tasks that last, of accepted jobs that nobody has cancelled (shown as"
+        f" {sorted(set(map(str, states)))}), have no run for {IDLE_S} s and more, with {WORKERS} workers up"
+        " and their room free"
+    ]
+
+
+async def show_rest(deployment: Deployment, job: str) -> None:
+    """Record what callers get from now on; it is not judged."""
+    other = f"{random.getrandbits(64):016x}"
+    deployment.world.kinds[f"{other}.0.0.0"] = TaskKind(500, 256, 500)
+    body = {"spec": "check", "steps": [{"count": 1, "cpu": 500, "memMb": 256, "estimateMs": 500}]}
+    for _ in range(2):
+        await deployment.request("POST", "quick", other, body)
+        await deployment.request("DELETE", "watch", job)
 
 
 if __name__ == "__main__":
