Review: exit with 2 where the deployment of a script cannot be set up

Cause: it was made outside the part that turns errors into the exit status, so that a machine without free loopback addresses got 1, which means that the rule was broken.

Test: with no free addresses the script exited with 1 before, and exits with 2 now.

--- a/review/scripts/common.py
+++ b/review/scripts/common.py
@@ -43,6 +43,11 @@
     """Play `scenario`, which returns what breaks the rule, and exit."""
 
     async def play() -> int:
-        return await _run(scenario, Deployment(sys.argv[1], hosts))
+        try:
+            deployment = Deployment(sys.argv[1], hosts)
+        except Exception:  # noqa: BLE001
+            traceback.print_exc()
+            return COULD_NOT_RUN
+        return await _run(scenario, deployment)
 
     sys.exit(asyncio.run(play()))
