Conclude nothing from a run's absence in a full list of ends

Cause: a worker lists at most 500 ends until they are acknowledged, and in the outage none is. The owner took a run that is in neither list for lost and started its task again; a next owner took a worker for read after its first inventory. Both concluded from absence in a list that was cut off.

No lease lapsed, and no start stayed without an answer.

Change: the adapter marks an inventory whose list of ends is full.

--- a/packages/core/src/quetzallock_core/cells/inventory.py
+++ b/packages/core/src/quetzallock_core/cells/inventory.py
@@ -29,9 +29,10 @@
     def process(self, worker_id: str, inventory: Inventory, asked_at: int) -> bool:
         """Process one inventory and return whether it may allow a waiting task to start.
 
-        This is so for the first inventory of a boot, and when a run is over. An inventory of
-        another boot than the known one is ignored: the worker gets no new tasks until the
-        platform's list is read again, in which the new boot replaces the known one.
+        This is so for the first inventory of a boot, for the first with all its ends, and when a
+        run is over. An inventory of another boot than the known one is ignored: the worker gets no
+        new tasks until the platform's list is read again, in which the new boot replaces the known
+        one.
         """
         state = self._state
         worker = state.workers.get(worker_id)
@@ -60,11 +61,10 @@
         listed = {self._handle_running(worker, row, now) for row in inventory.running}
         listed.discard(None)
         if len(listed) < len(worker.runs):
-            for run in list(worker.runs.values()):
-                if run not in listed:
-                    changed |= self._check_missing(run, inventory.clock_ms)
-        if is_first:
-            state.unverified.remove_worker(worker.id)
+            unlisted = [run for run in worker.runs.values() if run not in listed]
+            changed |= self._handle_unlisted(unlisted, inventory, now)
+        if not inventory.has_more_ends:
+            changed |= state.unverified.remove_worker(worker.id)
         state.crashes.handle_inventory(worker, is_first)
         self._update_paces(worker, now)
         return changed
@@ -149,6 +149,17 @@
         ):
             run.progressed_at = now
 
+    def _handle_unlisted(self, runs: list[Run], inventory: Inventory, now: int) -> bool:
+        """Process the runs that are in neither list, and return whether one of them is over.
+
+        While the worker has more ends than it lists, a run may be among these.
+        """
+        if inventory.has_more_ends:
+            for run in runs:
+                run.progressed_at = now
+            return False
+        return any([self._check_missing(run, inventory.clock_ms) for run in runs])
+
     def _check_missing(self, run: Run, clock_ms: int) -> bool:
         """Drop a run that the worker neither runs nor lists as ended.
 
--- a/packages/core/src/quetzallock_core/cells/models.py
+++ b/packages/core/src/quetzallock_core/cells/models.py
@@ -202,12 +202,15 @@
     Attributes:
         clock_ms: The worker's monotonic clock.
         boot_ms: The worker's boot, or 0 where the worker does not report it.
+        has_more_ends: The worker may have ended further runs, which it lists once these are
+            acknowledged.
     """
 
     clock_ms: int
     running: tuple[RunningRow, ...]
     ended: tuple[EndRow, ...]
     boot_ms: int = 0
+    has_more_ends: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/quetzallock_core/cells/unverified.py
+++ b/packages/core/src/quetzallock_core/cells/unverified.py
@@ -1,8 +1,8 @@
 """Workers that may run tasks which a new owner has not seen yet.
 
-After a takeover a task must not start while a run of an earlier owner may still be going on. So
-each boot of a worker that the journal names is unverified until its inventory is read or its lease
-lapses.
+After a takeover a task must not start while a run of an earlier owner may still be going on or be
+among the ends that the worker has yet to list. So each boot of a worker that the journal names is
+unverified until an inventory with all its ends is read or its lease lapses.
 """
 
 from collections.abc import Mapping
@@ -87,15 +87,19 @@
             return True
         return self.locations.get(task.name) in self.by_boot
 
-    def remove_worker(self, worker_id: str) -> None:
+    def remove_worker(self, worker_id: str) -> bool:
         """Drop the entries of a worker whose inventory was read, and those of its earlier boots.
 
         Before the first inventory, a delayed order of the previous owner could still start a task
         there.
+
+        Returns:
+            Whether there were any.
         """
-        for known, boot_ms in list(self.by_boot):
-            if known == worker_id:
-                del self.by_boot[known, boot_ms]
+        boots = [boot for boot in self.by_boot if boot[0] == worker_id]
+        for boot in boots:
+            del self.by_boot[boot]
+        return bool(boots)
 
     def has_boot_of(self, worker_id: str) -> bool:
         """Return whether a boot of the worker is unverified."""
@@ -117,12 +121,16 @@
         return worker
 
     def list_unrecorded_lapses(self) -> list[UnverifiedWorker]:
-        """Return the unverified workers of which the journal has no lease end that can be read."""
+        """Return the unverified workers of which the journal has no lease end that can be read.
+
+        A worker that answers is none of them, as its lease is renewed.
+        """
         return [
             unverified_worker
-            for unverified_worker in self.by_boot.values()
+            for boot, unverified_worker in self.by_boot.items()
             if not unverified_worker.is_lapse_recorded
             and not self._is_readable(unverified_worker.record)
+            and self._find_answering(boot) is None
         ]
 
     def pop_lapsed(self) -> list[Boot]:
@@ -131,12 +139,29 @@
         lapsed = [
             boot
             for boot, unverified_worker in self.by_boot.items()
-            if now >= unverified_worker.lapse_at or self._is_lapsed(unverified_worker.record)
+            if self._has_lapsed(boot, unverified_worker, now)
         ]
         for boot in lapsed:
             del self.by_boot[boot]
         return lapsed
 
+    def _has_lapsed(self, boot: Boot, unverified_worker: UnverifiedWorker, now: int) -> bool:
+        """Return whether the lease of a boot has lapsed.
+
+        The lease of a boot that has answered may have been renewed since the journal was read.
+        """
+        worker = self._find_answering(boot)
+        if worker is not None:
+            return now >= worker.compute_lapse_at()
+        return now >= unverified_worker.lapse_at or self._is_lapsed(unverified_worker.record)
+
+    def _find_answering(self, boot: Boot) -> Worker | None:
+        """Return the worker of a boot that has listed its runs, if not yet all of its ends."""
+        worker = self._workers.get(boot[0])
+        if worker is None or worker.boot != boot or worker.inventory_at < 0:
+            return None
+        return worker
+
     def _is_lapsed(self, record: WorkerRecord) -> bool:
         """Return whether the lease in `record` has lapsed by any of its clock references."""
         for reference in record.lapsed_by:
--- a/packages/standins/src/quetzallock_standins/emulator/workers.py
+++ b/packages/standins/src/quetzallock_standins/emulator/workers.py
@@ -253,7 +253,8 @@
         self.ends = [end for end in self.ends if end.number > ack_cursor]
         running = tuple(self._describe(run) for run in self.runs.values())
         ends = tuple(self.ends[:MAX_ENDS_PER_INVENTORY])
-        return Inventory(self.clock_ms, running, ends, self.entry.boot_ms)
+        is_full = len(ends) == MAX_ENDS_PER_INVENTORY
+        return Inventory(self.clock_ms, running, ends, self.entry.boot_ms, is_full)
 
     def _describe(self, run: EmulatedRun) -> RunningRow:
         checkpoint = self._format_checkpoint(run)
--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -74,6 +74,20 @@
     assert inventory.boot_ms == document["born"]
 
 
+@pytest.mark.parametrize(("count", "has_more"), [(0, False), (499, False), (500, True)])
+@pytest.mark.parametrize("percent", [100, 12.5])
+def test_full_list_of_ends_may_lack_some(count: int, has_more: bool, percent: float) -> None:
+    """The owner started tasks again whose ends did not fit into the list."""
+    document = {
+        "clockMs": 10,
+        "running": [["job.0.0.1", 3, "", percent, 0]],
+        "finished": [[number, "job.0.0.2", number, "done", ""] for number in range(count)],
+    }
+    inventory = poll(json.dumps(document).encode())
+    assert len(inventory.ended) == count
+    assert inventory.has_more_ends is has_more
+
+
 @pytest.mark.parametrize(
     "body",
     [
