Let an entry alone end no boot of a worker that answers

Cause: a missing `born` was read as 0, and any other `born` in the list counted as the next boot of the worker at once, with all runs of the known boot over, although that boot answered all the while. An unreadable entry counted as a deleted one.

--- a/packages/core/src/quetzallock_core/cells/cell.py
+++ b/packages/core/src/quetzallock_core/cells/cell.py
@@ -122,16 +122,21 @@
     def handle_entries(self, entries: dict[str, WorkerEntry]) -> None:
         """Process the platform's list of all workers of this cell, by id."""
         state = self.state
+        now = state.clock.now()
         for worker in list(state.workers.values()):
             entry = entries.get(worker.id)
             if entry is None:
                 worker.is_listed = False
             elif entry.boot_ms != worker.entry.boot_ms:
-                state.replace_worker(worker, entry)
+                worker.is_listed = False
+                if worker.may_be_over(now):
+                    state.replace_worker(worker, entry)
         for entry in entries.values():
             if (entry.worker, entry.boot_ms) in state.ended_boots:
                 continue
             worker = state.workers.get(entry.worker) or state.add_worker(entry)
+            if entry.boot_ms != worker.entry.boot_ms:
+                continue
             if entry.is_draining and not worker.entry.is_draining:
                 state.log_decision("worker.draining", worker=worker.id)
             if entry.capacity != worker.entry.capacity:
--- a/packages/core/src/quetzallock_core/cells/inventory.py
+++ b/packages/core/src/quetzallock_core/cells/inventory.py
@@ -41,6 +41,7 @@
         if inventory.boot_ms and inventory.boot_ms != worker.entry.boot_ms:
             state.log_decision("worker.reborn", worker=worker_id, born=inventory.boot_ms)
             worker.is_listed = False
+            worker.has_next_boot_answered = True
             return False
         now = state.clock.now()
         is_first = worker.inventory_at < 0
--- a/packages/core/src/quetzallock_core/cells/workers.py
+++ b/packages/core/src/quetzallock_core/cells/workers.py
@@ -104,6 +104,7 @@
         inventory_asked_at: Local ms at which the last inventory was asked for; -1 before the first.
         unanswered_since: Local ms at which a poll got no answer, if nothing was answered since; -1
             otherwise.
+        has_next_boot_answered: A poll was answered by another boot of the worker.
         cursor: Highest number of an end that was processed.
         durable_cursor: Highest number of an end that the journal holds.
         is_poll_unanswered: The last inventory poll got no answer. The next answer may come from
@@ -143,6 +144,7 @@
     inventory_at: int = -1
     inventory_asked_at: int = -1
     unanswered_since: int = -1
+    has_next_boot_answered: bool = False
     cursor: int = 0
     durable_cursor: int = 0
     is_poll_unanswered: bool = True
@@ -236,6 +238,15 @@
         """Return whether it has answered within `UNREACHABLE_TIMEOUT_MS`."""
         return self.contact_at >= 0 and now - self.contact_at < UNREACHABLE_TIMEOUT_MS
 
+    def may_be_over(self, now: int) -> bool:
+        """Return whether another boot, which the platform's list names, may have replaced this one.
+
+        The list alone does not tell, since others may write to it. A boot that answers goes on.
+        """
+        if self.has_next_boot_answered or self.unanswered_since >= 0:
+            return True
+        return not self.is_reachable(now)
+
     def is_suspect(self, now: int) -> bool:
         """Return whether it gets only one task at a time after failures of several jobs."""
         return now < self.suspect_until
--- a/packages/daemon/src/quetzallock_daemon/cells/ports.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/ports.py
@@ -83,7 +83,7 @@
 
 @dataclass(frozen=True, slots=True)
 class EntryChange:
-    """A change of a worker's entry; `entry` is None for a deleted or unreadable one."""
+    """A change of a worker's entry; `entry` is None for a deleted one."""
 
     worker: str
     entry: WorkerEntry | None
