Keep following the store and polling workers after an unexpected error

Cause: the loops that follow the store's topics ended with any exception but the store's own, and the polls of a worker with any but the project's own; `background coroutine failed` was the only trace.

Change: a follower logs the error once, reads the newest records next and goes on. An inventory that cannot be processed counts as no answer, and the worker is polled again.

--- a/packages/daemon/src/quetzallock_daemon/cells/followers.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/followers.py
@@ -58,13 +58,30 @@
                 self._record_failure(str(error))
                 await sleep(self._reactor, STORE_RETRY_PAUSE_MS)
                 continue
-            if self._is_failing:
-                _LOGGER.info(
-                    "reading from the store succeeds again", extra={"dependency": self.name}
-                )
-                self._is_failing = False
+            except Exception as error:
+                self._record_unexpected_error(error)
+                await sleep(self._reactor, STORE_RETRY_PAUSE_MS)
+                continue
+            self._record_success()
             await sleep(self._reactor, self.pause_ms)
 
+    def _record_success(self) -> None:
+        if self._is_failing:
+            _LOGGER.info("reading from the store succeeds again", extra={"dependency": self.name})
+        self._is_failing = False
+
+    def _record_unexpected_error(self, error: Exception) -> None:
+        """Log an error of the program, and read the newest records next.
+
+        A record that newer ones have replaced is then not read again.
+        """
+        if not self._is_failing:
+            _LOGGER.error(
+                "records cannot be processed", exc_info=error, extra={"dependency": self.name}
+            )
+        self._is_failing = True
+        self._offset = None
+
     def _record_failure(self, error: str) -> None:
         if not self._is_failing:
             _LOGGER.warning(
--- a/packages/daemon/src/quetzallock_daemon/cells/inventory.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/inventory.py
@@ -10,7 +10,6 @@
 from quetzallock_core.cells.models import Bounds, Inventory
 from quetzallock_core.cells.workers import Worker
 from quetzallock_core.clock import Clock
-from quetzallock_core.exceptions import QuetzallockError
 
 from ..helpers import run_in_background
 from .const import INVENTORY_POLL_RETRY_PAUSE_MS
@@ -71,8 +70,9 @@
                 continue
             try:
                 pause_ms = await self._poll_once(worker)
-            except QuetzallockError:
+            except Exception:
                 _LOGGER.exception("inventory could not be processed", extra={"worker": worker.id})
+                owner.cell.handle_no_answer(worker.id)
                 pause_ms = INVENTORY_POLL_RETRY_PAUSE_MS
             await owner.pause(pause_ms)
         self._polled.discard(key)
