Check the ranges and types of workers' answers

No such answer of a worker is known.

Run numbers, clocks and checkpoints go into the progress of jobs and the records of workers; the lenient decoder of inventories took any type, and neither decoder a range.

Any other inventory counts as no answer, and so does an order's answer with an unusable clock.

--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -97,6 +97,25 @@
         b'{"clockMs": 1, "running": null}',
         b'{"clockMs": 1, "running": [["t", 1]]}',
         b'{"clockMs": 1, "running": [], "finished": [[1]]',
+        b'{"clockMs": 1e300}',
+        b'{"clockMs": -1}',
+        b'{"clockMs": 18446744073709551616}',
+        b'{"clockMs": "1"}',
+        b'{"clockMs": true}',
+        b'{"clockMs": 1, "born": 18446744073709551616}',
+        b'{"clockMs": 1, "born": 1e300}',
+        b'{"clockMs": 1, "born": "5"}',
+        b'{"clockMs": 1, "running": [["t", 18446744073709551616, "", 100, 0]]}',
+        b'{"clockMs": 1, "running": [["t", 1e300, "", 100, 0]]}',
+        b'{"clockMs": 1, "running": [[{}, 1, "", 100, 0]]}',
+        b'{"clockMs": 1, "running": [["t", 1, {}, 100, 0]]}',
+        b'{"clockMs": 1, "running": [["t", 1, "", "100", 0]]}',
+        b'{"clockMs": 1, "running": [["t", 1, "", 100, []]]}',
+        b'{"clockMs": 1, "finished": [[18446744073709551616, "t", 1, "done", ""]]}',
+        b'{"clockMs": 1, "finished": [[1, "t", 18446744073709551616, "done", ""]]}',
+        b'{"clockMs": 1, "finished": [[1.5, "t", 1, "done", ""]]}',
+        b'{"clockMs": 1, "finished": [[1, "t", 1, [], ""]]}',
+        b'{"clockMs": 1, "finished": [[1, "t", 1, "done", [[]]]]}',
         b"[" * 5_000,
     ],
 )
@@ -104,6 +123,17 @@
     assert poll(body) is None
 
 
+@pytest.mark.parametrize("clock", ["1e300", "18446744073709551616", "-1", '"4"', "[]", "true"])
+def test_answer_with_an_unusable_clock_counts_as_none(clock: str) -> None:
+    """Lease ends are computed from the clock, and go into the journal."""
+    body = f'{{"clockMs":{clock}}}'.encode()
+    workers = PlatformWorkers(AnsweringClient(Reply(200, body)))  # type: ignore[arg-type]
+    answers: list[OrderAnswer] = []
+    order = StopRun("backend-1", 5, ADDRESS, "job.0.0.1", 3)
+    ensureDeferred(workers.stop(order, 7)).addCallback(answers.append)
+    assert answers == [OrderAnswer("")]
+
+
 def test_order_is_sent_with_the_headers_of_its_worker() -> None:
     client = AnsweringClient(Reply(200, b'{"clockMs":4}'))
     workers = PlatformWorkers(client)  # type: ignore[arg-type]
