--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -17,7 +17,6 @@
 
 from .test_records import ENTRY
 
-MISSING = object()
 PATHS = [*ENTRY, "capacity.cpu", "capacity.memMb", "capacity.gpu", "labels.0", "labels.1"]
 UNUSED = {"clockMs"}
 """Fields that the pages name only in examples, and that nothing reads."""
