Check starts after an end that is acknowledged later

A start after an end as done now counts when that end is acknowledged, unless the worker's lease has lapsed in between.

--- a/packages/standins/src/quetzallock_standins/emulator/ground_truth.py
+++ b/packages/standins/src/quetzallock_standins/emulator/ground_truth.py
@@ -27,6 +27,8 @@
     ends: list[tuple[int, str, int, str]] = field(default_factory=list)
     _running_by_task: dict[str, set[int]] = field(default_factory=dict)
     _done: set[str] = field(default_factory=set)
+    _done_at: dict[tuple[str, int], int] = field(default_factory=dict)
+    _last_start: dict[str, tuple[int, int]] = field(default_factory=dict)
     _acknowledged_done: set[str] = field(default_factory=set)
     _acknowledged_failures: dict[str, set[int]] = field(default_factory=dict)
     cancelled_at: dict[str, int] = field(default_factory=dict)
@@ -49,6 +51,7 @@
             self.violations.append(f"{now}: {task} run {run}: no attempts are left")
         running.add(run)
         self.starts.append((now, task, run, worker))
+        self._last_start[task] = (now, run)
 
     def record_overload(self, task: str, run: int, worker: str) -> None:
         """Record a start that brings a worker over the capacity it offers."""
@@ -60,14 +63,35 @@
         self.ends.append((self.read_ms(), task, run, outcome))
         if outcome == "done":
             self._done.add(task)
+            self._done_at[task, run] = self.read_ms()
 
-    def record_acknowledged_end(self, task: str, run: int, outcome: str) -> None:
-        """Record that the owner has acknowledged an end; its journal holds it by then."""
+    def record_acknowledged_end(
+        self, task: str, run: int, outcome: str, has_lapsed_since: bool = False
+    ) -> None:
+        """Record that the owner has acknowledged an end; its journal holds it by then.
+
+        Args:
+            task: The task.
+            run: Number of its run.
+            outcome: Its outcome.
+            has_lapsed_since: The worker's lease has lapsed between the end and this.
+        """
         if outcome == "done":
             self._acknowledged_done.add(task)
+            if not has_lapsed_since:
+                self._check_started_again(task, run)
         elif outcome == "failed":
             self._acknowledged_failures.setdefault(task, set()).add(run)
 
+    def _check_started_again(self, task: str, run: int) -> None:
+        """Check that no run was started after one whose end as done counts."""
+        done_at = self._done_at[task, run]
+        if task in self.speculative:
+            return
+        started_at, started_run = self._last_start[task]
+        if started_at > done_at:
+            self.violations.append(f"{started_at}: {task} run {started_run}: run {run} was done")
+
     def is_done(self, task: str) -> bool:
         """Return whether a run of `task` has ended as done."""
         return task in self._done
--- a/packages/standins/src/quetzallock_standins/emulator/workers.py
+++ b/packages/standins/src/quetzallock_standins/emulator/workers.py
@@ -129,6 +129,7 @@
     capacity: Resources = field(init=False)
     processor_cpu: int = field(init=False)
     _next_end: int = 1
+    _lapsed_end: int = 0
     _clock: float = 1_000.0
     _former_capacities: list[tuple[int, Resources]] = field(default_factory=list)
 
@@ -249,7 +250,8 @@
             self._extend_lease(until_ms)
         for end in self.ends:
             if end.number <= ack_cursor:
-                self.ground_truth.record_acknowledged_end(end.task, end.run, end.how)
+                has_lapsed = end.number <= self._lapsed_end
+                self.ground_truth.record_acknowledged_end(end.task, end.run, end.how, has_lapsed)
         self.ends = [end for end in self.ends if end.number > ack_cursor]
         running = tuple(self._describe(run) for run in self.runs.values())
         ends = tuple(self.ends[:MAX_ENDS_PER_INVENTORY])
@@ -289,9 +291,10 @@
         if any(self._is_crash_due(run) for run in self.runs.values()):
             self.crash()
             self.is_crashed_by_task = True
-        if self.runs and self.clock_ms > self.lease_until:
+        if self.clock_ms > self.lease_until:
             for run in list(self.runs.values()):
                 self._end_run(run, "lapsed")
+            self._lapsed_end = self._next_end - 1
 
     def _is_crash_due(self, run: EmulatedRun) -> bool:
         return run.crashes_at is not None and self.clock_ms >= run.crashes_at
@@ -357,6 +360,7 @@
         self._former_capacities.clear()
         self.fence = 0
         self._next_end = 1
+        self._lapsed_end = 0
         self.lease_until = 0
 
     def revive(self, entry: WorkerEntry) -> None:
--- a/tests/core/cells/test_partial_inventories.py
+++ b/tests/core/cells/test_partial_inventories.py
@@ -47,6 +47,7 @@
     cluster.run(3_000)
     assert [cluster.cell.find_state(f"j{number}") for number in range(3)] == 3 * ["completed"]
     assert list_repeated_tasks(cluster) == []
+    assert cluster.ground_truth.violations == []
 
 
 @pytest.mark.parametrize("is_planned", [False, True])
@@ -65,6 +66,7 @@
     cluster.run(3_000)
     assert [cluster.cell.find_state(f"j{number}") for number in range(3)] == 3 * ["completed"]
     assert list_repeated_tasks(cluster) == []
+    assert cluster.ground_truth.violations == []
 
 
 def hide_ends(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -97,6 +99,7 @@
     cluster.run(500)
     assert cluster.cell.find_state("a") == "completed"
     assert list_repeated_tasks(cluster) == []
+    assert cluster.ground_truth.violations == []
 
 
 def test_lease_that_the_next_owner_renews_does_not_lapse_before_all_ends_are_read(
@@ -116,6 +119,7 @@
     cluster.run(500)
     assert cluster.cell.find_state("a") == "completed"
     assert list_repeated_tasks(cluster) == []
+    assert cluster.ground_truth.violations == []
 
 
 def test_tasks_of_a_worker_lost_before_all_its_ends_are_read_start_again(
