--- a/tests/core/cells/test_false_entries.py
+++ b/tests/core/cells/test_false_entries.py
@@ -76,3 +76,14 @@
     cluster.run(UNREACHABLE_TIMEOUT_MS + ENTRIES_READ_MS)
     worker = cluster.cell.state.workers["w0"]
     assert worker.entry.boot_ms == cluster.workers["w0"].entry.boot_ms
+
+
+def test_worker_of_a_service_that_no_queue_names_gets_no_task() -> None:
+    cluster = CellCluster(workers=2)
+    other = cluster.workers["w0"]
+    other.entry = replace(other.entry, service="unnamed")
+    cluster.run(500)
+    submit_plain(cluster, "a", count=8)
+    cluster.run(3_000)
+    assert cluster.cell.find_state("a") == "completed"
+    assert {worker for _, _, _, worker in cluster.ground_truth.starts} == {"w1"}
