Log what the end of a cancelled job's last run has waited for

No line said when the cancel was answered, when a stop was really sent and answered, and when the end was seen, so the hypotheses could not be told apart.

Change: cells/cancellations.py follows the runs of cancelled jobs and decides nothing. - `cancel.finished`, once a job: time from the answer to the end of the last run, its four parts in ms and the longest of them. A run that a new owner adopts of a job that was cancelled before is followed from its adoption on.

Cost: one dictionary look-up for each inventory, order answer and end of a run, none for each row of an inventory.

--- a/packages/core/src/quetzallock_core/cells/answers.py
+++ b/packages/core/src/quetzallock_core/cells/answers.py
@@ -93,7 +93,7 @@
             state.stop_with_gang(run, "an earlier copy of the refused order may arrive")
             return
         state.shares.refund(run.task.step.share_key, run.service_core_ms, now)
-        state.end_run(run, "refuse")
+        state.end_run(run, "refuse", "refused")
         state.stop_gang(run.task.step, "worker refused another task of the gang")
         state.is_start_due = True
 
@@ -119,6 +119,7 @@
         self._state.ended_runs.handle_stop_answer(order)
         if run is not None:
             run.answered_clock_ms = clock_ms + self._state.bounds.stop_ms
+            self._state.cancellations.handle_stop_answer(run, clock_ms)
 
     def _find_run(self, order: StartRun | StopRun) -> tuple[Worker | None, Run | None]:
         """Return the worker and the run of an order.
--- a/packages/core/src/quetzallock_core/cells/batches.py
+++ b/packages/core/src/quetzallock_core/cells/batches.py
@@ -252,6 +252,7 @@
             worker.is_recorded = True
             if may_renew:
                 worker.is_lease_suspended = False
-        for _, ticket_outcome in batch.tickets:
+        for job, ticket_outcome in batch.tickets:
             state.emit(ticket_outcome)
+            state.cancellations.handle_answer(job, ticket_outcome.outcome)
         state.is_start_due = True
--- a/packages/core/src/quetzallock_core/cells/cell.py
+++ b/packages/core/src/quetzallock_core/cells/cell.py
@@ -16,7 +16,7 @@
 from .jobs import JOB_CHART
 from .migration import Migration
 from .models import Bounds, Inventory, WorkerEntry
-from .orders import Effect, StartRun, TicketOutcome
+from .orders import Effect, StartRun, StopRun, TicketOutcome
 from .preemption import Preemption
 from .records import JobRecord
 from .scheduler import Scheduler
@@ -171,6 +171,10 @@
             return False
         return self.evacuations.is_view_current()
 
+    def handle_stop_sent(self, order: StopRun) -> None:
+        """Record that a stop order was handed to the transport; some are held back until later."""
+        self.state.cancellations.handle_stop_sent(order)
+
     def handle_inventory(self, worker: str, inventory: Inventory, asked_at: int) -> None:
         """Process a worker's inventory, for which it was asked at the local ms `asked_at`."""
         if self._reader.process(worker, inventory, asked_at):
@@ -211,6 +215,7 @@
         state.reservations.release_unusable(now)
         state.crashes.clear_or_give_up()
         state.fail_exhausted_jobs()
+        state.cancellations.report_overdue()
         state.headroom.update(state.open_steps, state.workers.values(), now)
         if self.may_order and not state.fenced:
             state.ended_runs.stop_on_new_boots()
@@ -249,7 +254,7 @@
                 self.state.log_decision(
                     "run.lapsed", task=run.task.name, run=run.number, worker=worker.id
                 )
-                self.state.lapse_run(run)
+                self.state.lapse_run(run, "lapsed")
         if not worker.runs and not worker.is_listed:
             self.state.drop_worker(worker, "no entry and no answer")
 
--- a/packages/core/src/quetzallock_core/cells/const.py
+++ b/packages/core/src/quetzallock_core/cells/const.py
@@ -27,6 +27,13 @@
 MAX_ORDER_DELAY_MS: Final = 15_000
 """Longest time, with some margin, that an order may be on its way and still be carried out."""
 
+CANCEL_OVERDUE_MS: Final = 3_000
+"""Time from the answer to a cancel after which a run of the job counts as overdue, in addition to
+the time that a worker takes to stop a run."""
+
+MAX_FOLLOWED_RUNS: Final = 2_000
+"""Maximum number of runs of cancelled jobs, and of these jobs, that are followed to their ends."""
+
 MAX_ENDED_RUNS: Final = 1_000
 """Maximum number of ended runs that the next boots of their workers are told to reject, as each
 costs an order to such a boot."""
--- a/packages/core/src/quetzallock_core/cells/inventory.py
+++ b/packages/core/src/quetzallock_core/cells/inventory.py
@@ -61,6 +61,7 @@
                 changed = True
         listed = {self._handle_running(worker, row, now) for row in inventory.running}
         listed.discard(None)
+        state.cancellations.handle_inventory(worker, listed, inventory.clock_ms)
         if len(listed) < len(worker.runs):
             unlisted = [run for run in worker.runs.values() if run not in listed]
             changed |= self._handle_unlisted(unlisted, inventory, now)
@@ -130,6 +131,7 @@
         job = task.job
         state.log_decision("run.adopted", task=row.task, run=row.run, worker=worker.id)
         if job.is_over or task.is_done or has_other_runs:
+            state.cancellations.adopt(run)
             state.stop_run(run, "task is done, runs elsewhere or its job is over")
             return run
         mark_started(state, job)
@@ -173,7 +175,7 @@
             return False
         state = self._state
         state.log_decision("run.vanished", task=run.task.name, run=run.number, worker=run.worker)
-        state.lapse_run(run)
+        state.lapse_run(run, "vanished")
         return True
 
     def _handle_end(self, worker: Worker, row: EndRow, now: int) -> None:
@@ -184,7 +186,7 @@
             return
         run = task.runs.get(row.run)
         if run is not None and run.worker == worker.id:
-            state.end_run(run, "end")
+            state.end_run(run, "end", "listed")
         else:
             run = None
         mark_started(state, task.job)
--- a/packages/core/src/quetzallock_core/cells/job_records.py
+++ b/packages/core/src/quetzallock_core/cells/job_records.py
@@ -1,6 +1,6 @@
 """Makes jobs from the records of the journal."""
 
-from .jobs import Job
+from .jobs import Job, Task
 from .models import JobSpec
 from .records import JobRecord, ProgressRecord
 
@@ -42,3 +42,14 @@
         task.worked_on = row.worked_on
         task.excused_crashes = row.excused_crashes
     return job
+
+
+def list_exhausted(job: Job) -> list[Task]:
+    """Return the unfinished tasks of `job` that have no attempts left."""
+    if job.is_over:
+        return []
+    return [
+        task
+        for task in job.list_tasks()
+        if not task.is_done and task.attempts and task.attempts >= job.policy.max_attempts
+    ]
--- a/packages/core/src/quetzallock_core/cells/scheduler.py
+++ b/packages/core/src/quetzallock_core/cells/scheduler.py
@@ -224,7 +224,7 @@
         state = self._state
         state.log_decision("start.withdrawn", task=run.task.name, run=run.number, worker=run.worker)
         state.shares.refund(run.task.step.share_key, run.service_core_ms, state.clock.now())
-        state.end_run(run, "refuse")
+        state.end_run(run, "refuse", "withdrawn")
         state.stop_gang(run.task.step, "start of another task of the gang was withdrawn")
 
     def send_start(self, run: Run, worker: Worker, now: int) -> None:
--- a/packages/core/src/quetzallock_core/cells/state.py
+++ b/packages/core/src/quetzallock_core/cells/state.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from ..clock import Clock
+from .cancellations import Cancellations
 from .const import RETRY_PAUSE_MS, RUNS_PER_EPOCH
 from .contents import Contents
 from .crashes import CrashSuspects
@@ -12,7 +13,7 @@
 from .ended_runs import EndedRuns
 from .headroom import Headroom
 from .interference import Interference
-from .job_records import make_job, restore_job
+from .job_records import list_exhausted, make_job, restore_job
 from .jobs import Job, Run, StepRun, Task
 from .models import Boot, Bounds, WorkerEntry
 from .orders import Decision, Effect, PaceRun, StopRun
@@ -38,6 +39,7 @@
         crashes: Tasks that may crash the workers that start them.
         reservations: Capacity that workers keep for tasks that are about to start there.
         ended_runs: Ended runs whose start orders may still arrive.
+        cancellations: Runs of cancelled jobs, followed for the log.
         open_steps: Steps with unfinished tasks whose predecessors are done.
         shares: Service that the queues have received.
         dirty: Jobs whose progress the journal does not hold yet.
@@ -74,6 +76,7 @@
         self.crashes = CrashSuspects(self)
         self.reservations = Reservations()
         self.ended_runs = EndedRuns(self)
+        self.cancellations = Cancellations(self)
         self.open_steps: dict[StepRun, None] = {}
         self.dirty: dict[Job, None] = {}
         self.durations = DurationEstimates()
@@ -131,7 +134,7 @@
             self.durations.add_work(job.policy.queue, job.work)
             self.placing.add_job(job, now)
             self.open_job(job)
-            self.exhausted.update(dict.fromkeys(_list_exhausted(job)))
+            self.exhausted.update(dict.fromkeys(list_exhausted(job)))
         self.crashes.restore(
             self.unverified.locations, self.unverified.unbegun, self.unverified.worked
         )
@@ -213,6 +216,7 @@
         self.log_decision(
             "job.over", job=job.id, state=job.state, after_ms=self.compute_age_ms(job)
         )
+        self.cancellations.follow(job)
         for task in job.list_tasks():
             self.reservations.release(task)
             for run in list(task.runs.values()):
@@ -267,8 +271,11 @@
             PaceRun(entry.worker, entry.boot_ms, entry.address, run.task.name, run.number, percent)
         )
 
-    def end_run(self, run: Run, event: str) -> None:
-        """Remove a run that is over by the chart's `event`, and free its resources."""
+    def end_run(self, run: Run, event: str, how: str) -> None:
+        """Remove a run that is over by the chart's `event`, and free its resources.
+
+        `how` says for the log how its end was seen.
+        """
         run.advance(event)
         run.task.runs.pop(run.number, None)
         run.task.step.has_no_waiting_task = False
@@ -280,10 +287,11 @@
                 self.crashes.end_exposure(run.task, worker.boot)
             self._record_best_effort_shares(worker, run)
         self.reservations.handle_end(run)
+        self.cancellations.handle_end(run, how)
 
-    def lapse_run(self, run: Run) -> None:
+    def lapse_run(self, run: Run, how: str) -> None:
         """Remove a run that is over without a reported end, and requeue its task."""
-        self.end_run(run, "lapse")
+        self.end_run(run, "lapse", how)
         if not run.task.is_done:
             self.requeue(run.task, "")
 
@@ -376,7 +384,7 @@
         self.log_decision("worker.gone", worker=worker.id, reason=reason, runs=len(worker.runs))
         self.crashes.handle_loss(worker)
         for run in list(worker.runs.values()):
-            self.lapse_run(run)
+            self.lapse_run(run, "worker_gone")
         self.reservations.release_worker(worker)
         if self.workers.get(worker.id) is worker:
             del self.workers[worker.id]
@@ -440,14 +448,3 @@
             worker.is_lease_suspended = True
         self.log_decision("worker.known", worker=entry.worker, born=entry.boot_ms, rack=entry.rack)
         return worker
-
-
-def _list_exhausted(job: Job) -> list[Task]:
-    """Return the unfinished tasks of `job` that have no attempts left."""
-    if job.is_over:
-        return []
-    return [
-        task
-        for task in job.list_tasks()
-        if not task.is_done and task.attempts and task.attempts >= job.policy.max_attempts
-    ]
--- a/packages/daemon/src/quetzallock_daemon/cells/owner.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/owner.py
@@ -8,6 +8,7 @@
 from twisted.internet.defer import Deferred
 
 from quetzallock_core.cells import Cell
+from quetzallock_core.cells.cancellations import FINISHED_EVENT, OVERDUE_EVENT
 from quetzallock_core.cells.const import OWNERSHIP_VALID_MS
 from quetzallock_core.cells.contents import read_contents
 from quetzallock_core.cells.load import LoadControl
@@ -269,9 +270,9 @@
     def _run_effect(self, effect: object) -> None:
         if isinstance(effect, Decision):
             self._counters[effect.event] += 1
-            _LOGGER.info(effect.event, extra={"cell": self.number, **effect.inputs})
-            if effect.event == STARTED_EVENT:
-                self._observe_start(effect.inputs)
+            level = logging.WARNING if effect.event == OVERDUE_EVENT else logging.INFO
+            _LOGGER.log(level, effect.event, extra={"cell": self.number, **effect.inputs})
+            self._observe_decision(effect.event, effect.inputs)
         elif isinstance(effect, TicketOutcome):
             self._settle_ticket(effect)
         elif not self._may_send(effect):
@@ -281,6 +282,7 @@
             run_in_background(self._send_start(effect))
         elif isinstance(effect, StopRun):
             self.meter.stops += 1
+            self.cell.handle_stop_sent(effect)
             run_in_background(self._send_stop(effect))
         elif isinstance(effect, PaceRun):
             self.meter.paces += 1
@@ -296,6 +298,13 @@
             self._observe("job.accept", self.clock.now() - registered_at)
         reply(OwnerAnswer(ticket, outcome.outcome))
 
+    def _observe_decision(self, event: str, inputs: dict[str, Any]) -> None:
+        """Record the latencies that the decision on an event tells."""
+        if event == STARTED_EVENT:
+            self._observe_start(inputs)
+        elif event == FINISHED_EVENT:
+            self._observe(f"cancel.end.{inputs['longest']}", inputs["after_ms"])
+
     def _observe_start(self, inputs: dict[str, Any]) -> None:
         """Record how long a step had waited for a start, unless all its tasks had run before."""
         if not inputs["again"]:
--- a/packages/daemon/src/quetzallock_daemon/telemetry/metrics_page.py
+++ b/packages/daemon/src/quetzallock_daemon/telemetry/metrics_page.py
@@ -6,7 +6,7 @@
 from prometheus_client.core import CounterMetricFamily
 from prometheus_client.registry import Collector
 
-LATENCY_BUCKETS_S = (0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0)
+LATENCY_BUCKETS_S = (0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0)
 
 
 class _CounterCollector(Collector):
--- a/packages/standins/src/quetzallock_standins/emulator/cluster.py
+++ b/packages/standins/src/quetzallock_standins/emulator/cluster.py
@@ -62,6 +62,7 @@
         latency_ms: One-way delay of a message between owner and worker.
         order_loss_rate: Share of orders that a worker executes and whose answer is lost.
         order_delay_rate: Share of orders that reach a worker seconds late, unanswered.
+        holds_orders: Whether owners drop orders unsent, as while their ownership is not confirmed.
         pace_loss_rate: Share of pace orders that never arrive.
         unlisted_workers: Running workers that the store does not list.
         counters: Number of orders sent, by their class.
@@ -88,6 +89,7 @@
         self.latency_ms = 2
         self.order_loss_rate = 0.0
         self.order_delay_rate = 0.0
+        self.holds_orders = False
         self.pace_loss_rate = 0.0
         self.unlisted_workers: set[str] = set()
         self.counters: Counter[str] = Counter()
@@ -279,6 +281,10 @@
 
     def _send(self, owner: Owner, order: StartRun | StopRun | PaceRun) -> None:
         """Send an order, subject to the injected faults; a call times out after 700 ms."""
+        if self.holds_orders:
+            return
+        if isinstance(order, StopRun):
+            owner.cell.handle_stop_sent(order)
         self.counters[type(order).__name__] += 1
         sent_at = self.clock.now()
         draw = self.rng.random()
--- a/tests/daemon/test_load_meter.py
+++ b/tests/daemon/test_load_meter.py
@@ -7,6 +7,8 @@
 import pytest
 from twisted.internet.task import Clock
 
+from quetzallock_core.cells.cancellations import FINISHED_EVENT, OVERDUE_EVENT
+from quetzallock_core.cells.const import OWNERSHIP_VALID_MS
 from quetzallock_core.cells.models import Bounds, Inventory, JobSpec, QueuePolicy
 from quetzallock_core.cells.orders import Decision, PaceRun, StartRun, StopRun, TicketOutcome
 from quetzallock_core.cells.scheduler import STARTED_EVENT
@@ -16,9 +18,11 @@
 from quetzallock_daemon.cells.messages import SubmitJobRequest
 from quetzallock_daemon.cells.owner import CellOwner
 from quetzallock_daemon.cells.ports import OrderAnswer
+from quetzallock_daemon.telemetry.metrics_page import MetricsPage
 
 JOB = "5c0e7a21d94b36f8"
 POLICY = QueuePolicy("queue", "pool")
+FINISHED = {"longest": "stop_held", "after_ms": 6_200}
 
 
 class FakeTime:
@@ -211,6 +215,47 @@
     assert observed.observed == [("start.wait.priority_0", 7), ("start.wait.best_effort", 900)]
 
 
+def test_end_of_a_cancelled_job_is_observed_by_the_part_that_took_longest(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    observed = ObservedOwner(monkeypatch)
+    observed.emit(Decision(FINISHED_EVENT, FINISHED))
+    assert observed.observed == [("cancel.end.stop_held", 6_200)]
+    assert observed.counters[FINISHED_EVENT] == 1
+    page = MetricsPage(observed.counters)
+    page.observe(*observed.observed[0])
+    bucket = b'quetzallock_latency_seconds_bucket{le="%s",of="cancel.end.stop_held"} %s.0'
+    for bound_s, count in ((b"5.0", b"0"), (b"10.0", b"1")):
+        assert bucket % (bound_s, count) in page.render()[1]
+
+
+def test_overdue_cancel_is_a_warning(
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    """As any other decision it would be left out where a second has too many lines of it."""
+    caplog.set_level(logging.INFO)
+    ObservedOwner(monkeypatch).emit(Decision(OVERDUE_EVENT, {}), Decision(FINISHED_EVENT, FINISHED))
+    assert [(record.message, record.levelname) for record in caplog.records] == [
+        (OVERDUE_EVENT, "WARNING"),
+        (FINISHED_EVENT, "INFO"),
+    ]
+
+
+def test_cell_learns_of_the_stops_that_are_sent_but_not_of_those_held_back(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    observed = ObservedOwner(monkeypatch)
+    sent: list[StopRun] = []
+    monkeypatch.setattr(observed.owner.cell, "handle_stop_sent", sent.append)
+    first, second = (StopRun("w", 1, "w:1", "j.0.0.0", run) for run in (1, 2))
+    observed.emit(first)
+    observed.reactor.advance(OWNERSHIP_VALID_MS / 1_000)
+    observed.owner.cell.state.emit(second)
+    observed.owner.run_effects()
+    assert sent == [first]
+    assert observed.counters["orders.held_back"] == 1
+
+
 def test_time_to_accept_a_job_is_observed(monkeypatch: pytest.MonkeyPatch) -> None:
     observed = ObservedOwner(monkeypatch)
     observed.owner.ownership_confirmed_at = observed.owner.clock.now()
