Match each answer of a worker with the boot that was asked

Cause: polls passed the worker's id only.

Change: polls, their refusals and missing answers carry the boot that was asked, and CellState.find_boot is the one place that matches it; starts and stops use it too. Earlier tests that gave the id give the boot now; what they check is unchanged.

--- a/packages/core/src/quetzallock_core/cells/answers.py
+++ b/packages/core/src/quetzallock_core/cells/answers.py
@@ -5,6 +5,7 @@
 from .const import RETRY_PAUSE_MS
 from .inventory import mark_started
 from .jobs import Run
+from .models import Boot
 from .orders import StartRun, StopRun
 from .state import CellState
 from .workers import Worker
@@ -25,10 +26,10 @@
     def __init__(self, state: CellState) -> None:
         self._state = state
 
-    def handle_inventory_refusal(self, worker_id: str, outcome: str) -> None:
-        """Process the refusal of an inventory poll."""
-        self._state.log_decision("hold.refused", worker=worker_id, reason=outcome)
-        worker = self._state.workers.get(worker_id)
+    def handle_inventory_refusal(self, boot: Boot, outcome: str) -> None:
+        """Process the refusal of an inventory poll of `boot`."""
+        self._state.log_decision("hold.refused", worker=boot[0], born=boot[1], reason=outcome)
+        worker = self._state.find_boot(boot)
         if worker is not None:
             worker.unanswered_since = -1
         if outcome == "fence":
@@ -125,8 +126,8 @@
 
         The worker is None if the order went to another boot than the known one.
         """
-        worker = self._state.workers.get(order.worker)
-        if worker is None or worker.entry.boot_ms != order.boot_ms:
+        worker = self._state.find_boot((order.worker, order.boot_ms))
+        if worker is None:
             return None, None
         run = worker.runs.get(order.task)
         if run is None or run.number != order.run:
--- a/packages/core/src/quetzallock_core/cells/cell.py
+++ b/packages/core/src/quetzallock_core/cells/cell.py
@@ -15,7 +15,7 @@
 from .inventory import InventoryReader
 from .jobs import JOB_CHART
 from .migration import Migration
-from .models import Bounds, Inventory, WorkerEntry
+from .models import Boot, Bounds, Inventory, WorkerEntry
 from .orders import Effect, StartRun, TicketOutcome
 from .preemption import Preemption
 from .records import JobRecord
@@ -171,14 +171,14 @@
             return False
         return self.evacuations.is_view_current()
 
-    def handle_inventory(self, worker: str, inventory: Inventory, asked_at: int) -> None:
-        """Process a worker's inventory, for which it was asked at the local ms `asked_at`."""
-        if self._reader.process(worker, inventory, asked_at):
+    def handle_inventory(self, boot: Boot, inventory: Inventory, asked_at: int) -> None:
+        """Process the inventory for which `boot` was asked at the local ms `asked_at`."""
+        if self._reader.process(boot, inventory, asked_at):
             self.state.is_start_due = True
 
-    def handle_no_answer(self, worker: str) -> None:
-        """Record that an inventory poll of a worker got no answer."""
-        known = self.state.workers.get(worker)
+    def handle_no_answer(self, boot: Boot) -> None:
+        """Record that an inventory poll of `boot` got no answer."""
+        known = self.state.find_boot(boot)
         if known is not None:
             known.record_no_answer(self.state.clock.now())
             self.state.crashes.expose_runs(known)
--- a/packages/core/src/quetzallock_core/cells/inventory.py
+++ b/packages/core/src/quetzallock_core/cells/inventory.py
@@ -2,7 +2,7 @@
 
 from .const import DEFAULT_DURATION_MS, STALL_TIMEOUT_MS
 from .jobs import Job, Run, Task, parse_task_name
-from .models import EndRow, Inventory, RunningRow
+from .models import Boot, EndRow, Inventory, RunningRow
 from .orders import StopRun
 from .pacing import (
     FULL_PACE,
@@ -26,20 +26,20 @@
     def __init__(self, state: CellState) -> None:
         self._state = state
 
-    def process(self, worker_id: str, inventory: Inventory, asked_at: int) -> bool:
+    def process(self, boot: Boot, inventory: Inventory, asked_at: int) -> bool:
         """Process one inventory and return whether it may allow a waiting task to start.
 
         This is so for the first inventory of a boot, for the first with all its ends, and when a
-        run is over. An inventory of another boot than the known one is ignored: the worker gets no
-        new tasks until the platform's list is read again, in which the new boot replaces the known
-        one.
+        run is over. An inventory of another boot than `boot`, which was asked, is ignored: the
+        worker gets no new tasks until the platform's list is read again, in which the new boot
+        replaces the known one.
         """
         state = self._state
-        worker = state.workers.get(worker_id)
+        worker = state.find_boot(boot)
         if worker is None:
             return False
         if inventory.boot_ms and inventory.boot_ms != worker.entry.boot_ms:
-            state.log_decision("worker.reborn", worker=worker_id, born=inventory.boot_ms)
+            state.log_decision("worker.reborn", worker=worker.id, born=inventory.boot_ms)
             worker.is_listed = False
             worker.has_next_boot_answered = True
             return False
--- a/packages/core/src/quetzallock_core/cells/state.py
+++ b/packages/core/src/quetzallock_core/cells/state.py
@@ -426,6 +426,14 @@
         self.drop_worker(worker, "another boot answers at its address")
         self.is_start_due = True
 
+    def find_boot(self, boot: Boot) -> Worker | None:
+        """Return the worker that `boot` is a boot of, or None if another or no boot is known.
+
+        An answer counts only for the boot that was asked: it may arrive when the next one is known.
+        """
+        worker = self.workers.get(boot[0])
+        return worker if worker is not None and worker.boot == boot else None
+
     def add_worker(self, entry: WorkerEntry) -> Worker:
         """Add a new boot of a worker and return it."""
         worker = Worker(entry)
--- a/packages/daemon/src/quetzallock_daemon/cells/inventory.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/inventory.py
@@ -72,7 +72,7 @@
                 pause_ms = await self._poll_once(worker)
             except Exception:
                 _LOGGER.exception("inventory could not be processed", extra={"worker": worker.id})
-                owner.cell.handle_no_answer(worker.id)
+                owner.cell.handle_no_answer(worker.boot)
                 pause_ms = INVENTORY_POLL_RETRY_PAUSE_MS
             await owner.pause(pause_ms)
         self._polled.discard(key)
@@ -101,12 +101,12 @@
         owner = self._owner
         if isinstance(answer, Inventory):
             owner.meter.inventories += 1
-            owner.cell.handle_inventory(worker.id, answer, asked_at)
+            owner.cell.handle_inventory(worker.boot, answer, asked_at)
             owner.run_effects()
             durations = owner.cell.state.durations
             return owner.load_control.choose_pause_ms(worker, durations, owner.clock.now())
-        owner.cell.handle_no_answer(worker.id)
+        owner.cell.handle_no_answer(worker.boot)
         if isinstance(answer, OrderAnswer):
-            owner.cell.answers.handle_inventory_refusal(worker.id, answer.outcome)
+            owner.cell.answers.handle_inventory_refusal(worker.boot, answer.outcome)
             owner.run_effects()
         return INVENTORY_POLL_RETRY_PAUSE_MS
--- a/packages/standins/src/quetzallock_standins/emulator/busy.py
+++ b/packages/standins/src/quetzallock_standins/emulator/busy.py
@@ -5,7 +5,7 @@
 
 from quetzallock_core.cells import Batch
 from quetzallock_core.cells.load import LoadControl
-from quetzallock_core.cells.models import Inventory, JobSpec, QueuePolicy
+from quetzallock_core.cells.models import Boot, Inventory, JobSpec, QueuePolicy
 from quetzallock_core.cells.orders import PaceRun, StartRun, StopRun
 
 from .cluster import TICK_INTERVAL_MS, CellCluster, Owner
@@ -75,12 +75,18 @@
             lease_end = cell_worker.extend_lease(self.bounds.lease_ms, now)
         answer = worker.poll_inventory(owner.epoch, cell_worker.ack_cursor, lease_end)
         delay_ms = self.latency_ms + self.processor.take("inventory", now)
-        self.schedule(delay_ms, partial(self._end_poll, owner, worker, answer, now))
+        boot = cell_worker.boot
+        self.schedule(delay_ms, partial(self._end_poll, owner, worker, boot, answer, now))
 
     def _end_poll(
-        self, owner: Owner, worker: EmulatedWorker, answer: Inventory | Answer, asked_at: int
+        self,
+        owner: Owner,
+        worker: EmulatedWorker,
+        boot: Boot,
+        answer: Inventory | Answer,
+        asked_at: int,
     ) -> None:
-        self._handle_inventory_answer(owner, worker.id, answer, asked_at)
+        self._handle_inventory_answer(owner, boot, answer, asked_at)
         state = owner.cell.state
         cell_worker = state.workers.get(worker.id)
         pause_ms = TICK_INTERVAL_MS
--- a/packages/standins/src/quetzallock_standins/emulator/cluster.py
+++ b/packages/standins/src/quetzallock_standins/emulator/cluster.py
@@ -9,6 +9,7 @@
 from quetzallock_core.cells import Batch, Cell
 from quetzallock_core.cells.contents import read_contents
 from quetzallock_core.cells.models import (
+    Boot,
     Bounds,
     Inventory,
     JobSpec,
@@ -215,34 +216,33 @@
             return
         if worker.has_broken_connections:
             worker.has_broken_connections = False
-            owner.cell.handle_no_answer(worker.id)
+            owner.cell.handle_no_answer(cell_worker.boot)
             return
+        boot = cell_worker.boot
         now = self.clock.now()
         may_extend = cell_worker.is_reachable(now) and cell_worker.may_renew_lease
         until = cell_worker.extend_lease(self.bounds.lease_ms, now) if may_extend else None
         if worker.is_replaced:
             self.schedule(
                 self.latency_ms,
-                lambda: self._handle_inventory_answer(
-                    owner, worker.id, Answer("other boot", 0), now
-                ),
+                lambda: self._handle_inventory_answer(owner, boot, Answer("other boot", 0), now),
             )
         if not worker.is_up or worker.is_isolated:
             return
         answer = worker.poll_inventory(owner.epoch, cell_worker.ack_cursor, until)
         self.schedule(
-            self.latency_ms, lambda: self._handle_inventory_answer(owner, worker.id, answer, now)
+            self.latency_ms, lambda: self._handle_inventory_answer(owner, boot, answer, now)
         )
 
     def _handle_inventory_answer(
-        self, owner: Owner, worker: str, answer: Inventory | Answer, asked_at: int
+        self, owner: Owner, boot: Boot, answer: Inventory | Answer, asked_at: int
     ) -> None:
         if not owner.is_running:
             return
         if isinstance(answer, Inventory):
-            owner.cell.handle_inventory(worker, answer, asked_at)
+            owner.cell.handle_inventory(boot, answer, asked_at)
         else:
-            owner.cell.answers.handle_inventory_refusal(worker, answer.outcome)
+            owner.cell.answers.handle_inventory_refusal(boot, answer.outcome)
         self.run_effects(owner)
 
     def run_effects(self, owner: Owner) -> None:
--- a/tests/core/cells/test_crash_evidence.py
+++ b/tests/core/cells/test_crash_evidence.py
@@ -169,7 +169,7 @@
     for _ in range(2):
         cluster.workers["w0"].crash()
         cluster.revive("w0")
-        cluster.cell.handle_no_answer("w0")
+        cluster.cell.handle_no_answer(cluster.cell.state.workers["w0"].boot)
         cluster.cell.handle_entries(cluster._list_entries())
     assert len(run.task.crashes) == 1
 
--- a/tests/core/cells/test_ended_runs.py
+++ b/tests/core/cells/test_ended_runs.py
@@ -96,7 +96,7 @@
     cluster.run(MAX_ORDER_DELAY_MS)
     cluster.workers["w0"].crash()
     cluster.revive("w0")
-    cluster.cell.handle_no_answer("w0")
+    cluster.cell.handle_no_answer(cluster.cell.state.workers["w0"].boot)
     cluster.cell.handle_entries(cluster._list_entries())
     assert not list_stops(cluster)
 
@@ -107,7 +107,7 @@
     cluster = make_cluster_with_late_order(count=8)
     cluster.workers["w0"].crash()
     cluster.revive("w0")
-    cluster.cell.handle_no_answer("w0")
+    cluster.cell.handle_no_answer(cluster.cell.state.workers["w0"].boot)
     cluster.cell.pop_effects()
     cluster.cell.handle_entries(cluster._list_entries())
     effects = cluster.cell.pop_effects()
--- a/tests/core/cells/test_guards.py
+++ b/tests/core/cells/test_guards.py
@@ -79,7 +79,7 @@
     run.unanswered = 1
     cluster.workers["w0"].crash()
     cluster.revive("w0")
-    cluster.cell.handle_no_answer("w0")
+    cluster.cell.handle_no_answer(cluster.cell.state.workers["w0"].boot)
     cluster.cell.handle_entries(cluster._list_entries())
     assert find_run(cluster) is run
     assert run.state == "stopping"
--- a/tests/core/cells/test_lease_waits.py
+++ b/tests/core/cells/test_lease_waits.py
@@ -83,14 +83,14 @@
         known = cell.state.workers[name]
         until = known.extend_lease(cluster.bounds.lease_ms, now)
         answers[name] = worker.poll_inventory(cluster.owner.epoch, known.ack_cursor, until)
-    cell.handle_inventory(cut_off, answers.pop(cut_off), now)
+    cell.handle_inventory(cell.state.workers[cut_off].boot, answers.pop(cut_off), now)
     cluster.kill_owner()
     cluster.workers[cut_off].is_isolated = True
     cluster.run(1_600)
     cell.handle_entries(cluster._list_entries())
     cell.tick()
     for name, answer in answers.items():
-        cell.handle_inventory(name, answer, now)
+        cell.handle_inventory(cell.state.workers[name].boot, answer, now)
     for record in cell.batches.pop_batch().records:
         cluster.journal[record.key] = encode(record.value)
     cluster.run(500)
--- a/tests/daemon/test_load_meter.py
+++ b/tests/daemon/test_load_meter.py
@@ -192,7 +192,7 @@
 
 def test_owner_counts_inventories(monkeypatch: pytest.MonkeyPatch) -> None:
     observed = ObservedOwner(monkeypatch)
-    worker: Any = type("AnyWorker", (), {"id": "w"})()
+    worker: Any = type("AnyWorker", (), {"id": "w", "boot": ("w", 1)})()
     inventory: Any = Inventory.__new__(Inventory)
     monkeypatch.setattr(observed.owner.cell, "handle_inventory", lambda *_: None)
     observed.owner._inventory_poller._handle_answer(worker, inventory, 0)
