Show that an entry with a wrong address ends a live boot for good

Cause: calls go to the entry's newest address; the other worker answers 421 there, which ends the boot that is asked for, although that boot answers at its own address.

The emulator delivers calls by address now where it is another worker's; its calls went to the worker of the id.

--- a/packages/standins/src/quetzallock_standins/emulator/cluster.py
+++ b/packages/standins/src/quetzallock_standins/emulator/cluster.py
@@ -222,11 +222,12 @@
         now = self.clock.now()
         may_extend = cell_worker.is_reachable(now) and cell_worker.may_renew_lease
         until = cell_worker.extend_lease(self.bounds.lease_ms, now) if may_extend else None
-        if worker.is_replaced:
+        if self._is_misdirected(worker, cell_worker.entry.address):
             self.schedule(
                 self.latency_ms,
                 lambda: self._handle_inventory_answer(owner, boot, Answer("other boot", 0), now),
             )
+            return
         if not worker.is_up or worker.is_isolated:
             return
         answer = worker.poll_inventory(owner.epoch, cell_worker.ack_cursor, until)
@@ -234,6 +235,11 @@
             self.latency_ms, lambda: self._handle_inventory_answer(owner, boot, answer, now)
         )
 
+    def _is_misdirected(self, worker: EmulatedWorker, address: str) -> bool:
+        """Return whether a call to `worker` at `address` reaches another worker."""
+        others = (other for other in self.workers.values() if other is not worker)
+        return worker.is_replaced or any(other.entry.address == address for other in others)
+
     def _handle_inventory_answer(
         self, owner: Owner, boot: Boot, answer: Inventory | Answer, asked_at: int
     ) -> None:
@@ -306,7 +312,7 @@
         may_answer: bool,
     ) -> None:
         worker = self.workers[order.worker]
-        if worker.is_replaced:
+        if self._is_misdirected(worker, order.address):
             self._handle_answer(owner, order, Answer("other boot", 0), sent_at)
             return
         if not worker.is_up or worker.is_isolated:
--- a/tests/core/cells/test_false_entries.py
+++ b/tests/core/cells/test_false_entries.py
@@ -39,6 +39,24 @@
     assert cluster.ground_truth.violations == []
 
 
+def test_entry_with_the_address_of_another_worker_does_not_end_the_runs_of_its_own(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The 421 of the other worker ended the boot for good: its tasks ran twice, unpolled."""
+    cluster = make_busy_cluster()
+    boot = cluster.cell.state.workers["w0"].boot
+    entries = cluster._list_entries()
+    entries["w0"] = replace(entries["w0"], address=entries["w1"].address)
+    monkeypatch.setattr(cluster, "_list_entries", lambda: entries)
+    cluster.run(300)
+    monkeypatch.undo()
+    cluster.run(4_000)
+    assert cluster.cell.find_state("a") == "completed"
+    assert len(cluster.ground_truth.starts) == 8
+    assert cluster.ground_truth.violations == []
+    assert boot not in cluster.cell.state.ended_boots
+
+
 def test_worker_with_a_false_entry_gets_tasks_again_after_its_next_own_one(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
