Call a worker that answers at the address it answers at

Change: while a boot answers, a new entry of it does not change its address. A worker has one address for each of its lives, and a boot that is silent for UNREACHABLE_TIMEOUT_MS is still called at its newest one. A 421 from the address at which the boot has answered ends it as before: the address is served by another worker then.

A boot in ended_boots is still ignored for good. Polling it again could acknowledge an end `done` of a run whose task has been started again since, which breaks TWICE; so a live boot must not get there.

--- a/packages/core/src/quetzallock_core/cells/cell.py
+++ b/packages/core/src/quetzallock_core/cells/cell.py
@@ -137,6 +137,7 @@
             worker = state.workers.get(entry.worker) or state.add_worker(entry)
             if entry.boot_ms != worker.entry.boot_ms:
                 continue
+            entry = worker.keep_address(entry, now)
             if entry.is_draining and not worker.entry.is_draining:
                 state.log_decision("worker.draining", worker=worker.id)
             if entry.capacity != worker.entry.capacity:
--- a/packages/core/src/quetzallock_core/cells/workers.py
+++ b/packages/core/src/quetzallock_core/cells/workers.py
@@ -1,7 +1,7 @@
 """State of one worker in its cell: commitments, lease, contact and reliability."""
 
 from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from .const import (
     CLOCK_DRIFT,
@@ -247,6 +247,16 @@
             return True
         return not self.is_reachable(now)
 
+    def keep_address(self, entry: WorkerEntry, now: int) -> WorkerEntry:
+        """Return a new entry of this boot, with the known address while the boot answers there.
+
+        The list alone does not tell, since others may write to it; another worker would refuse the
+        calls at a wrong address, which counts as the end of this boot.
+        """
+        if entry.address == self.entry.address or not self.is_reachable(now):
+            return entry
+        return replace(entry, address=self.entry.address)
+
     def is_suspect(self, now: int) -> bool:
         """Return whether it gets only one task at a time after failures of several jobs."""
         return now < self.suspect_until
