--- a/packages/core/src/quetzallock_core/cells/cell.py
+++ b/packages/core/src/quetzallock_core/cells/cell.py
@@ -15,7 +15,7 @@
 from .inventory import InventoryReader
 from .jobs import JOB_CHART
 from .migration import Migration
-from .models import Bounds, Inventory, WorkerEntry
+from .models import Boot, Bounds, Inventory, WorkerEntry
 from .orders import Effect, StartRun, StopRun, TicketOutcome
 from .preemption import Preemption
 from .records import JobRecord
@@ -137,6 +137,7 @@
             worker = state.workers.get(entry.worker) or state.add_worker(entry)
             if entry.boot_ms != worker.entry.boot_ms:
                 continue
+            entry = worker.keep_address(entry, now)
             if entry.is_draining and not worker.entry.is_draining:
                 state.log_decision("worker.draining", worker=worker.id)
             if entry.capacity != worker.entry.capacity:
@@ -175,14 +176,14 @@
         """Record that a stop order was handed to the transport; some are held back until later."""
         self.state.cancellations.handle_stop_sent(order)
 
-    def handle_inventory(self, worker: str, inventory: Inventory, asked_at: int) -> None:
-        """Process a worker's inventory, for which it was asked at the local ms `asked_at`."""
-        if self._reader.process(worker, inventory, asked_at):
+    def handle_inventory(self, boot: Boot, inventory: Inventory, asked_at: int) -> None:
+        """Process the inventory for which `boot` was asked at the local ms `asked_at`."""
+        if self._reader.process(boot, inventory, asked_at):
             self.state.is_start_due = True
 
-    def handle_no_answer(self, worker: str) -> None:
-        """Record that an inventory poll of a worker got no answer."""
-        known = self.state.workers.get(worker)
+    def handle_no_answer(self, boot: Boot) -> None:
+        """Record that an inventory poll of `boot` got no answer."""
+        known = self.state.find_boot(boot)
         if known is not None:
             known.record_no_answer(self.state.clock.now())
             self.state.crashes.expose_runs(known)
--- a/packages/standins/src/quetzallock_standins/emulator/cluster.py
+++ b/packages/standins/src/quetzallock_standins/emulator/cluster.py
@@ -9,6 +9,7 @@
 from quetzallock_core.cells import Batch, Cell
 from quetzallock_core.cells.contents import read_contents
 from quetzallock_core.cells.models import (
+    Boot,
     Bounds,
     Inventory,
     JobSpec,
@@ -217,34 +218,39 @@
             return
         if worker.has_broken_connections:
             worker.has_broken_connections = False
-            owner.cell.handle_no_answer(worker.id)
+            owner.cell.handle_no_answer(cell_worker.boot)
             return
+        boot = cell_worker.boot
         now = self.clock.now()
         may_extend = cell_worker.is_reachable(now) and cell_worker.may_renew_lease
         until = cell_worker.extend_lease(self.bounds.lease_ms, now) if may_extend else None
-        if worker.is_replaced:
+        if self._is_misdirected(worker, cell_worker.entry.address):
             self.schedule(
                 self.latency_ms,
-                lambda: self._handle_inventory_answer(
-                    owner, worker.id, Answer("other boot", 0), now
-                ),
+                lambda: self._handle_inventory_answer(owner, boot, Answer("other boot", 0), now),
             )
+            return
         if not worker.is_up or worker.is_isolated:
             return
         answer = worker.poll_inventory(owner.epoch, cell_worker.ack_cursor, until)
         self.schedule(
-            self.latency_ms, lambda: self._handle_inventory_answer(owner, worker.id, answer, now)
+            self.latency_ms, lambda: self._handle_inventory_answer(owner, boot, answer, now)
         )
 
+    def _is_misdirected(self, worker: EmulatedWorker, address: str) -> bool:
+        """Return whether a call to `worker` at `address` reaches another worker."""
+        others = (other for other in self.workers.values() if other is not worker)
+        return worker.is_replaced or any(other.entry.address == address for other in others)
+
     def _handle_inventory_answer(
-        self, owner: Owner, worker: str, answer: Inventory | Answer, asked_at: int
+        self, owner: Owner, boot: Boot, answer: Inventory | Answer, asked_at: int
     ) -> None:
         if not owner.is_running:
             return
         if isinstance(answer, Inventory):
-            owner.cell.handle_inventory(worker, answer, asked_at)
+            owner.cell.handle_inventory(boot, answer, asked_at)
         else:
-            owner.cell.answers.handle_inventory_refusal(worker, answer.outcome)
+            owner.cell.answers.handle_inventory_refusal(boot, answer.outcome)
         self.run_effects(owner)
 
     def run_effects(self, owner: Owner) -> None:
@@ -312,7 +318,7 @@
         may_answer: bool,
     ) -> None:
         worker = self.workers[order.worker]
-        if worker.is_replaced:
+        if self._is_misdirected(worker, order.address):
             self._handle_answer(owner, order, Answer("other boot", 0), sent_at)
             return
         if not worker.is_up or worker.is_isolated:
--- a/tests/core/cells/test_cancellations.py
+++ b/tests/core/cells/test_cancellations.py
@@ -262,9 +262,9 @@
 
 def read_inventory(cluster: TracedCluster, clock_ms: int, *running: RunningRow) -> None:
     """Let the owner read an inventory whose list of ends is cut off."""
-    boot_ms = cluster.workers["w0"].entry.boot_ms
-    inventory = Inventory(clock_ms, running, (), boot_ms, has_more_ends=True)
-    cluster.cell.handle_inventory("w0", inventory, cluster.clock.now())
+    boot = cluster.cell.state.workers["w0"].boot
+    inventory = Inventory(clock_ms, running, (), boot[1], has_more_ends=True)
+    cluster.cell.handle_inventory(boot, inventory, cluster.clock.now())
     cluster.run_effects(cluster.owner)
 
 
