Do not take the answer to a start for the answer to a stop

A run is told to stop again every stop_ms until answered_clock_ms is set, and the answer to a start order set it too, also of a run that was being stopped. If the job was cancelled while a start's answer was on its way and the stop was lost (no answer, a reset, a worker that answers busy), the stop was never sent again; a long-running task went on until something else ended it. The same held for each other stop: evacuation, preemption, moves, a copy of a done task.

While a run is being stopped, only the answer to a stop counts now, so an unanswered stop is repeated.

--- a/packages/core/src/quetzallock_core/cells/answers.py
+++ b/packages/core/src/quetzallock_core/cells/answers.py
@@ -58,7 +58,8 @@
         if outcome:
             worker.record_contact(clock_ms, asked_at, now)
         if outcome in ("ok", "old"):
-            run.answered_clock_ms = clock_ms
+            if run.state != "stopping":
+                run.answered_clock_ms = clock_ms
             run.is_acknowledged = True
             run.progressed_at = now
             if run.state == "ordered":
--- a/packages/core/src/quetzallock_core/cells/jobs.py
+++ b/packages/core/src/quetzallock_core/cells/jobs.py
@@ -36,7 +36,8 @@
         is_listed: An inventory has listed it.
         answered_clock_ms: The worker's clock from which on an inventory without the run means that
             it is over: its reading in the answer to the last order, for a stop order plus the time
-            that the worker takes to stop a run. -1 before any answer.
+            that the worker takes to stop a run. -1 while the last order, a stop order if the run is
+            being stopped, has no answer.
         resend_at: Local ms at which an unanswered order is sent again.
         unanswered: Number of start orders without an answer. Each may still be carried out, also
             by another boot of the worker.
