Repeat a stop while the worker lists the run after its answer

An inventory that is taken stop_ms after a stop's answer and still lists the run makes the stop count as unanswered, so that it is repeated.

--- a/packages/core/src/quetzallock_core/cells/inventory.py
+++ b/packages/core/src/quetzallock_core/cells/inventory.py
@@ -59,9 +59,10 @@
                 state.has_worker_changes = True
                 self._handle_end(worker, row, now)
                 changed = True
-        listed = {self._handle_running(worker, row, now) for row in inventory.running}
+        clock_ms = inventory.clock_ms
+        listed = {self._handle_running(worker, row, clock_ms, now) for row in inventory.running}
         listed.discard(None)
-        state.cancellations.handle_inventory(worker, listed, inventory.clock_ms)
+        state.cancellations.handle_inventory(worker, listed, clock_ms)
         if len(listed) < len(worker.runs):
             unlisted = [run for run in worker.runs.values() if run not in listed]
             changed |= self._handle_unlisted(unlisted, inventory, now)
@@ -93,7 +94,9 @@
         job = self._state.jobs.get(name_parts[0])
         return None if job is None else job.find_task(*name_parts[1:])
 
-    def _handle_running(self, worker: Worker, row: RunningRow, now: int) -> Run | None:
+    def _handle_running(
+        self, worker: Worker, row: RunningRow, clock_ms: int, now: int
+    ) -> Run | None:
         """Process the row of a running task, and return the run unless it is unknown."""
         run = worker.runs.get(row.task)
         if run is None or run.number != row.run:
@@ -103,6 +106,8 @@
         if run.state == "ordered":
             run.advance("confirm")
             mark_started(self._state, run.task.job)
+        elif run.state == "stopping":
+            _handle_listed_after_stop(run, clock_ms)
         run.is_listed = True
         if row.checkpoint and row.checkpoint != run.task.checkpoint:
             run.task.checkpoint = row.checkpoint
@@ -278,6 +283,12 @@
         state.dirty[job] = None
 
 
+def _handle_listed_after_stop(run: Run, clock_ms: int) -> None:
+    """Let the stop of a run be repeated if the worker runs it after the time for the stop."""
+    if 0 <= run.answered_clock_ms < clock_ms:
+        run.answered_clock_ms = -1
+
+
 def _make_stop(worker: Worker, row: RunningRow) -> StopRun:
     entry = worker.entry
     return StopRun(entry.worker, entry.boot_ms, entry.address, row.task, row.run)
--- a/tests/core/cells/test_lost_stops.py
+++ b/tests/core/cells/test_lost_stops.py
@@ -1,9 +1,11 @@
-"""Stops that are lost on their way, while the answer to the start order is on its way too."""
+"""Stops that are lost, or are answered although the run goes on."""
 
 import pytest
 
+from quetzallock_core.cells.orders import StopRun
 from quetzallock_standins.emulator import CellCluster
 from quetzallock_standins.emulator.cluster import make_spec
+from quetzallock_standins.emulator.workers import Answer, EmulatedWorker
 
 from .common import POLICY, make_step
 
@@ -45,3 +47,35 @@
     assert cluster.owner.outcomes[ticket] == "cancelled"
     cluster.run(CANCEL_MS + cluster.bounds.stop_ms)
     assert not cluster.ground_truth.list_running("a")
+
+
+def test_stop_is_repeated_while_the_worker_lists_the_run_after_its_answer(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against trust in an answer that the worker's inventories contradict."""
+    cluster = CellCluster(workers=1)
+    cluster.run(500)
+    cluster.submit(make_spec("a", make_step(1, lasting=True)), POLICY, {0: None})
+    cluster.run(500)
+    worker = cluster.workers["w0"]
+
+    def answer_only(_worker: EmulatedWorker, _order: StopRun, _epoch: int) -> Answer:
+        return Answer("ok", worker.clock_ms)
+
+    with monkeypatch.context() as patch:
+        patch.setattr(EmulatedWorker, "stop", answer_only)
+        cluster.cancel("a")
+        cluster.run(50)
+    cluster.run(CANCEL_MS + cluster.bounds.stop_ms)
+    assert not cluster.ground_truth.list_running("a")
+
+
+def test_answered_stop_is_not_repeated_while_the_worker_has_time_to_carry_it_out() -> None:
+    """Guards against orders without need: one stop a run, if the worker answers it."""
+    cluster = CellCluster(workers=1)
+    cluster.run(500)
+    cluster.submit(make_spec("a", make_step(4, lasting=True)), POLICY, {0: None})
+    cluster.run(500)
+    cluster.cancel("a")
+    cluster.run(CANCEL_MS)
+    assert cluster.counters["StopRun"] == 4
