Let runs on a boot that never answered lapse

Cause: a boot that has never answered holds no lease that this owner has set, and without the end of a lease none of its runs was ever over.

Change: a run that is moved to a next boot has a time by which no start order of it can be at work: the last order, plus the time for which a copy may be on its way (MAX_ORDER_DELAY_MS, or the time limit of an order if all copies were answered), plus the longest lease that a worker grants. The owner only sends stops there, so nothing else can have started it, and nothing renews its lease. From then on the run counts as lapsed, and a boot without an entry is dropped.

--- a/packages/core/src/quetzallock_core/cells/cell.py
+++ b/packages/core/src/quetzallock_core/cells/cell.py
@@ -13,7 +13,7 @@
 from .evacuation import Evacuations
 from .evacuation_moves import EvacuationMoves
 from .inventory import InventoryReader
-from .jobs import JOB_CHART
+from .jobs import JOB_CHART, Run
 from .migration import Migration
 from .models import Boot, Bounds, Inventory, WorkerEntry
 from .orders import Effect, StartRun, TicketOutcome
@@ -244,16 +244,22 @@
             return
         if worker.contact_at >= 0 and not worker.is_lease_suspended:
             self.state.suspend_lease(worker)
-        if worker.runs and worker.lease_end_clock_ms and now >= worker.compute_lapse_at():
+        if not worker.lease_end_clock_ms:
+            runs = worker.runs.values()
+            self._lapse_runs(run for run in runs if 0 < run.unconfirmed_until <= now)
+        elif worker.runs and now >= worker.compute_lapse_at():
             self.state.crashes.expose_runs(worker)
-            for run in list(worker.runs.values()):
-                self.state.log_decision(
-                    "run.lapsed", task=run.task.name, run=run.number, worker=worker.id
-                )
-                self.state.lapse_run(run)
+            self._lapse_runs(worker.runs.values())
         if not worker.runs and not worker.is_listed:
             self.state.drop_worker(worker, "no entry and no answer")
 
+    def _lapse_runs(self, runs: Iterable[Run]) -> None:
+        for run in list(runs):
+            self.state.log_decision(
+                "run.lapsed", task=run.task.name, run=run.number, worker=run.worker
+            )
+            self.state.lapse_run(run)
+
     def _repeat_orders(self, now: int) -> None:
         state = self.state
         may_start = self.evacuations.is_view_current()
--- a/packages/core/src/quetzallock_core/cells/jobs.py
+++ b/packages/core/src/quetzallock_core/cells/jobs.py
@@ -45,6 +45,8 @@
         is_acknowledged: The worker has answered that it carried a start order out.
         first_sent_at: Local ms of the first start order; -1 before it.
         last_sent_at: Local ms of the last start order; -1 before any.
+        unconfirmed_until: Local ms at which it is over on any boot that it was moved to, even if no
+            stop order arrives there; 0 if it was not moved.
     """
 
     task: "Task"
@@ -72,6 +74,7 @@
     is_acknowledged: bool = False
     first_sent_at: int = -1
     last_sent_at: int = -1
+    unconfirmed_until: int = 0
 
     @property
     def was_sent(self) -> bool:
--- a/packages/core/src/quetzallock_core/cells/models.py
+++ b/packages/core/src/quetzallock_core/cells/models.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from ..codec import message
+from .const import MAX_LEASE_MS
 
 Boot = tuple[str, int]
 """Id of a worker and the start time that identifies one of its boots."""
@@ -224,6 +225,7 @@
         harm_ms: How long a serving task may stay above its target.
         evacuation_ms: Time after which no task starts in a data centre whose evacuation was
             requested; 0 where evacuations are not in use.
+        max_granted_lease_ms: Longest lease that a worker grants, however long an order asks for.
     """
 
     lease_ms: int = 6_000
@@ -233,3 +235,4 @@
     harm_ms: int = 4_000
     remote_factor: float = 1.5
     evacuation_ms: int = 0
+    max_granted_lease_ms: int = MAX_LEASE_MS
--- a/packages/core/src/quetzallock_core/cells/state.py
+++ b/packages/core/src/quetzallock_core/cells/state.py
@@ -5,7 +5,14 @@
 from typing import Any
 
 from ..clock import Clock
-from .const import RETRY_PAUSE_MS, RUNS_PER_EPOCH
+from .const import (
+    CLOCK_DRIFT,
+    LEASE_MARGIN_MS,
+    MAX_ORDER_DELAY_MS,
+    ORDER_TIMEOUT_MS,
+    RETRY_PAUSE_MS,
+    RUNS_PER_EPOCH,
+)
 from .contents import Contents
 from .crashes import CrashSuspects
 from .durations import DurationEstimates
@@ -400,6 +407,9 @@
         successor = self.add_worker(entry)
         for run in unconfirmed_runs:
             self.ended_runs.add(run, successor.boot)
+            run.unconfirmed_until = max(
+                run.unconfirmed_until, compute_unconfirmed_until(run, self.bounds)
+            )
             run.unanswered = 0
             run.is_listed = run.is_acknowledged = False
             run.is_unsent = True
@@ -450,6 +460,17 @@
         return worker
 
 
+def compute_unconfirmed_until(run: Run, bounds: Bounds) -> int:
+    """Return the local ms at which no start order of `run` can be at work on a next boot.
+
+    An order without an answer may be carried out late, and the boot then grants the longest lease,
+    as its clock has started anew. Nothing renews that lease while the boot does not answer.
+    """
+    delay_ms = MAX_ORDER_DELAY_MS if run.unanswered else ORDER_TIMEOUT_MS
+    lease_ms = int(bounds.max_granted_lease_ms / (1 - CLOCK_DRIFT)) + LEASE_MARGIN_MS
+    return max(run.ordered_at, run.last_sent_at) + delay_ms + lease_ms
+
+
 def _list_exhausted(job: Job) -> list[Task]:
     """Return the unfinished tasks of `job` that have no attempts left."""
     if job.is_over:
--- a/tests/core/cells/test_lost_boots.py
+++ b/tests/core/cells/test_lost_boots.py
@@ -2,14 +2,19 @@
 
 import pytest
 
-from quetzallock_core.cells.const import CLOCK_DRIFT, LEASE_MARGIN_MS, MAX_ORDER_DELAY_MS
+from quetzallock_core.cells.const import (
+    CLOCK_DRIFT,
+    LEASE_MARGIN_MS,
+    MAX_LEASE_MS,
+    MAX_ORDER_DELAY_MS,
+)
 from quetzallock_core.cells.jobs import Run
 from quetzallock_standins.emulator import CellCluster
 from quetzallock_standins.emulator.cluster import make_spec
 
 from .common import POLICY, make_step
 
-LONGEST_LEASE_MS = int(6_000 / (1 - CLOCK_DRIFT)) + LEASE_MARGIN_MS
+LONGEST_LEASE_MS = int(MAX_LEASE_MS / (1 - CLOCK_DRIFT)) + LEASE_MARGIN_MS
 RESTART_MS = 1_000
 
 
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -41,6 +41,7 @@
     assert settings.host.grace_ms == 6_000
     assert settings.host.power == 2_150
     assert settings.host.bounds.lease_ms == 6_000
+    assert settings.host.bounds.max_granted_lease_ms == 10_000
     assert settings.host.bounds.status_ms == 120_000
 
 
