Stop each listed run of a job that is over

Change: a listed run of a job that is over, or of a task that is done, is ordered to stop also while another run of the task is known there. The order is repeated with each inventory that lists the run. Neither its number nor that of the known run matters, as no run of such a task may go on; a newer owner's workers refuse the order by its epoch. A run of a task that may run is still left for adoption: it is the one at work, and the known one is refused as `old` or is being stopped.

--- a/packages/core/src/quetzallock_core/cells/inventory.py
+++ b/packages/core/src/quetzallock_core/cells/inventory.py
@@ -113,26 +113,29 @@
         """Add a run found on a worker to the state and return it.
 
         Returns None for a run of an unknown task, which is stopped, and where the state has another
-        run of the task on this worker.
+        run of the task on this worker. Such a run is stopped if the task must not run any more;
+        otherwise it is adopted once the other one is found to be over.
         """
         state = self._state
         if task is None:
             state.log_decision("run.foreign", task=row.task, run=row.run, worker=worker.id)
             state.emit(_make_stop(worker, row))
             return None
+        is_unwanted = task.job.is_over or task.is_done
+        if row.task in worker.runs:
+            if is_unwanted:
+                state.emit(_make_stop(worker, row))
+            return None
         run = Run(task, row.run, worker.id, "running", now, progressed_at=now, is_listed=True)
         run.pace = estimate_pace(run, row.metric)
         has_other_runs = bool(task.runs) and not task.spec.speculative
-        if row.task in worker.runs:
-            return None
         task.runs[row.run] = run
         self._state.add_run(worker, run)
-        job = task.job
         state.log_decision("run.adopted", task=row.task, run=row.run, worker=worker.id)
-        if job.is_over or task.is_done or has_other_runs:
+        if is_unwanted or has_other_runs:
             state.stop_run(run, "task is done, runs elsewhere or its job is over")
             return run
-        mark_started(state, job)
+        mark_started(state, task.job)
         return run
 
     def _record_progress(self, run: Run, row: RunningRow, now: int) -> None:
