--- a/packages/core/src/quetzallock_core/cells/answers.py
+++ b/packages/core/src/quetzallock_core/cells/answers.py
@@ -58,15 +58,7 @@
         if outcome:
             worker.record_contact(clock_ms, asked_at, now)
         if outcome in ("ok", "old"):
-            if run.state != "stopping":
-                run.answered_clock_ms = clock_ms
-            run.is_acknowledged = True
-            run.progressed_at = now
-            if run.state == "ordered":
-                run.advance("confirm")
-                mark_started(self._state, run.task.job)
-            if run.task.spec.fills and self._state.start_window.needs_refill(now):
-                self._state.is_start_due = True
+            self._handle_begun(run, clock_ms, now)
             return
         if not outcome:
             self._state.log_decision(
@@ -75,6 +67,18 @@
             return
         self._handle_refusal(worker, run, outcome, now)
 
+    def _handle_begun(self, run: Run, clock_ms: int, now: int) -> None:
+        """Process the answer that a run is there, or was; it says nothing of a stop."""
+        if run.state != "stopping":
+            run.answered_clock_ms = clock_ms
+        run.is_acknowledged = True
+        run.progressed_at = now
+        if run.state == "ordered":
+            run.advance("confirm")
+            mark_started(self._state, run.task.job)
+        if run.task.spec.fills and self._state.start_window.needs_refill(now):
+            self._state.is_start_due = True
+
     def _handle_refusal(self, worker: Worker, run: Run, outcome: str, now: int) -> None:
         state = self._state
         state.log_decision(
--- a/packages/core/src/quetzallock_core/cells/ended_runs.py
+++ b/packages/core/src/quetzallock_core/cells/ended_runs.py
@@ -13,9 +13,15 @@
 from typing import Any, Protocol
 
 from ..clock import Clock
-from .const import MAX_ENDED_RUNS, MAX_ORDER_DELAY_MS, ORDER_TIMEOUT_MS
+from .const import (
+    CLOCK_DRIFT,
+    LEASE_MARGIN_MS,
+    MAX_ENDED_RUNS,
+    MAX_ORDER_DELAY_MS,
+    ORDER_TIMEOUT_MS,
+)
 from .jobs import Run
-from .models import Boot
+from .models import Boot, Bounds
 from .orders import Effect, StartRun, StopRun
 from .workers import Worker
 
@@ -109,3 +115,14 @@
         self._state.emit(
             StopRun(worker.id, entry.boot_ms, entry.address, ended_run.task, ended_run.number)
         )
+
+
+def compute_unconfirmed_until(run: Run, bounds: Bounds) -> int:
+    """Return the local ms at which no start order of `run` can be at work on a next boot.
+
+    An order without an answer may be carried out late, and the boot then grants the longest lease,
+    as its clock has started anew. Nothing renews that lease while the boot does not answer.
+    """
+    delay_ms = MAX_ORDER_DELAY_MS if run.unanswered else ORDER_TIMEOUT_MS
+    lease_ms = int(bounds.max_granted_lease_ms / (1 - CLOCK_DRIFT)) + LEASE_MARGIN_MS
+    return max(run.ordered_at, run.last_sent_at) + delay_ms + lease_ms
--- a/packages/core/src/quetzallock_core/cells/state.py
+++ b/packages/core/src/quetzallock_core/cells/state.py
@@ -10,7 +10,7 @@
 from .contents import Contents
 from .crashes import CrashSuspects
 from .durations import DurationEstimates
-from .ended_runs import EndedRuns
+from .ended_runs import EndedRuns, compute_unconfirmed_until
 from .headroom import Headroom
 from .interference import Interference
 from .job_records import list_exhausted, make_job, restore_job
@@ -408,6 +408,9 @@
         successor = self.add_worker(entry)
         for run in unconfirmed_runs:
             self.ended_runs.add(run, successor.boot)
+            run.unconfirmed_until = max(
+                run.unconfirmed_until, compute_unconfirmed_until(run, self.bounds)
+            )
             run.unanswered = 0
             run.is_listed = run.is_acknowledged = False
             run.is_unsent = True
