Let the emulator answer orders late, and reject them as an unhealthy worker

A worker may carry an order out at once and be slow to answer, or answer 503 and do nothing. Faults between an order and its answer could not be drawn: the emulator answered at once, late by seconds or never.

How an order is delivered is drawn in deliveries.py. Each order takes the same single draw as before, so the examples of seeded tests stay the same while the new rates are 0 (test_deliveries.py).

--- a/packages/standins/src/quetzallock_standins/emulator/busy.py
+++ b/packages/standins/src/quetzallock_standins/emulator/busy.py
@@ -6,9 +6,10 @@
 from quetzallock_core.cells import Batch
 from quetzallock_core.cells.load import LoadControl
 from quetzallock_core.cells.models import Inventory, JobSpec, QueuePolicy
-from quetzallock_core.cells.orders import PaceRun, StartRun, StopRun
 
-from .cluster import TICK_INTERVAL_MS, CellCluster, Owner
+from .cluster import TICK_INTERVAL_MS, CellCluster
+from .deliveries import Order
+from .owners import Owner
 from .processor import Processor
 from .workers import Answer, EmulatedWorker
 
@@ -89,9 +90,7 @@
             pause_ms = self.load_control.choose_pause_ms(cell_worker, state.durations, now)
         self.schedule(pause_ms, lambda: self._poll_inventory(owner, worker))
 
-    def _handle_answer(
-        self, owner: Owner, order: StartRun | StopRun | PaceRun, answer: Answer, sent_at: int
-    ) -> None:
+    def _handle_answer(self, owner: Owner, order: Order, answer: Answer, sent_at: int) -> None:
         delay_ms = self.processor.take("order", self.clock.now())
         self.schedule(delay_ms, partial(super()._handle_answer, owner, order, answer, sent_at))
 
--- a/packages/standins/src/quetzallock_standins/emulator/cluster.py
+++ b/packages/standins/src/quetzallock_standins/emulator/cluster.py
@@ -4,9 +4,11 @@
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import replace
+from functools import partial
 from random import Random
 
 from quetzallock_core.cells import Batch, Cell
+from quetzallock_core.cells.const import ORDER_TIMEOUT_MS
 from quetzallock_core.cells.contents import read_contents
 from quetzallock_core.cells.models import (
     Bounds,
@@ -22,8 +24,11 @@
 from quetzallock_core.clock import ManualClock
 from quetzallock_core.codec import encode
 
+from .behaviours import declare_tasks, make_behaviours
+from .deliveries import Delivery, Order, draw_delivery
 from .ground_truth import GroundTruth
 from .operator import EmulatedOperator
+from .owners import Owner
 from .workers import Answer, EmulatedWorker, TaskBehaviour
 
 STEP_MS = 5
@@ -34,23 +39,6 @@
 UNIX_START_MS = 1_700_000_000_000
 
 
-class Owner:
-    """A process that owns the cell, or did and has not noticed yet that it lost it.
-
-    Attributes:
-        is_running: Whether the process has neither ended nor been refused by the journal.
-        is_writing: Whether a batch of records is being appended; there is one at a time.
-        outcomes: Outcomes of submissions and cancellations by ticket.
-    """
-
-    def __init__(self, cell: Cell, epoch: int) -> None:
-        self.cell = cell
-        self.epoch = epoch
-        self.is_running = True
-        self.is_writing = False
-        self.outcomes: dict[int, str] = {}
-
-
 class CellCluster:
     """One cell with its current owner, former owners, workers and journal.
 
@@ -63,6 +51,8 @@
         order_loss_rate: Share of orders that a worker executes and whose answer is lost.
         order_delay_rate: Share of orders that reach a worker seconds late, unanswered.
         pace_loss_rate: Share of pace orders that never arrive.
+        answer_delay_rate: Share of orders that a worker executes at once, and answers late.
+        busy_rate: Share of start and stop orders that a worker rejects as an unhealthy one does.
         unlisted_workers: Running workers that the store does not list.
         counters: Number of orders sent, by their class.
         operator: Requests evacuations, which the owners read.
@@ -89,6 +79,8 @@
         self.order_loss_rate = 0.0
         self.order_delay_rate = 0.0
         self.pace_loss_rate = 0.0
+        self.answer_delay_rate = 0.0
+        self.busy_rate = 0.0
         self.unlisted_workers: set[str] = set()
         self.counters: Counter[str] = Counter()
         self._events: list[tuple[int, int, Callable[[], None]]] = []
@@ -277,58 +269,50 @@
         owner.cell.batches.handle_durable(batch)
         self.run_effects(owner)
 
-    def _send(self, owner: Owner, order: StartRun | StopRun | PaceRun) -> None:
+    def _send(self, owner: Owner, order: Order) -> None:
         """Send an order, subject to the injected faults; a call times out after 700 ms."""
         self.counters[type(order).__name__] += 1
         sent_at = self.clock.now()
-        draw = self.rng.random()
-        if isinstance(order, PaceRun) and draw < self.pace_loss_rate:
+        delivery = draw_delivery(self, order)
+        if delivery is None:
             return
-        if draw < self.order_delay_rate:
-            delay = self.rng.randrange(2_000, 12_000)
-            self.schedule(delay, lambda: self._execute(owner, order, sent_at, may_answer=False))
-            self.schedule(700, lambda: self._handle_answer(owner, order, Answer("", 0), sent_at))
-        elif draw < self.order_delay_rate + self.order_loss_rate:
-            self.schedule(
-                self.latency_ms, lambda: self._execute(owner, order, sent_at, may_answer=False)
-            )
-            self.schedule(700, lambda: self._handle_answer(owner, order, Answer("", 0), sent_at))
-        else:
-            self.schedule(
-                self.latency_ms, lambda: self._execute(owner, order, sent_at, may_answer=True)
-            )
+        self.schedule(delivery.delay_ms, lambda: self._execute(owner, order, sent_at, delivery))
+        if not delivery.may_answer:
+            self._time_out(owner, order, sent_at)
+
+    def _time_out(self, owner: Owner, order: Order, sent_at: int) -> None:
+        """End a call that gets no answer."""
+        answer = Answer("", 0)
+        self.schedule(ORDER_TIMEOUT_MS, partial(self._handle_answer, owner, order, answer, sent_at))
 
     def _execute(
         self,
         owner: Owner,
-        order: StartRun | StopRun | PaceRun,
+        order: Order,
         sent_at: int,
-        may_answer: bool,
+        delivery: Delivery,
     ) -> None:
         worker = self.workers[order.worker]
         if worker.is_replaced:
             self._handle_answer(owner, order, Answer("other boot", 0), sent_at)
             return
         if not worker.is_up or worker.is_isolated:
-            if may_answer:
-                self.schedule(
-                    700, lambda: self._handle_answer(owner, order, Answer("", 0), sent_at)
-                )
+            if delivery.may_answer:
+                self._time_out(owner, order, sent_at)
             return
-        if isinstance(order, StartRun):
+        if delivery.is_rejected:
+            answer = Answer("busy", worker.clock_ms)
+        elif isinstance(order, StartRun):
             answer = worker.start(order, owner.epoch)
         elif isinstance(order, StopRun):
             answer = worker.stop(order, owner.epoch)
         else:
             answer = worker.pace(order, owner.epoch)
-        if may_answer:
-            self.schedule(
-                self.latency_ms, lambda: self._handle_answer(owner, order, answer, sent_at)
-            )
+        if delivery.answer_delay_ms is not None:
+            handle_answer = partial(self._handle_answer, owner, order, answer, sent_at)
+            self.schedule(delivery.answer_delay_ms, handle_answer)
 
-    def _handle_answer(
-        self, owner: Owner, order: StartRun | StopRun | PaceRun, answer: Answer, sent_at: int
-    ) -> None:
+    def _handle_answer(self, owner: Owner, order: Order, answer: Answer, sent_at: int) -> None:
         if not owner.is_running:
             return
         cell = owner.cell
@@ -353,44 +337,14 @@
             durations: Real duration in ms of the tasks by step, None if they run until stopped.
             behaviour: Further fields of the tasks' `TaskBehaviour`.
         """
-        self._add_behaviours(spec, policy, durations, behaviour)
+        self.behaviours.update(make_behaviours(spec, durations, behaviour))
+        declare_tasks(self.ground_truth, spec, policy.max_attempts)
         self._ticket += 1
         record = JobRecord(spec, policy, self.read_unix_ms())
         self.cell.submit(record, self._ticket)
         self.run_effects(self.owner)
         return self._ticket
 
-    def _add_behaviours(
-        self,
-        spec: JobSpec,
-        policy: QueuePolicy,
-        durations: dict[int, float | None],
-        behaviour: dict[str, bool],
-    ) -> None:
-        for occurrence in range(max(1, spec.repetitions)):
-            for number, step in enumerate(spec.steps):
-                predecessors = tuple(
-                    f"{spec.job}.{occurrence}.{previous}.{index}"
-                    for previous in step.after
-                    for index in range(spec.steps[previous].count)
-                )
-                for index in range(step.count):
-                    name = f"{spec.job}.{occurrence}.{number}.{index}"
-                    self.behaviours[name] = TaskBehaviour(
-                        step.needs,
-                        durations[number],
-                        is_best_effort=step.fills,
-                        is_gang=step.gang,
-                        image=step.image,
-                        target_ms=step.target_ms,
-                        **behaviour,
-                    )
-                    self.ground_truth.predecessors[name] = predecessors
-                    if step.speculative:
-                        self.ground_truth.speculative.add(name)
-                    if not step.lasting:
-                        self.ground_truth.max_attempts[name] = policy.max_attempts
-
     def cancel(self, job: str) -> int:
         """Cancel a job at the newest owner and return the ticket."""
         self._ticket += 1
