Check in the emulator that runs of cancelled jobs end, and that none starts

The emulated cell now records the first acknowledgement of a cancellation. A start later than CANCEL_MS after it, on an order that was not carried out late, breaks the promise, and so does a run that goes on for CANCEL_MS and the time of a stop in one calm stretch after it. The stretch is calm from CONTACT_MS after the last active fault, new owner or new boot. A run that was started late has CONTACT_MS more; its start disturbs nothing else.

--- a/packages/standins/src/quetzallock_standins/emulator/cluster.py
+++ b/packages/standins/src/quetzallock_standins/emulator/cluster.py
@@ -25,7 +25,9 @@
 from quetzallock_core.codec import encode
 
 from .behaviours import declare_tasks, make_behaviours
+from .cancellations import CHECK_INTERVAL_MS, CancellationCheck
 from .deliveries import Delivery, Order, draw_delivery
+from .disturbances import DisturbanceMonitor
 from .ground_truth import GroundTruth
 from .operator import EmulatedOperator
 from .owners import Owner
@@ -44,6 +46,7 @@
 
     Attributes:
         ground_truth: What the workers really ran.
+        cancellations: Checks the runs of cancelled jobs.
         behaviours: Behaviour of each task when it runs.
         is_store_up: Whether appends succeed; while the store is down they are repeated.
         append_delay_ms: Time until an append is durable.
@@ -86,6 +89,7 @@
         self._events: list[tuple[int, int, Callable[[], None]]] = []
         self._event_number = 0
         self._ticket = 0
+        self._cancelled_jobs: dict[int, str] = {}
         worker_capacity = capacity or Resources(16_000, 64_000, 0)
         self.workers = {
             f"w{number}": EmulatedWorker(
@@ -105,6 +109,8 @@
         self.operator = EmulatedOperator(self.clock, self.schedule)
         self.owners: list[Owner] = []
         self.take_over()
+        monitor = DisturbanceMonitor(self)
+        self.cancellations = CancellationCheck(self.ground_truth, monitor, self.bounds.stop_ms)
 
     @property
     def owner(self) -> Owner:
@@ -127,6 +133,7 @@
 
     def run(self, ms: int) -> None:
         """Advance the emulation by `ms` milliseconds."""
+        self.cancellations.check()
         until = self.clock.now() + ms
         while self.clock.now() < until:
             self.clock.advance(STEP_MS)
@@ -134,6 +141,9 @@
                 self._advance_worker(worker)
             while self._events and self._events[0][0] <= self.clock.now():
                 heapq.heappop(self._events)[2]()
+            if self.clock.now() % CHECK_INTERVAL_MS < STEP_MS:
+                self.cancellations.check()
+        self.cancellations.check()
 
     def _advance_worker(self, worker: EmulatedWorker) -> None:
         was_up = worker.is_up
@@ -243,7 +253,7 @@
             owner.cell.start_waiting_tasks()
         for effect in owner.cell.pop_effects():
             if isinstance(effect, TicketOutcome):
-                owner.outcomes[effect.ticket] = effect.outcome
+                self._handle_outcome(owner, effect)
             elif isinstance(effect, StartRun | StopRun | PaceRun):
                 self._send(owner, effect)
         if not owner.is_writing and owner.cell.batches.has_records():
@@ -251,6 +261,12 @@
             batch = owner.cell.batches.pop_batch()
             self.schedule(self.append_delay_ms, lambda: self._append(owner, batch))
 
+    def _handle_outcome(self, owner: Owner, outcome: TicketOutcome) -> None:
+        owner.outcomes[outcome.ticket] = outcome.outcome
+        job = self._cancelled_jobs.get(outcome.ticket)
+        if job is not None and outcome.outcome != "unknown" and owner.is_running:
+            self.cancellations.record_acknowledgement(job)
+
     def _append(self, owner: Owner, batch: Batch) -> None:
         if not owner.is_running:
             return
@@ -303,6 +319,8 @@
         if delivery.is_rejected:
             answer = Answer("busy", worker.clock_ms)
         elif isinstance(order, StartRun):
+            if delivery.is_late:
+                self.cancellations.record_late_start(order.task, order.run)
             answer = worker.start(order, owner.epoch)
         elif isinstance(order, StopRun):
             answer = worker.stop(order, owner.epoch)
@@ -348,6 +366,7 @@
     def cancel(self, job: str) -> int:
         """Cancel a job at the newest owner and return the ticket."""
         self._ticket += 1
+        self._cancelled_jobs[self._ticket] = job
         self.cell.cancel(job, self._ticket)
         self.run_effects(self.owner)
         return self._ticket
--- /dev/null
+++ b/packages/standins/src/quetzallock_standins/emulator/disturbances.py
@@ -0,0 +1,87 @@
+"""Tells when an emulated cell was last disturbed by an injected fault."""
+
+from collections.abc import Mapping, Sequence
+from typing import Final, Protocol
+
+from quetzallock_core.clock import Clock
+
+from .owners import Owner
+from .workers import EmulatedWorker
+
+CONTACT_MS: Final = 3_000
+"""How long after the last fault owners and workers may still be out of touch."""
+
+
+class DisturbedCluster(Protocol):
+    """What the monitor needs of the emulated cell."""
+
+    is_store_up: bool
+    order_loss_rate: float
+    order_delay_rate: float
+    pace_loss_rate: float
+    busy_rate: float
+    unlisted_workers: set[str]
+
+    @property
+    def clock(self) -> Clock:
+        """The clock of the emulation."""
+
+    @property
+    def workers(self) -> Mapping[str, EmulatedWorker]:
+        """The workers by their ids."""
+
+    @property
+    def owners(self) -> Sequence[Owner]:
+        """All owners, the newest one last."""
+
+
+class DisturbanceMonitor:
+    """Remembers when a fault was last seen active.
+
+    Late answers, draining workers, evacuations and changes of capacity are no faults: they delay no
+    order. Nor is an order that is carried out late once the rate of late orders is 0 again.
+
+    Attributes:
+        disturbed_at: Time in ms of the last observation with an active fault, a new owner or a new
+            boot of a worker.
+    """
+
+    def __init__(self, cluster: DisturbedCluster) -> None:
+        self._cluster = cluster
+        self.disturbed_at = cluster.clock.now()
+        self._lives = self._list_lives()
+
+    @property
+    def calm_from(self) -> int:
+        """Time in ms from which on the cell is calm, if no further fault is seen."""
+        return self.disturbed_at + CONTACT_MS
+
+    def observe(self) -> None:
+        """Look for active faults, and for owners and workers that have changed."""
+        lives = self._list_lives()
+        if lives != self._lives or self._has_active_fault():
+            self._lives = lives
+            self.disturbed_at = self._cluster.clock.now()
+
+    def _list_lives(self) -> list[int]:
+        """Return the number of owners and the boots of the workers."""
+        cluster = self._cluster
+        boots = [worker.entry.boot_ms for worker in cluster.workers.values()]
+        return [len(cluster.owners), *boots]
+
+    def _has_active_fault(self) -> bool:
+        cluster = self._cluster
+        return bool(
+            not cluster.is_store_up
+            or cluster.order_loss_rate
+            or cluster.order_delay_rate
+            or cluster.pace_loss_rate
+            or cluster.busy_rate
+            or cluster.unlisted_workers
+            or not cluster.owners[-1].is_running
+            or any(map(_is_faulty, cluster.workers.values()))
+        )
+
+
+def _is_faulty(worker: EmulatedWorker) -> bool:
+    return not worker.is_up or worker.is_isolated or worker.is_replaced or worker.mode != "sound"
--- a/packages/standins/src/quetzallock_standins/emulator/ground_truth.py
+++ b/packages/standins/src/quetzallock_standins/emulator/ground_truth.py
@@ -31,7 +31,6 @@
     _last_start: dict[str, tuple[int, int]] = field(default_factory=dict)
     _acknowledged_done: set[str] = field(default_factory=set)
     _acknowledged_failures: dict[str, set[int]] = field(default_factory=dict)
-    cancelled_at: dict[str, int] = field(default_factory=dict)
 
     def record_start(self, task: str, run: int, worker: str, boot_ms: int) -> None:
         """Record the start of a run and check it."""
@@ -96,6 +95,10 @@
         """Return whether a run of `task` has ended as done."""
         return task in self._done
 
+    def is_running(self, task: str, run: int) -> bool:
+        """Return whether a run of `task` has started and not ended."""
+        return run in self._running_by_task.get(task, ())
+
     def count_running(self) -> int:
         """Return the number of runs that have not ended."""
         return sum(len(running) for running in self._running_by_task.values())
