Cancel any job at any moment in the random tests, which find runs that go on

The fault machines cancelled the newest job only, between steps, and never lost an order without effect. They now cancel any job, lasting ones included, while other steps go on, and draw late answers and rejected orders; after settling no run of a cancelled job may be left. The random tests of evacuations and of changing capacity do the same.

--- a/tests/core/cells/test_changing_capacity.py
+++ b/tests/core/cells/test_changing_capacity.py
@@ -261,6 +261,8 @@
     """Change a worker's capacity, and at times replace the owner or restart the worker."""
     cluster.order_delay_rate = rng.choice((0.0, 0.2, 0.5))
     cluster.order_loss_rate = rng.choice((0.0, 0.2))
+    cluster.busy_rate = rng.choice((0.0, 0.2))
+    cluster.answer_delay_rate = rng.choice((0.0, 0.4))
     worker = rng.choice(list(cluster.workers.values()))
     worker.guards_capacity = rng.random() < 0.3
     cluster.resize(worker.id, rng.choice(SOAK_CAPACITIES), rng.randrange(MAX_ENTRY_DELAY_MS))
@@ -285,8 +287,10 @@
         submit_random_job(cluster, f"j{number}", rng)
         disturb(cluster, rng)
         if number >= SOAK_JOBS_AT_ONCE and rng.random() < 0.5:
+            cluster.cancel(f"j{rng.randrange(number + 1)}")
             cluster.cancel(f"j{number - SOAK_JOBS_AT_ONCE}")
     cluster.order_delay_rate = cluster.order_loss_rate = 0.0
+    cluster.busy_rate = cluster.answer_delay_rate = 0.0
     for worker in cluster.workers:
         cluster.resize(worker, FOUR_TASKS)
     for job in list(cluster.cell.state.jobs.values()):
@@ -294,4 +298,5 @@
             cluster.cancel(job.id)
     cluster.run(30_000)
     assert not cluster.ground_truth.violations
+    assert not cluster.cancellations.list_running()
     assert [job.id for job in cluster.cell.state.jobs.values() if not job.is_over] == []
--- a/tests/core/cells/test_defragmentation_faults.py
+++ b/tests/core/cells/test_defragmentation_faults.py
@@ -13,7 +13,7 @@
 from quetzallock_standins.emulator.cluster import make_spec
 
 from .common import POLICY, make_step
-from .test_faults import CellFaults
+from .test_faults import CANCEL_AFTER_MS, CellFaults
 
 
 class FragmentationFaults(CellFaults):
@@ -38,9 +38,9 @@
         self.cluster.run(800)
 
     @precondition(lambda self: len(self.lasting) < 5)
-    @rule(count=st.integers(1, 3))
-    def submit_lasting(self, count: int) -> None:
-        super().submit_lasting(count)
+    @rule(count=st.integers(1, 3), cancel_after_ms=CANCEL_AFTER_MS)
+    def submit_lasting(self, count: int, cancel_after_ms: int | None) -> None:
+        super().submit_lasting(count, cancel_after_ms)
 
     @rule(
         cpu=st.integers(4_000, 5_000),
--- a/tests/core/cells/test_evacuation.py
+++ b/tests/core/cells/test_evacuation.py
@@ -25,6 +25,9 @@
     submit_lasting,
 )
 
+SETTLE_MS = 20_000
+"""Longer than an order is held back, and than a run of a cancelled job may go on after it."""
+
 
 def test_nothing_starts_in_an_evacuated_data_centre_after_the_bound() -> None:
     cluster = make_cluster()
@@ -263,11 +266,18 @@
     cluster = make_cluster(workers=6)
     cluster.order_loss_rate = 0.1
     cluster.order_delay_rate = 0.05
+    cluster.busy_rate = 0.05
+    cluster.answer_delay_rate = 0.2
     rng = Random(seed)
     requested: dict[str, int] = {}
     checked = 0
     for number in range(200):
         submit_plain(cluster, f"j{number}", count=4, duration_ms=300)
+        if number % 20 == 0:
+            spec = make_spec(f"lasting{number}", make_step(2, lasting=True))
+            cluster.submit(spec, POLICY, {0: None})
+        if rng.random() < 0.2:
+            cluster.cancel(rng.choice(list(cluster.cell.state.jobs)))
         data_centre = rng.choice("ab")
         if rng.random() < 0.05 and data_centre not in requested:
             cluster.operator.evacuate(data_centre)
@@ -285,4 +295,8 @@
             assert at <= requested_at + EVACUATION_MS, task
         checked = len(cluster.ground_truth.starts)
     assert checked > 100
+    cluster.order_loss_rate = cluster.order_delay_rate = cluster.busy_rate = 0.0
+    cluster.run(SETTLE_MS)
     assert not cluster.ground_truth.violations
+    assert cluster.cancellations.cancelled_at
+    assert not cluster.cancellations.list_running()
--- a/tests/core/cells/test_faults.py
+++ b/tests/core/cells/test_faults.py
@@ -15,6 +15,8 @@
 
 MAX_CRASHES = 3
 
+CANCEL_AFTER_MS = st.none() | st.integers(0, 600)
+"""Times of cancellations at which orders, answers and appends of a new job are on their way."""
 WORKERS = st.sampled_from(["w0", "w1", "w2", "w3"])
 POLICY = QueuePolicy("queue", "pool", 0, 3, 2.0, 1_000, 1)
 LOW_POLICY = QueuePolicy("low", "pool", 2, 3, 2.0, 1_000, 1)
@@ -57,12 +59,14 @@
         self.cluster.run(200)
         self.cluster.revive(worker)
 
-    @rule(count=st.integers(1, 3))
-    def submit_lasting(self, count: int) -> None:
+    @rule(count=st.integers(1, 3), cancel_after_ms=CANCEL_AFTER_MS)
+    def submit_lasting(self, count: int, cancel_after_ms: int | None) -> None:
         job = f"j{len(self.jobs)}"
         self.jobs.append(job)
         self.lasting.append(job)
         self.cluster.submit(make_spec(job, make_step(count, lasting=True)), POLICY, {0: None})
+        if cancel_after_ms is not None:
+            self.cluster.schedule(cancel_after_ms, lambda: self.cluster.cancel(job))
 
     @rule(worker=WORKERS)
     def drain(self, worker: str) -> None:
@@ -85,6 +89,11 @@
         self.cluster.order_loss_rate = lost
         self.cluster.order_delay_rate = late
 
+    @rule(busy=st.sampled_from([0.0, 0.3]), late=st.sampled_from([0.0, 0.5]))
+    def harm_answers(self, busy: float, late: float) -> None:
+        self.cluster.busy_rate = busy
+        self.cluster.answer_delay_rate = late
+
     @rule(is_killed=st.booleans())
     def replace_owner(self, is_killed: bool) -> None:
         if self.cluster.is_store_up:
@@ -97,10 +106,12 @@
         if self.cluster.is_store_up and self.cluster.owner.is_running:
             self.cluster.hand_over()
 
-    @rule()
-    def cancel(self) -> None:
-        if self.jobs:
-            self.cluster.cancel(self.jobs[-1])
+    @rule(number=st.integers(0, 15), delay_ms=st.integers(0, 1_500))
+    def cancel(self, number: int, delay_ms: int) -> None:
+        jobs = list(dict.fromkeys([*self.jobs, *self.lasting]))
+        if jobs:
+            job = jobs[number % len(jobs)]
+            self.cluster.schedule(delay_ms, lambda: self.cluster.cancel(job))
 
     @invariant()
     def no_promise_is_broken(self) -> None:
@@ -143,6 +154,7 @@
         cluster = self.cluster
         cluster.is_store_up = True
         cluster.order_loss_rate = cluster.order_delay_rate = 0.0
+        cluster.busy_rate = cluster.answer_delay_rate = 0.0
         for worker in cluster.workers.values():
             worker.mode = "sound"
             worker.is_isolated = False
@@ -151,6 +163,7 @@
                 cluster.revive(worker.id)
         cluster.run(self.settle_ms + 25_000 * len(self.crashing))
         assert not cluster.ground_truth.violations
+        assert not cluster.cancellations.list_running()
         for job in cluster.cell.state.jobs.values():
             if job.id not in self.lasting:
                 assert job.is_over, f"{job.id} is {job.state}"
@@ -209,9 +222,9 @@
         self.cluster.run(wait_ms)
 
     @precondition(lambda self: len(self.lasting) < 2)
-    @rule(count=st.integers(1, 3))
-    def submit_lasting(self, count: int) -> None:
-        super().submit_lasting(count)
+    @rule(count=st.integers(1, 3), cancel_after_ms=CANCEL_AFTER_MS)
+    def submit_lasting(self, count: int, cancel_after_ms: int | None) -> None:
+        super().submit_lasting(count, cancel_after_ms)
 
 
 CellFaults.TestCase.settings = settings(max_examples=60, stateful_step_count=15)
