--- a/packages/standins/src/quetzallock_standins/emulator/cluster.py
+++ b/packages/standins/src/quetzallock_standins/emulator/cluster.py
@@ -4,9 +4,11 @@
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import replace
+from functools import partial
 from random import Random
 
 from quetzallock_core.cells import Batch, Cell
+from quetzallock_core.cells.const import ORDER_TIMEOUT_MS
 from quetzallock_core.cells.contents import read_contents
 from quetzallock_core.cells.models import (
     Boot,
@@ -23,8 +25,13 @@
 from quetzallock_core.clock import ManualClock
 from quetzallock_core.codec import encode
 
+from .behaviours import declare_tasks, make_behaviours
+from .cancellations import CHECK_INTERVAL_MS, CancellationCheck
+from .deliveries import Delivery, Order, draw_delivery
+from .disturbances import DisturbanceMonitor
 from .ground_truth import GroundTruth
 from .operator import EmulatedOperator
+from .owners import Owner
 from .workers import Answer, EmulatedWorker, TaskBehaviour
 
 STEP_MS = 5
@@ -35,28 +42,12 @@
 UNIX_START_MS = 1_700_000_000_000
 
 
-class Owner:
-    """A process that owns the cell, or did and has not noticed yet that it lost it.
-
-    Attributes:
-        is_running: Whether the process has neither ended nor been refused by the journal.
-        is_writing: Whether a batch of records is being appended; there is one at a time.
-        outcomes: Outcomes of submissions and cancellations by ticket.
-    """
-
-    def __init__(self, cell: Cell, epoch: int) -> None:
-        self.cell = cell
-        self.epoch = epoch
-        self.is_running = True
-        self.is_writing = False
-        self.outcomes: dict[int, str] = {}
-
-
 class CellCluster:
     """One cell with its current owner, former owners, workers and journal.
 
     Attributes:
         ground_truth: What the workers really ran.
+        cancellations: Checks the runs of cancelled jobs.
         behaviours: Behaviour of each task when it runs.
         is_store_up: Whether appends succeed; while the store is down they are repeated.
         append_delay_ms: Time until an append is durable.
@@ -65,6 +56,8 @@
         order_delay_rate: Share of orders that reach a worker seconds late, unanswered.
         holds_orders: Whether owners drop orders unsent, as while their ownership is not confirmed.
         pace_loss_rate: Share of pace orders that never arrive.
+        answer_delay_rate: Share of orders that a worker executes at once, and answers late.
+        busy_rate: Share of start and stop orders that a worker rejects as an unhealthy one does.
         unlisted_workers: Running workers that the store does not list.
         counters: Number of orders sent, by their class.
         operator: Requests evacuations, which the owners read.
@@ -92,11 +85,14 @@
         self.order_delay_rate = 0.0
         self.holds_orders = False
         self.pace_loss_rate = 0.0
+        self.answer_delay_rate = 0.0
+        self.busy_rate = 0.0
         self.unlisted_workers: set[str] = set()
         self.counters: Counter[str] = Counter()
         self._events: list[tuple[int, int, Callable[[], None]]] = []
         self._event_number = 0
         self._ticket = 0
+        self._cancelled_jobs: dict[int, str] = {}
         worker_capacity = capacity or Resources(16_000, 64_000, 0)
         self.workers = {
             f"w{number}": EmulatedWorker(
@@ -116,6 +112,8 @@
         self.operator = EmulatedOperator(self.clock, self.schedule)
         self.owners: list[Owner] = []
         self.take_over()
+        monitor = DisturbanceMonitor(self)
+        self.cancellations = CancellationCheck(self.ground_truth, monitor, self.bounds.stop_ms)
 
     @property
     def owner(self) -> Owner:
@@ -138,6 +136,7 @@
 
     def run(self, ms: int) -> None:
         """Advance the emulation by `ms` milliseconds."""
+        self.cancellations.check()
         until = self.clock.now() + ms
         while self.clock.now() < until:
             self.clock.advance(STEP_MS)
@@ -145,6 +144,9 @@
                 self._advance_worker(worker)
             while self._events and self._events[0][0] <= self.clock.now():
                 heapq.heappop(self._events)[2]()
+            if self.clock.now() % CHECK_INTERVAL_MS < STEP_MS:
+                self.cancellations.check()
+        self.cancellations.check()
 
     def _advance_worker(self, worker: EmulatedWorker) -> None:
         was_up = worker.is_up
@@ -259,7 +261,7 @@
             owner.cell.start_waiting_tasks()
         for effect in owner.cell.pop_effects():
             if isinstance(effect, TicketOutcome):
-                owner.outcomes[effect.ticket] = effect.outcome
+                self._handle_outcome(owner, effect)
             elif isinstance(effect, StartRun | StopRun | PaceRun):
                 self._send(owner, effect)
         if not owner.is_writing and owner.cell.batches.has_records():
@@ -267,6 +269,12 @@
             batch = owner.cell.batches.pop_batch()
             self.schedule(self.append_delay_ms, lambda: self._append(owner, batch))
 
+    def _handle_outcome(self, owner: Owner, outcome: TicketOutcome) -> None:
+        owner.outcomes[outcome.ticket] = outcome.outcome
+        job = self._cancelled_jobs.get(outcome.ticket)
+        if job is not None and outcome.outcome != "unknown" and owner.is_running:
+            self.cancellations.record_acknowledgement(job)
+
     def _append(self, owner: Owner, batch: Batch) -> None:
         if not owner.is_running:
             return
@@ -285,7 +293,7 @@
         owner.cell.batches.handle_durable(batch)
         self.run_effects(owner)
 
-    def _send(self, owner: Owner, order: StartRun | StopRun | PaceRun) -> None:
+    def _send(self, owner: Owner, order: Order) -> None:
         """Send an order, subject to the injected faults; a call times out after 700 ms."""
         if self.holds_orders:
             return
@@ -293,54 +301,48 @@
             owner.cell.handle_stop_sent(order)
         self.counters[type(order).__name__] += 1
         sent_at = self.clock.now()
-        draw = self.rng.random()
-        if isinstance(order, PaceRun) and draw < self.pace_loss_rate:
+        delivery = draw_delivery(self, order)
+        if delivery is None:
             return
-        if draw < self.order_delay_rate:
-            delay = self.rng.randrange(2_000, 12_000)
-            self.schedule(delay, lambda: self._execute(owner, order, sent_at, may_answer=False))
-            self.schedule(700, lambda: self._handle_answer(owner, order, Answer("", 0), sent_at))
-        elif draw < self.order_delay_rate + self.order_loss_rate:
-            self.schedule(
-                self.latency_ms, lambda: self._execute(owner, order, sent_at, may_answer=False)
-            )
-            self.schedule(700, lambda: self._handle_answer(owner, order, Answer("", 0), sent_at))
-        else:
-            self.schedule(
-                self.latency_ms, lambda: self._execute(owner, order, sent_at, may_answer=True)
-            )
+        self.schedule(delivery.delay_ms, lambda: self._execute(owner, order, sent_at, delivery))
+        if not delivery.may_answer:
+            self._time_out(owner, order, sent_at)
+
+    def _time_out(self, owner: Owner, order: Order, sent_at: int) -> None:
+        """End a call that gets no answer."""
+        answer = Answer("", 0)
+        self.schedule(ORDER_TIMEOUT_MS, partial(self._handle_answer, owner, order, answer, sent_at))
 
     def _execute(
         self,
         owner: Owner,
-        order: StartRun | StopRun | PaceRun,
+        order: Order,
         sent_at: int,
-        may_answer: bool,
+        delivery: Delivery,
     ) -> None:
         worker = self.workers[order.worker]
         if self._is_misdirected(worker, order.address):
             self._handle_answer(owner, order, Answer("other boot", 0), sent_at)
             return
         if not worker.is_up or worker.is_isolated:
-            if may_answer:
-                self.schedule(
-                    700, lambda: self._handle_answer(owner, order, Answer("", 0), sent_at)
-                )
+            if delivery.may_answer:
+                self._time_out(owner, order, sent_at)
             return
-        if isinstance(order, StartRun):
+        if delivery.is_rejected:
+            answer = Answer("busy", worker.clock_ms)
+        elif isinstance(order, StartRun):
+            if delivery.is_late:
+                self.cancellations.record_late_start(order.task, order.run)
             answer = worker.start(order, owner.epoch)
         elif isinstance(order, StopRun):
             answer = worker.stop(order, owner.epoch)
         else:
             answer = worker.pace(order, owner.epoch)
-        if may_answer:
-            self.schedule(
-                self.latency_ms, lambda: self._handle_answer(owner, order, answer, sent_at)
-            )
+        if delivery.answer_delay_ms is not None:
+            handle_answer = partial(self._handle_answer, owner, order, answer, sent_at)
+            self.schedule(delivery.answer_delay_ms, handle_answer)
 
-    def _handle_answer(
-        self, owner: Owner, order: StartRun | StopRun | PaceRun, answer: Answer, sent_at: int
-    ) -> None:
+    def _handle_answer(self, owner: Owner, order: Order, answer: Answer, sent_at: int) -> None:
         if not owner.is_running:
             return
         cell = owner.cell
@@ -365,47 +367,18 @@
             durations: Real duration in ms of the tasks by step, None if they run until stopped.
             behaviour: Further fields of the tasks' `TaskBehaviour`.
         """
-        self._add_behaviours(spec, policy, durations, behaviour)
+        self.behaviours.update(make_behaviours(spec, durations, behaviour))
+        declare_tasks(self.ground_truth, spec, policy.max_attempts)
         self._ticket += 1
         record = JobRecord(spec, policy, self.read_unix_ms())
         self.cell.submit(record, self._ticket)
         self.run_effects(self.owner)
         return self._ticket
 
-    def _add_behaviours(
-        self,
-        spec: JobSpec,
-        policy: QueuePolicy,
-        durations: dict[int, float | None],
-        behaviour: dict[str, bool],
-    ) -> None:
-        for occurrence in range(max(1, spec.repetitions)):
-            for number, step in enumerate(spec.steps):
-                predecessors = tuple(
-                    f"{spec.job}.{occurrence}.{previous}.{index}"
-                    for previous in step.after
-                    for index in range(spec.steps[previous].count)
-                )
-                for index in range(step.count):
-                    name = f"{spec.job}.{occurrence}.{number}.{index}"
-                    self.behaviours[name] = TaskBehaviour(
-                        step.needs,
-                        durations[number],
-                        is_best_effort=step.fills,
-                        is_gang=step.gang,
-                        image=step.image,
-                        target_ms=step.target_ms,
-                        **behaviour,
-                    )
-                    self.ground_truth.predecessors[name] = predecessors
-                    if step.speculative:
-                        self.ground_truth.speculative.add(name)
-                    if not step.lasting:
-                        self.ground_truth.max_attempts[name] = policy.max_attempts
-
     def cancel(self, job: str) -> int:
         """Cancel a job at the newest owner and return the ticket."""
         self._ticket += 1
+        self._cancelled_jobs[self._ticket] = job
         self.cell.cancel(job, self._ticket)
         self.run_effects(self.owner)
         return self._ticket
