Check in the soak how long runs of cancelled jobs go on

Change: cancel_checks.py finds, in the stand-in's record, a task of a cancelled job that starts over 3,000 ms after the acknowledgement in a calm stretch, and a run that goes on at a point 3,400 ms after it (or after the begin of a calm stretch, if later) with the stretch still calm. A run that was started late counts from 3,000 ms after its start. A stretch is calm from 3,000 ms after the last fault has ended; only changes of the configuration leave it calm. Long-running jobs are included.

Courses get what the check needs: two callers that cancel each of their jobs (half of them 0.2 to 0.9 s after the acceptance, a quarter within 30 ms), faults of orders, a quiet spell in the middle of courses of 40 s or more, and an end in which all lasting jobs and new ones are cancelled, first under a fault of orders only, then under none; it waits until no late order is left and the bound is over.

Present checks: unchanged but for two things. The states and runs of accepted jobs that nobody has cancelled are compared before the end, in which the lasting ones are cancelled.

A course of 20 s takes longer.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -51,7 +51,8 @@
         )
 
 
-def _make_steps(*tasks: int, **fields: Any) -> list[dict[str, Any]]:
+def make_steps(*tasks: int, **fields: Any) -> list[dict[str, Any]]:
+    """Return steps that follow each other, one for each number of tasks."""
     return [
         {
             "count": count,
@@ -64,7 +65,8 @@
     ]
 
 
-JOB_KINDS: Final[dict[str, Callable[[Random], tuple[str, tuple[int, ...], dict[str, Any]]]]] = {
+JobMaker = Callable[[Random], tuple[str, tuple[int, ...], dict[str, Any]]]
+JOB_KINDS: Final[dict[str, JobMaker]] = {
     "short": lambda rng: (str(rng.randrange(50, 800)), (rng.randrange(1, 6),), {}),
     "chain": lambda rng: (str(rng.randrange(50, 500)), (2, 3), {}),
     "long": lambda rng: (str(rng.randrange(2_000, 6_000)), (2,), {"checkpointing": True}),
@@ -106,10 +108,13 @@
 
     def _make_job(self) -> tuple[CallerJob, dict[str, Any]]:
         kind = self._rng.choice(sorted(JOB_KINDS))
-        payload, tasks, fields = JOB_KINDS[kind](self._rng)
+        return self._make_job_of(kind, JOB_KINDS[kind])
+
+    def _make_job_of(self, kind: str, make: JobMaker) -> tuple[CallerJob, dict[str, Any]]:
+        payload, tasks, fields = make(self._rng)
         self._count += 1
         job = CallerJob(f"{self._number:08x}{self._count:08x}", kind, tasks)
-        return job, {"spec": payload, "steps": _make_steps(*tasks, **fields)}
+        return job, {"spec": payload, "steps": make_steps(*tasks, **fields)}
 
     async def _call(
         self, method: str, job: CallerJob, body: Any = None
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -18,7 +18,7 @@
 
     Attributes:
         first_start: Time of the first start of each task.
-        last_start: Time of the last start of any task.
+        last_start: Time of the last start of any task that was not carried out late.
         done: Time of the first successful end of each task.
         live: Tasks that still run.
     """
@@ -48,12 +48,26 @@
     return findings
 
 
+def list_accepted_findings(jobs: Iterable[CallerJob], record: dict[str, Any]) -> list[str]:
+    """Return the findings on accepted jobs that no caller has cancelled so far."""
+    runs = _collect_runs(record)
+    return [
+        finding
+        for job in jobs
+        if job.accepted_at is not None and not job.cancel_sent
+        for finding in _check_accepted(job, runs[job.id])
+    ]
+
+
 def _collect_runs(record: dict[str, Any]) -> defaultdict[str, _Runs]:
     runs: defaultdict[str, _Runs] = defaultdict(_Runs)
-    for started_at, task, _run, _worker in record["starts"]:
+    late_starts = {tuple(row) for row in record.get("late_starts", [])}
+    for row in record["starts"]:
+        started_at, task, _run, _worker = row
         job_runs = runs[task.partition(".")[0]]
         job_runs.first_start.setdefault(task, started_at)
-        job_runs.last_start = max(job_runs.last_start, started_at)
+        if tuple(row) not in late_starts:
+            job_runs.last_start = max(job_runs.last_start, started_at)
     for ended_at, task, _run, outcome in record["ends"]:
         if outcome == "done":
             runs[task.partition(".")[0]].done.setdefault(task, ended_at)
--- /dev/null
+++ b/tests/soak/fault_log.py
@@ -0,0 +1,63 @@
+"""Log of the faults of a course, and the stretches without any."""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from typing import Final
+
+from .deployment import now_ms
+
+CONTACT_MS: Final = 3_000
+"""How long after the last fault has ended a stretch is calm; `contactMs` of the rules."""
+HARMLESS_FAULTS: Final = ("change_configuration",)
+"""Faults that do not end a calm stretch."""
+
+Span = tuple[float, float]
+
+
+@dataclass(slots=True)
+class FaultLog:
+    """Lines of the log of a course, and when each fault began and ended.
+
+    Attributes:
+        spans: Begin and end of each fault that ends a calm stretch; infinity until it has ended.
+    """
+
+    lines: list[str] = field(default_factory=list)
+    spans: list[Span] = field(default_factory=list)
+
+    def add(self, text: str) -> None:
+        """Add a line with the present time."""
+        self.lines.append(f"{now_ms():.0f} {text}")
+
+    @contextmanager
+    def record(self, fault: str, detail: str = "") -> Iterator[None]:
+        """Record a fault that lasts as long as the context."""
+        self.add(f"{fault} {detail}".rstrip())
+        index = len(self.spans)
+        began_at = now_ms()
+        if fault not in HARMLESS_FAULTS:
+            self.spans.append((began_at, float("inf")))
+        try:
+            yield
+        finally:
+            if fault not in HARMLESS_FAULTS:
+                self.spans[index] = (began_at, now_ms())
+            self.add(f"{fault} has ended")
+
+
+def list_calm_stretches(spans: list[Span], until: float) -> list[Span]:
+    """Return the stretches before `until` that began `CONTACT_MS` after the last fault had ended.
+
+    Nothing before the end of the first fault is calm: it stands for the start of the processes.
+    """
+    if not spans:
+        return []
+    ordered = sorted(spans)
+    stretches: list[Span] = []
+    calm_from = ordered[0][1] + CONTACT_MS
+    for began_at, ended_at in [*ordered, (until, until)]:
+        if calm_from < began_at:
+            stretches.append((calm_from, began_at))
+        calm_from = max(calm_from, ended_at + CONTACT_MS)
+    return stretches
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -12,6 +12,7 @@
 from quetzallock_daemon.helpers import sleep
 
 from .deployment import Host, SoakDeployment, now_ms
+from .fault_log import FaultLog, Span
 from .proxy import MODES
 
 Fault = Callable[[SoakDeployment, Random], Awaitable[None]]
@@ -19,6 +20,7 @@
 MAX_FAULT_MS: Final = 6_000
 MIN_FAULT_MS: Final = 200
 MAX_GAP_MS: Final = 1_500
+QUIET_CHECK_INTERVAL_MS: Final = 100
 
 
 def register(fault: Fault) -> Fault:
@@ -27,7 +29,8 @@
     return fault
 
 
-def _draw_duration_ms(rng: Random) -> int:
+def draw_duration_ms(rng: Random) -> int:
+    """Return how long a fault lasts; most last shorter than the mean."""
     return int(MIN_FAULT_MS * (MAX_FAULT_MS / MIN_FAULT_MS) ** rng.random())
 
 
@@ -44,7 +47,7 @@
         return
     host.has_fault = True
     host.send_signal(signal.SIGSTOP)
-    await sleep(deployment.reactor, _draw_duration_ms(rng))
+    await sleep(deployment.reactor, draw_duration_ms(rng))
     host.send_signal(signal.SIGCONT)
     host.has_fault = False
 
@@ -69,7 +72,7 @@
     host.send_signal(signal_number)
     while host.is_running:
         await sleep(deployment.reactor, 50)
-    await sleep(deployment.reactor, _draw_duration_ms(rng) // 2)
+    await sleep(deployment.reactor, draw_duration_ms(rng) // 2)
     host.start()
     host.has_fault = False
 
@@ -81,7 +84,7 @@
     for host in hosts:
         host.has_fault = True
         host.send_signal(signal.SIGKILL)
-    await sleep(deployment.reactor, _draw_duration_ms(rng) // 4)
+    await sleep(deployment.reactor, draw_duration_ms(rng) // 4)
     for host in hosts:
         host.start()
         host.has_fault = False
@@ -100,7 +103,7 @@
     """Set a faulty mode on the connections of one host to the store."""
     proxy = rng.choice(deployment.hosts).store_proxy
     proxy.set_mode(rng.choice(MODES[1:]), rng.randrange(50, 800))
-    await sleep(deployment.reactor, _draw_duration_ms(rng))
+    await sleep(deployment.reactor, draw_duration_ms(rng))
     proxy.set_mode("open")
 
 
@@ -111,7 +114,7 @@
     mode, delay_ms = rng.choice(MODES[1:]), rng.randrange(50, 800)
     for proxy in proxies:
         proxy.set_mode(mode, delay_ms)
-    await sleep(deployment.reactor, _draw_duration_ms(rng))
+    await sleep(deployment.reactor, draw_duration_ms(rng))
     for proxy in proxies:
         proxy.set_mode("open")
 
@@ -120,7 +123,7 @@
 async def trouble_store(deployment: SoakDeployment, rng: Random) -> None:
     """Make the store refuse calls, not answer, answer slowly or lose answers."""
     await deployment.call_standin("mode", rng.choice(("down", "mute", "slow", "lossy")))
-    await sleep(deployment.reactor, _draw_duration_ms(rng))
+    await sleep(deployment.reactor, draw_duration_ms(rng))
     await deployment.call_standin("mode", "up")
 
 
@@ -141,7 +144,7 @@
     """Crash a worker and restart it under the same id."""
     worker = rng.choice(sorted(deployment.worker_proxies))
     await deployment.call_standin("crash", worker)
-    await sleep(deployment.reactor, _draw_duration_ms(rng))
+    await sleep(deployment.reactor, draw_duration_ms(rng))
     await deployment.call_standin("revive", worker)
 
 
@@ -152,20 +155,28 @@
 
 
 async def inject_faults(
-    deployment: SoakDeployment, rng: Random, until: float, log: list[str]
+    deployment: SoakDeployment, rng: Random, until: float, log: FaultLog, quiet: Span
 ) -> None:
-    """Inject random faults one after the other until `until`."""
+    """Inject random faults one after the other until `until`; none begins in the span `quiet`."""
     while now_ms() < until:
+        await wait_for_end(deployment, quiet)
         name = rng.choice(sorted(FAULTS))
-        log.append(f"{now_ms():.0f} {name}")
-        await FAULTS[name](deployment, rng)
-        log.append(f"{now_ms():.0f} {name} has ended")
+        with log.record(name):
+            await FAULTS[name](deployment, rng)
         await sleep(deployment.reactor, rng.randrange(MAX_GAP_MS))
 
 
+async def wait_for_end(deployment: SoakDeployment, quiet: Span) -> None:
+    """Wait for the end of a span if it has begun."""
+    begin, end = quiet
+    while begin <= now_ms() < end:
+        await sleep(deployment.reactor, QUIET_CHECK_INTERVAL_MS)
+
+
 async def heal(deployment: SoakDeployment) -> None:
     """Remove all faults and wait until all hosts are ready."""
     await deployment.call_standin("mode", "up")
+    await deployment.call_standin("orders", "0")
     for proxy in [
         *deployment.worker_proxies.values(),
         *(host.store_proxy for host in deployment.hosts),
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -16,39 +16,102 @@
 from quetzallock_daemon.helpers import reactor, run_coroutine, sleep
 
 from .callers import Caller, CallerJob
-from .checks import list_findings
+from .calm_end import acknowledge_cancellations, cancel_jobs
+from .cancel_checks import list_cancel_findings
+from .cancellers import Canceller
+from .checks import list_accepted_findings, list_findings
 from .deployment import SoakDeployment, now_ms
+from .fault_log import FaultLog, Span
 from .faults import heal, inject_faults
+from .order_faults import inject_order_faults
 
 SETTLE_PAUSE_MS: Final = 1_500
 RECOVERY_TIMEOUT_MS: Final = 26_000
 POLL_INTERVAL_MS: Final = 500
 CALLER_COUNT: Final = 4
 FAULT_INJECTOR_COUNT: Final = 3
+CANCELLER_COUNT: Final = 2
+QUIET_SPELL_MS: Final = 16_000
+"""Long enough for the last fault to end, `CONTACT_MS` after it, and the bound of a cancellation."""
+MIN_QUIET_COURSE_S: Final = 40
+"""Shorter courses have no quiet spell."""
 
 
 async def run_seed(
-    deployment: SoakDeployment, seed: int, seconds: float, log: list[str]
+    deployment: SoakDeployment, seed: int, seconds: float, log: FaultLog
 ) -> list[str]:
-    """Inject faults for `seconds` s, remove them, wait for recovery and return the findings."""
+    """Play the course of a seed and return the findings.
+
+    Faults are injected for `seconds` s and removed; after the recovery callers cancel jobs.
+    """
     rng = Random(seed)
-    await deployment.prepare()
+    with log.record("start of the processes"):
+        await deployment.prepare()
     await sleep(reactor, SETTLE_PAUSE_MS)
-    until = now_ms() + seconds * 1_000
+    callers, cancellers, end_rng = await _inject_faults(deployment, rng, seconds, log)
+    with log.record("removal of all faults"):
+        await heal(deployment)
+    healed_at = now_ms()
+    await acknowledge_cancellations(cancellers)
+    everyone = [*callers, *cancellers]
+    await wait_for_final_states(deployment, everyone, healed_at)
+    jobs = [job for caller in everyone for job in caller.jobs]
+    findings = list_accepted_findings(jobs, await deployment.call_standin("record"))
+    await cancel_jobs(deployment, everyone, cancellers, end_rng, log)
+    return findings + await _check_end(deployment, everyone, healed_at, log)
+
+
+async def _inject_faults(
+    deployment: SoakDeployment, rng: Random, seconds: float, log: FaultLog
+) -> tuple[list[Caller], list[Canceller], Random]:
+    """Let callers work under faults; return them and a random generator for the end."""
+    began_at = now_ms()
+    until = began_at + seconds * 1_000
+    quiet = choose_quiet_spell(began_at, seconds)
     callers = [Caller(deployment, Random(rng.random()), number) for number in range(CALLER_COUNT)]
     tasks = [run_coroutine(caller.run(until)) for caller in callers]
     for _ in range(FAULT_INJECTOR_COUNT):
-        tasks.append(run_coroutine(inject_faults(deployment, Random(rng.random()), until, log)))
+        fault_rng = Random(rng.random())
+        tasks.append(run_coroutine(inject_faults(deployment, fault_rng, until, log, quiet)))
+    # Recorded seeds draw what is above this line; what is added draws after it.
+    cancellers = [
+        Canceller(deployment, Random(rng.random()), CALLER_COUNT + number)
+        for number in range(CANCELLER_COUNT)
+    ]
+    tasks += [run_coroutine(canceller.run(until)) for canceller in cancellers]
+    order_rng, end_rng = Random(rng.random()), Random(rng.random())
+    tasks.append(run_coroutine(inject_order_faults(deployment, order_rng, until, log, quiet)))
     await gatherResults(tasks, consumeErrors=True)
-    await heal(deployment)
-    healed_at = now_ms()
-    log.append(f"{now_ms():.0f} all faults removed")
-    jobs = [job for caller in callers for job in caller.jobs]
-    await wait_for_final_states(deployment, callers, healed_at)
+    return callers, cancellers, end_rng
+
+
+def choose_quiet_spell(began_at: float, seconds: float) -> Span:
+    """Return the span in the middle of a course in which no fault begins; empty if it is short."""
+    middle = began_at + seconds * 1_000 / 2
+    return (middle, middle + (QUIET_SPELL_MS if seconds >= MIN_QUIET_COURSE_S else 0))
+
+
+async def _check_end(
+    deployment: SoakDeployment, callers: list[Caller], healed_at: float, log: FaultLog
+) -> list[str]:
+    """Read the last states and the record, and return all findings on them."""
+    for caller in callers:
+        for job in caller.jobs:
+            if job.cancel_sent and not _has_final_state(job):
+                await caller.show(job)
+    recorded_at = now_ms()
     record = await deployment.call_standin("record")
     deployment.check_processes()
-    log.append(f"{now_ms():.0f} end, {len(jobs)} jobs, {len(record['starts'])} starts")
-    return deployment.findings + list_findings(jobs, record, healed_at)
+    jobs = [job for caller in callers for job in caller.jobs]
+    log.add(
+        f"end, {len(jobs)} jobs, {len(record['starts'])} starts,"
+        f" {len(record['late_starts'])} carried out late"
+    )
+    return (
+        deployment.findings
+        + list_findings(jobs, record, healed_at)
+        + list_cancel_findings(jobs, record, log.spans, recorded_at)
+    )
 
 
 async def wait_for_final_states(
@@ -84,7 +147,7 @@
     """Run the soak with SEED; the logs go below the folder KEEP, or to a temporary folder."""
     folder = Path(keep) / f"seed-{seed}" if keep else Path(tempfile.mkdtemp(prefix="soak-"))
     folder.mkdir(parents=True, exist_ok=True)
-    log: list[str] = []
+    log = FaultLog()
     findings: list[str] = []
 
     async def run() -> None:
@@ -100,8 +163,8 @@
 
     reactor.callWhenRunning(lambda: run_coroutine(run()).addErrback(fail))
     reactor.run()
-    (folder / "course.txt").write_text("\n".join([*log, *findings]) + "\n")
-    print(json.dumps({"seed": seed, "end": log[-1:], "findings": findings}), flush=True)
+    (folder / "course.txt").write_text("\n".join([*log.lines, *findings]) + "\n")
+    print(json.dumps({"seed": seed, "end": log.lines[-1:], "findings": findings}), flush=True)
     sys.exit(1 if findings else 0)
 
 
