Restart workers in the soak while orders are late and jobs are cancelled

Cause: of the first eight courses with faults of orders, two had one late start each: a worker that has seen the stop refuses the late copy of the start. Only a next boot, which knows no fence and no runs, or a run without a stop carries it out.

Change: in half of the courses, before the end, new callers submit and cancel jobs for 2.5 s while half or all of the orders are carried out late and workers crash and restart under their ids. It draws after all else, from callers and generators of its own; the end of recorded seeds draws as before.

--- a/tests/soak/calm_end.py
+++ b/tests/soak/calm_end.py
@@ -1,4 +1,4 @@
-"""The end of a course: callers cancel jobs, first under faults of orders only, then under none."""
+"""The end of a course: callers cancel jobs, first under a fault of orders, then under none."""
 
 from random import Random
 from typing import Any, Final
@@ -12,7 +12,13 @@
 from .cancellers import Canceller
 from .deployment import SoakDeployment, now_ms
 from .fault_log import CONTACT_MS, FaultLog
-from .order_faults import ORDER_FAULT_RATES, clear_order_faults, set_order_fault
+from .order_faults import (
+    ORDER_FAULT_RATES,
+    RESTART_RATES,
+    clear_order_faults,
+    restart_workers,
+    set_order_fault,
+)
 
 PROMPT_PAUSES_MS: Final = ((0, 30), (200, 900))
 """Time from the acceptance of a job to its cancellation: starts on their way, or prompt."""
@@ -25,6 +31,23 @@
 POLL_INTERVAL_MS: Final = 200
 
 
+async def cancel_jobs_under_restarts(
+    deployment: SoakDeployment, cancellers: list[Canceller], rng: Random, log: FaultLog
+) -> None:
+    """In half of the courses, cancel new jobs while workers restart and orders are late."""
+    if rng.random() < 0.5:
+        return
+    with log.record("late_orders_and_restarts"):
+        log.add(f"orders {await set_order_fault(deployment, rng, RESTART_RATES)}")
+        restarts = restart_workers(deployment, rng, now_ms() + FAULT_SPELL_MS)
+        tasks = [
+            run_coroutine(_cancel_for(deployment, [], cancellers, FAULT_SPELL_MS)),
+            run_coroutine(restarts),
+        ]
+        await gatherResults(tasks, consumeErrors=True)
+        await clear_order_faults(deployment)
+
+
 async def cancel_jobs(
     deployment: SoakDeployment,
     callers: list[Caller],
@@ -38,7 +61,7 @@
     half = len(lasting) // 2
     name = rng.choice(sorted(ORDER_FAULT_RATES))
     with log.record(name):
-        log.add(f"orders {await set_order_fault(deployment, rng, name)}")
+        log.add(f"orders {await set_order_fault(deployment, rng, ORDER_FAULT_RATES[name])}")
         await _cancel_for(deployment, lasting[:half], cancellers, FAULT_SPELL_MS)
         await clear_order_faults(deployment)
     await _cancel_for(deployment, lasting[half:], cancellers, CALM_SPELL_MS)
--- a/tests/soak/order_faults.py
+++ b/tests/soak/order_faults.py
@@ -1,5 +1,6 @@
 """Faults of the orders that reach workers; drawn apart from the others, to keep old seeds."""
 
+from collections.abc import Sequence
 from random import Random
 from typing import Final
 
@@ -17,19 +18,30 @@
     "mixed_orders": ((15, 15, 20, 40), (10, 5, 40, 45)),
 }
 """Percentages of late, lost, refused and slowly answered orders that are drawn, by fault."""
+RESTART_RATES: Final = ((50, 0, 0, 0), (100, 0, 0, 0))
+"""Percentages that are drawn while workers restart, so that late orders reach new boots."""
 MAX_GAP_MS: Final = 4_000
+MAX_DOWN_MS: Final = 1_000
 MAX_SEED: Final = 1_000_000
 
 
-async def set_order_fault(deployment: SoakDeployment, rng: Random, name: str) -> str:
-    """Begin a fault with rates that are drawn, and return what was set."""
-    words = [str(number) for number in (rng.randrange(MAX_SEED), *_draw_rates(rng, name))]
+async def set_order_fault(
+    deployment: SoakDeployment, rng: Random, rates: Sequence[tuple[int, ...]]
+) -> str:
+    """Begin a fault with one of `rates`, which is drawn, and return what was set."""
+    words = [str(number) for number in (rng.randrange(MAX_SEED), *rng.choice(rates))]
     await deployment.call_standin("orders", *words)
     return "/".join(words)
 
 
-def _draw_rates(rng: Random, name: str) -> tuple[int, ...]:
-    return rng.choice(ORDER_FAULT_RATES[name])
+async def restart_workers(deployment: SoakDeployment, rng: Random, until: float) -> None:
+    """Crash one worker after the other and restart it under its id, until `until`."""
+    while now_ms() < until:
+        worker = rng.choice(sorted(deployment.worker_proxies))
+        await sleep(deployment.reactor, rng.randrange(MAX_DOWN_MS))
+        await deployment.call_standin("crash", worker)
+        await sleep(deployment.reactor, rng.randrange(MAX_DOWN_MS))
+        await deployment.call_standin("revive", worker)
 
 
 async def clear_order_faults(deployment: SoakDeployment) -> None:
@@ -46,6 +58,7 @@
         await wait_for_end(deployment, quiet)
         name = rng.choice(sorted(ORDER_FAULT_RATES))
         with log.record(name):
-            log.add(f"orders {await set_order_fault(deployment, rng, name)}")
+            words = await set_order_fault(deployment, rng, ORDER_FAULT_RATES[name])
+            log.add(f"orders {words}")
             await sleep(deployment.reactor, draw_duration_ms(rng))
             await clear_order_faults(deployment)
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -16,7 +16,7 @@
 from quetzallock_daemon.helpers import reactor, run_coroutine, sleep
 
 from .callers import Caller, CallerJob
-from .calm_end import acknowledge_cancellations, cancel_jobs
+from .calm_end import acknowledge_cancellations, cancel_jobs, cancel_jobs_under_restarts
 from .cancel_checks import list_cancel_findings
 from .cancellers import Canceller
 from .checks import list_accepted_findings, list_findings
@@ -48,23 +48,26 @@
     with log.record("start of the processes"):
         await deployment.prepare()
     await sleep(reactor, SETTLE_PAUSE_MS)
-    callers, cancellers, end_rng = await _inject_faults(deployment, rng, seconds, log)
+    callers, cancellers = await _inject_faults(deployment, rng, seconds, log)
+    end_rng, restart_rng = Random(rng.random()), Random(rng.random())
+    restart_cancellers = _make_cancellers(deployment, restart_rng, len(callers) + len(cancellers))
     with log.record("removal of all faults"):
         await heal(deployment)
     healed_at = now_ms()
     await acknowledge_cancellations(cancellers)
-    everyone = [*callers, *cancellers]
+    everyone = [*callers, *cancellers, *restart_cancellers]
     await wait_for_final_states(deployment, everyone, healed_at)
     jobs = [job for caller in everyone for job in caller.jobs]
     findings = list_accepted_findings(jobs, await deployment.call_standin("record"))
+    await cancel_jobs_under_restarts(deployment, restart_cancellers, restart_rng, log)
     await cancel_jobs(deployment, everyone, cancellers, end_rng, log)
     return findings + await _check_end(deployment, everyone, healed_at, log)
 
 
 async def _inject_faults(
     deployment: SoakDeployment, rng: Random, seconds: float, log: FaultLog
-) -> tuple[list[Caller], list[Canceller], Random]:
-    """Let callers work under faults; return them and a random generator for the end."""
+) -> tuple[list[Caller], list[Canceller]]:
+    """Let callers work under faults, and return them."""
     began_at = now_ms()
     until = began_at + seconds * 1_000
     quiet = choose_quiet_spell(began_at, seconds)
@@ -74,15 +77,20 @@
         fault_rng = Random(rng.random())
         tasks.append(run_coroutine(inject_faults(deployment, fault_rng, until, log, quiet)))
     # Recorded seeds draw what is above this line; what is added draws after it.
-    cancellers = [
-        Canceller(deployment, Random(rng.random()), CALLER_COUNT + number)
-        for number in range(CANCELLER_COUNT)
-    ]
+    cancellers = _make_cancellers(deployment, rng, CALLER_COUNT)
     tasks += [run_coroutine(canceller.run(until)) for canceller in cancellers]
-    order_rng, end_rng = Random(rng.random()), Random(rng.random())
+    order_rng = Random(rng.random())
     tasks.append(run_coroutine(inject_order_faults(deployment, order_rng, until, log, quiet)))
     await gatherResults(tasks, consumeErrors=True)
-    return callers, cancellers, end_rng
+    return callers, cancellers
+
+
+def _make_cancellers(deployment: SoakDeployment, rng: Random, first: int) -> list[Canceller]:
+    """Return callers with numbers from `first` on; their jobs are named by these."""
+    return [
+        Canceller(deployment, Random(rng.random()), first + number)
+        for number in range(CANCELLER_COUNT)
+    ]
 
 
 def choose_quiet_spell(began_at: float, seconds: float) -> Span:
--- a/tests/soak/test_cancel_checks.py
+++ b/tests/soak/test_cancel_checks.py
@@ -8,7 +8,7 @@
 from .cancel_checks import CANCEL_MS, STOP_MS, list_cancel_findings, list_runs
 from .checks import list_accepted_findings, list_findings
 from .fault_log import CONTACT_MS, FaultLog, Span, list_calm_stretches
-from .order_faults import ORDER_FAULT_RATES
+from .order_faults import ORDER_FAULT_RATES, RESTART_RATES
 from .play import MIN_QUIET_COURSE_S, choose_quiet_spell
 
 ID = "0000000000000001"
@@ -137,7 +137,9 @@
     assert len(list_accepted_findings([job], {**record, "live": []})) == 1
 
 
-@pytest.mark.parametrize("rates", [row for rows in ORDER_FAULT_RATES.values() for row in rows])
+@pytest.mark.parametrize(
+    "rates", [row for rows in (*ORDER_FAULT_RATES.values(), RESTART_RATES) for row in rows]
+)
 def test_rates_of_order_faults_are_percentages(rates: tuple[int, ...]) -> None:
     assert 0 < sum(rates) <= 100
 
