List the runs of the tasks that findings of the soak name

Change: course.txt has a line for each run of such a task: worker, start, end, outcome, and whether it was started late.

--- a/tests/soak/fault_log.py
+++ b/tests/soak/fault_log.py
@@ -20,10 +20,12 @@
     """Lines of the log of a course, and when each fault began and ended.
 
     Attributes:
+        end: Summary of a course that has reached its end.
         spans: Begin and end of each fault that ends a calm stretch; infinity until it has ended.
     """
 
     lines: list[str] = field(default_factory=list)
+    end: str = ""
     spans: list[Span] = field(default_factory=list)
 
     def add(self, text: str) -> None:
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -17,7 +17,7 @@
 
 from .callers import Caller, CallerJob
 from .calm_end import acknowledge_cancellations, cancel_jobs, cancel_jobs_under_restarts
-from .cancel_checks import list_cancel_findings
+from .cancel_checks import list_cancel_findings, list_runs_of_findings
 from .cancellers import Canceller
 from .checks import list_accepted_findings, list_findings
 from .deployment import SoakDeployment, now_ms
@@ -111,15 +111,18 @@
     record = await deployment.call_standin("record")
     deployment.check_processes()
     jobs = [job for caller in callers for job in caller.jobs]
-    log.add(
-        f"end, {len(jobs)} jobs, {len(record['starts'])} starts,"
+    log.end = (
+        f"{len(jobs)} jobs, {len(record['starts'])} starts,"
         f" {len(record['late_starts'])} carried out late"
     )
-    return (
+    log.add(f"end, {log.end}")
+    findings = (
         deployment.findings
         + list_findings(jobs, record, healed_at)
         + list_cancel_findings(jobs, record, log.spans, recorded_at)
     )
+    log.lines += list_runs_of_findings(findings, record)
+    return findings
 
 
 async def wait_for_final_states(
@@ -172,7 +175,7 @@
     reactor.callWhenRunning(lambda: run_coroutine(run()).addErrback(fail))
     reactor.run()
     (folder / "course.txt").write_text("\n".join([*log.lines, *findings]) + "\n")
-    print(json.dumps({"seed": seed, "end": log.lines[-1:], "findings": findings}), flush=True)
+    print(json.dumps({"seed": seed, "end": log.end, "findings": findings}), flush=True)
     sys.exit(1 if findings else 0)
 
 
--- a/tests/soak/test_cancel_checks.py
+++ b/tests/soak/test_cancel_checks.py
@@ -5,7 +5,13 @@
 import pytest
 
 from .callers import CallerJob
-from .cancel_checks import CANCEL_MS, STOP_MS, list_cancel_findings, list_runs
+from .cancel_checks import (
+    CANCEL_MS,
+    STOP_MS,
+    list_cancel_findings,
+    list_runs,
+    list_runs_of_findings,
+)
 from .checks import list_accepted_findings, list_findings
 from .fault_log import CONTACT_MS, FaultLog, Span, list_calm_stretches
 from .order_faults import ORDER_FAULT_RATES, RESTART_RATES
@@ -102,6 +108,8 @@
     first, second = list_runs(record)
     assert (first.ended_at, first.is_late) == (6_000, False)
     assert (second.ended_at, second.is_late) == (float("inf"), True)
+    assert len(list_runs_of_findings([f"{TASK} run 1: the task is done"], record)) == 2
+    assert list_runs_of_findings([], record) == []
 
 
 def test_stretch_is_calm_when_the_last_of_several_faults_is_over() -> None:
