Let only the answer to a stop end its retries in placement

Caller's view: none measured; a cancelled attempt whose stop was lost waited for the next report of its worker. A pending stop now ends with the answer to a stop of the same attempt, which is the state it waits for: the worker has ended or refused that attempt. A stop that is answered is not repeated, so no order is sent without end.

--- a/packages/core/src/quetzallock_core/placement/attempts.py
+++ b/packages/core/src/quetzallock_core/placement/attempts.py
@@ -197,6 +197,7 @@
             return
         if isinstance(command, StartTask) and worker.is_past_leaving_grace(self._core.clock.now()):
             self._core.counters["placement.leaving_started"] += result.ok
-        worker.pending_stops.pop(command.task, None)
+        if isinstance(command, StopTask):
+            worker.handle_stop_answer(command)
         worker.commitment.merge_tasks((result.status,))
         self._reporter.report(worker, (result.status,))
--- a/packages/core/src/quetzallock_core/placement/leased.py
+++ b/packages/core/src/quetzallock_core/placement/leased.py
@@ -1,6 +1,6 @@
 """State of one worker whose lease this host holds or requests."""
 
-from ..workers.models import AttemptRef, SyncWorker, TaskLease, WorkerInfo, WorkerState
+from ..workers.models import AttemptRef, StopTask, SyncWorker, TaskLease, WorkerInfo, WorkerState
 from .commitment import Commitment
 from .const import LEAVING_GRACE_MS, PlacementSettings
 from .slots import SlotLedger
@@ -96,6 +96,12 @@
                 self.acks.remove(ack)
             self.commitment.remove_task(ack.task, ack.attempt)
 
+    def handle_stop_answer(self, stop: StopTask) -> None:
+        """End the retries of `stop`, unless another attempt is to be stopped by now."""
+        pending = self.pending_stops.get(stop.task)
+        if pending is not None and pending[0] == stop.attempt:
+            del self.pending_stops[stop.task]
+
     def create_slot_ledger(self, state: WorkerState, now: int, settings: PlacementSettings) -> None:
         """Create the slot ledger.
 
