Show that a moved run lapses before a late start can have ended

Found in review. A run that replace_worker moved to a worker's next boot lapses with that boot's lease, as the owner knows it, once the boot has answered one poll.

--- a/tests/core/cells/test_lost_boots.py
+++ b/tests/core/cells/test_lost_boots.py
@@ -1,5 +1,7 @@
 """Runs that were moved to the next boot of their worker, which is lost before it answers."""
 
+from dataclasses import replace
+
 import pytest
 
 from quetzallock_core.cells.const import (
@@ -7,6 +9,7 @@
     LEASE_MARGIN_MS,
     MAX_LEASE_MS,
     MAX_ORDER_DELAY_MS,
+    UNREACHABLE_TIMEOUT_MS,
 )
 from quetzallock_core.cells.jobs import Run
 from quetzallock_standins.emulator import CellCluster
@@ -16,6 +19,8 @@
 
 LONGEST_LEASE_MS = int(MAX_LEASE_MS / (1 - CLOCK_DRIFT)) + LEASE_MARGIN_MS
 RESTART_MS = 1_000
+LATE_START_MS = 11_000
+LONG_MS = 20_000
 
 
 def lose_worker_after_restarts(cluster: CellCluster, restarts: int) -> Run:
@@ -57,3 +62,30 @@
     until = run.last_sent_at + MAX_ORDER_DELAY_MS + LONGEST_LEASE_MS
     cluster.run(until - cluster.clock.now() - 200)
     assert not cluster.ground_truth.starts
+
+
+def test_moved_run_does_not_lapse_with_the_lease_of_a_boot_that_a_late_start_may_reach() -> None:
+    """Guards against a second run, as the late start begins a lease of its own."""
+    cluster = CellCluster(workers=2)
+    cluster.workers["w0"]._clock = float(LONG_MS)
+    cluster.run(500)
+    late_ms = iter((LATE_START_MS,))
+    cluster.rng.randrange = lambda _start, stop: next(late_ms, stop)  # type: ignore[method-assign, assignment]
+    cluster.order_delay_rate = 1.0
+    cluster.workers["w1"].drain()
+    cluster.run(200)
+    cluster.submit(make_spec("a", make_step(1)), POLICY, {0: LONG_MS})
+    cluster.run(50)
+    worker = cluster.workers["w0"]
+    worker.crash()
+    cluster.revive("w0")
+    cluster.run(400)
+    assert cluster.cell.state.workers["w0"].lease_end_clock_ms
+    worker.is_isolated = True
+    cluster.workers["w1"].entry = replace(cluster.workers["w1"].entry, is_draining=False)
+    cluster.run(UNREACHABLE_TIMEOUT_MS + LONGEST_LEASE_MS + RESTART_MS)
+    cluster.order_delay_rate = 0.0
+    worker.is_isolated = False
+    cluster.run(2 * LONG_MS)
+    assert cluster.ground_truth.violations == []
+    assert cluster.cell.find_state("a") == "completed"
