Keep a moved run until no late start order can begin it

A copy of its start order, sent to the boot before, may be carried out up to MAX_ORDER_DELAY_MS late and begins a lease of its own.

The bound of counts for each boot that a run was moved to now, also for one that has answered: the run lapses when the lease has lapsed and no start order of it can be at work. A run that was never moved lapses as before.

--- a/packages/core/src/quetzallock_core/cells/cell.py
+++ b/packages/core/src/quetzallock_core/cells/cell.py
@@ -13,7 +13,7 @@
 from .evacuation import Evacuations
 from .evacuation_moves import EvacuationMoves
 from .inventory import InventoryReader
-from .jobs import JOB_CHART, Run
+from .jobs import JOB_CHART
 from .migration import Migration
 from .models import Boot, Bounds, Inventory, WorkerEntry
 from .orders import Effect, StartRun, StopRun, TicketOutcome
@@ -249,17 +249,17 @@
             return
         if worker.contact_at >= 0 and not worker.is_lease_suspended:
             self.state.suspend_lease(worker)
-        if not worker.lease_end_clock_ms:
-            runs = worker.runs.values()
-            self._lapse_runs(run for run in runs if 0 < run.unconfirmed_until <= now)
-        elif worker.runs and now >= worker.compute_lapse_at():
+        if worker.runs and now >= worker.compute_lapse_at():
             self.state.crashes.expose_runs(worker)
-            self._lapse_runs(worker.runs.values())
+            self._lapse_runs(worker, now)
         if not worker.runs and not worker.is_listed:
             self.state.drop_worker(worker, "no entry and no answer")
 
-    def _lapse_runs(self, runs: Iterable[Run]) -> None:
-        for run in list(runs):
+    def _lapse_runs(self, worker: Worker, now: int) -> None:
+        """End the runs of a lapsed lease, but those that a late start order may still begin."""
+        for run in list(worker.runs.values()):
+            if run.unconfirmed_until > now:
+                continue
             self.state.log_decision(
                 "run.lapsed", task=run.task.name, run=run.number, worker=run.worker
             )
