Test that stops that were held back are sent soon

A cancel that is answered meanwhile, as appends succeed, has its stop sent by the first tick at which the ownership is confirmed and stopMs have passed since it was dropped.

--- a/tests/daemon/test_stops_after_cancel.py
+++ b/tests/daemon/test_stops_after_cancel.py
@@ -1,4 +1,4 @@
-"""Runs of a cancelled job that a new owner has to find are stopped after an unexpected error."""
+"""Runs of a cancelled job are stopped after unexpected errors and unconfirmed ownership."""
 
 from collections import Counter
 from typing import Any
@@ -6,6 +6,7 @@
 import pytest
 from twisted.internet.task import Clock
 
+from quetzallock_core.cells.const import OWNERSHIP_VALID_MS
 from quetzallock_core.cells.models import (
     Bounds,
     Inventory,
@@ -19,6 +20,7 @@
 from quetzallock_core.cells.orders import StopRun
 from quetzallock_core.cells.records import JobRecord
 from quetzallock_daemon.cells.clocks import BootClock
+from quetzallock_daemon.cells.const import TICK_INTERVAL_MS
 from quetzallock_daemon.cells.followers import EntriesFollower
 from quetzallock_daemon.cells.messages import CancelJobRequest, OwnerAnswer
 from quetzallock_daemon.cells.owner import CellOwner
@@ -62,37 +64,69 @@
         self._fail_once("poll")
         await sleep(self._reactor, 100)
         clock_ms = round(self._reactor.seconds() * 1_000)
-        return Inventory(clock_ms, (RunningRow("a.0.0.0", 7, "", 100),), (), 1)
+        return Inventory(clock_ms, (RunningRow("a.0.0.0", 7, "", 100, 1_000),), (), 1)
 
     async def stop(self, order: StopRun, _epoch: int) -> OrderAnswer:
         self.stopped.append(order.run)
         return OrderAnswer("ok", round(self._reactor.seconds() * 1_000))
 
 
-@pytest.mark.parametrize("failing", ["read entries", "poll", ""])
-def test_run_that_a_new_owner_has_to_find_is_stopped_after_an_error(
-    failing: str, monkeypatch: pytest.MonkeyPatch
-) -> None:
-    """The loop that failed had ended: nobody asked the worker, and its lease had to lapse."""
-    reactor = Clock()
-    monkeypatch.setattr(BootClock, "now", lambda _: round(reactor.seconds() * 1_000))
-    platform: Any = Platform(reactor, failing)
+def make_owner(reactor: Clock, platform: Any) -> CellOwner:
+    """Return an active owner of a stored job, of which it knows no run yet."""
     owner = CellOwner(
         reactor, 0, 1, Bounds(), platform, platform, lambda _: None, Counter(), lambda *_: None
     )
     owner.is_active = True
     owner.cell.state.add_job(JobRecord(JOB, QueuePolicy("q", "s"), 0)).is_stored = True
     EntriesFollower(reactor, platform, owner.handle_entries).start()
+    owner._tick()
+    return owner
+
 
-    def advance(ms: int) -> None:
-        for _ in range(ms):
+def advance(owner: CellOwner, ms: int, is_confirmed: bool = True) -> None:
+    """Let time pass, while the store confirms the ownership or does not."""
+    for _ in range(ms):
+        if is_confirmed:
             owner.ownership_confirmed_at = owner.clock.now()
-            reactor.advance(0.001)
+        owner._reactor.advance(0.001)
+
 
-    advance(1_000)
+def cancel_job(owner: CellOwner, is_confirmed: bool = True) -> None:
+    """Cancel the job, which is answered at once as the store writes."""
     answers: list[OwnerAnswer] = []
     owner.handle_request(CancelJobRequest(1, 0, "a"), answers.append)
-    advance(50)
+    advance(owner, 50, is_confirmed)
     assert [answer.outcome for answer in answers] == ["cancelled"]
-    advance(STOPPED_WITHIN_MS)
+
+
+@pytest.mark.parametrize("failing", ["read entries", "poll", ""])
+def test_run_that_a_new_owner_has_to_find_is_stopped_after_an_error(
+    failing: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The loop that failed had ended: nobody asked the worker, and its lease had to lapse."""
+    reactor = Clock()
+    monkeypatch.setattr(BootClock, "now", lambda _: round(reactor.seconds() * 1_000))
+    platform: Any = Platform(reactor, failing)
+    owner = make_owner(reactor, platform)
+    advance(owner, 1_000)
+    cancel_job(owner)
+    advance(owner, STOPPED_WITHIN_MS)
+    assert platform.stopped
+
+
+@pytest.mark.parametrize("unconfirmed_ms", [OWNERSHIP_VALID_MS, 10_000])
+def test_stop_that_was_held_back_is_sent_soon_after_the_ownership_is_confirmed(
+    unconfirmed_ms: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A cancel is answered by then, as appends may succeed while joins do not."""
+    reactor = Clock()
+    monkeypatch.setattr(BootClock, "now", lambda _: round(reactor.seconds() * 1_000))
+    platform: Any = Platform(reactor, "")
+    owner = make_owner(reactor, platform)
+    advance(owner, 1_000)
+    assert owner.cell.state.workers["w"].runs
+    advance(owner, unconfirmed_ms, is_confirmed=False)
+    cancel_job(owner, is_confirmed=False)
+    assert not platform.stopped
+    advance(owner, Bounds().stop_ms + 2 * TICK_INTERVAL_MS)
     assert platform.stopped
