--- a/tests/core/cells/test_stops_after_cancel.py
+++ b/tests/core/cells/test_stops_after_cancel.py
@@ -60,3 +60,23 @@
     cluster.is_store_up = True
     cancel_job(cluster)
     assert not cluster.ground_truth.list_running("a")
+
+
+@pytest.mark.parametrize("is_planned", [True, False])
+@pytest.mark.parametrize("entry_back_after_ms", [2_000, 20_000])
+def test_cancelled_runs_end_on_a_worker_without_an_entry_at_the_takeover(
+    entry_back_after_ms: int, is_planned: bool
+) -> None:
+    """A new owner asks only the workers that the list names."""
+    cluster = make_cluster()
+    cluster.unlisted_workers.add("w0")
+    cluster.run(500)
+    if is_planned:
+        cluster.hand_over()
+    else:
+        cluster.kill_owner()
+        cluster.take_over()
+    cluster.schedule(entry_back_after_ms, lambda: cluster.unlisted_workers.discard("w0"))
+    cluster.run(500)
+    cancel_job(cluster)
+    assert not cluster.ground_truth.list_running("a")
