Show that a job runs whose cancel came before its submission

What callers see: a caller whose submission has no answer gives up and cancels; it gets 410, since the owner knows no such job. A copy of the submission that its router still repeats, or that the caller had sent to another host, is accepted afterwards and runs.

The emulated hosts can be cut off from the others, so that a router gets no answer; no earlier test changes.

--- a/tests/daemon/emulated_hosts.py
+++ b/tests/daemon/emulated_hosts.py
@@ -34,11 +34,11 @@
     def __init__(self, hosts: "EmulatedHosts", name: str) -> None:
         super().__init__()
         self._hosts = hosts
-        self._name = name
+        self.name = name
 
     def listenTCP(self, port: int, factory: Any, **_: Any) -> None:  # noqa: N802
         if callable(factory):
-            self._hosts.request_handlers[self._name] = factory
+            self._hosts.request_handlers[self.name] = factory
 
     def addSystemEventTrigger(self, *_: Any) -> None:  # noqa: N802
         """Ignore the trigger: the reactor is never shut down."""
@@ -51,6 +51,7 @@
 
     def __init__(self, reactor: HostReactor, _counters: Counter[str]) -> None:
         self._reactor = reactor
+        self._sender = reactor.name
 
     def send(self, address: str, request: OwnerRequest) -> "Deferred[OwnerAnswer]":
         answered: Deferred[OwnerAnswer] = Deferred()
@@ -67,8 +68,9 @@
             if not answered.called:
                 answered.errback(PeerLostError("no answer"))
 
-        handler = self.hosts.request_handlers[name]
-        self.hosts.reactors[name].callLater(CALL_MS / 1_000, handler, request, reply)
+        if self._sender not in self.hosts.cut_off:
+            handler = self.hosts.request_handlers[name]
+            self.hosts.reactors[name].callLater(CALL_MS / 1_000, handler, request, reply)
         self._reactor.callLater(OWNER_REQUEST_TIMEOUT_MS / 1_000, time_out)
         return answered
 
@@ -138,6 +140,7 @@
         owner_turn_ms: How long the owner is busy with each turn, in which it handles all input.
         takeovers: Names of the hosts that have taken the cell over, in order.
         services: The hosts by their names.
+        cut_off: Names of the hosts whose requests to other hosts are lost.
     """
 
     def __init__(
@@ -153,6 +156,7 @@
         self.loading_ms = 0
         self.owner_turn_ms = 0
         self.takeovers: list[str] = []
+        self.cut_off: set[str] = set()
         self.store = StandinStore()
         self.request_handlers: dict[str, Callable[..., None]] = {}
         self.reactors: dict[str, HostReactor] = {}
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -91,6 +91,22 @@
     assert platform.send_command("truth")["broken"] == []
 
 
+def test_copy_of_a_submission_after_its_cancel_never_runs(platform: LocalPlatform) -> None:
+    """Guards against lasting jobs that nobody cancels again, also by an owner that took over."""
+    owner = platform.find_owner()
+    host, other = [host for host in platform.hosts if host is not owner]
+    for job in ("00000000000000c1", "00000000000000c2"):
+        assert host.call("DELETE", f"/jobs/{job}")[0] == 410
+    assert submit(other, "00000000000000c1", "lasts") == 200
+    assert state(host, "00000000000000c1") == "cancelled"
+    owner.stop(signal.SIGKILL)
+    wait_until(lambda: platform.find_owner() is not owner)
+    wait_until(lambda: submit(other, "00000000000000c2", "lasts") == 200)
+    wait_until(lambda: state(host, "00000000000000c2") == "cancelled")
+    time.sleep(SETTLE_S)
+    assert platform.send_command("truth")["starts"] == 0
+
+
 def test_submission_is_not_refused_while_its_outcome_is_unknown(platform: LocalPlatform) -> None:
     host = platform.hosts[0]
     platform.send_command("mode", "lossy")
