Cancel a job whose cancel came before its submission

What callers saw: a caller whose submission had no answer cancelled and got 410.

Cause: a cancel of an unknown job left no trace at the owner.

A job that arrives meanwhile is taken in and cancelled in one append: 200 with the state `cancelled`, and one job from then on. At most 1,000 ids are kept, the oldest goes first (counter cancel.evicted). Cancels of one moment share an append, and deletions wait for the next one. Each accepted submission now gets the job's state: OwnerAnswer.state, a new last field.

Why it works: an id is durable before its cancel is acknowledged, each owner loads it before it answers any request, and the job's records and the deletion of the id are one append.

Not covered: an owner of an earlier version in a rolling restart, and a caller whose deadline is longer than 30 s.

--- a/packages/core/src/quetzallock_core/cells/batches.py
+++ b/packages/core/src/quetzallock_core/cells/batches.py
@@ -5,6 +5,7 @@
 
 from ..exceptions import CodecError
 from .const import UNVERIFIED_RECORD_AFTER_MS
+from .early_cancels import CancelCall
 from .jobs import Job
 from .orders import Persist, TicketOutcome
 from .records import WorkerRecord
@@ -28,6 +29,7 @@
         durable_states: Jobs, their states, which callers may get, and the revisions of the crashes
             under their tasks.
         tickets: Calls that get their outcome.
+        cancel_calls: Cancels of unknown jobs that get their outcome.
         cursors: Numbers up to which the ends of workers may be acknowledged.
         ends_hand_over: The previous owner's hand-over record is deleted.
         workers: Workers whose records are written, the revisions of these records, and whether the
@@ -38,6 +40,7 @@
     stored_jobs: list[Job] = field(default_factory=list)
     durable_states: list[tuple[Job, str, int]] = field(default_factory=list)
     tickets: list[tuple[Job, TicketOutcome]] = field(default_factory=list)
+    cancel_calls: list[CancelCall] = field(default_factory=list)
     cursors: list[tuple[Worker, int]] = field(default_factory=list)
     ends_hand_over: bool = False
     workers: list[tuple[Worker, int, bool]] = field(default_factory=list)
@@ -85,6 +88,7 @@
             or self._new_jobs
             or state.dirty
             or self._tickets
+            or state.early_cancels.has_calls()
             or self._deleted
             or state.dropped_workers
             or state.has_worker_changes
@@ -105,6 +109,8 @@
         for job_id in self._deleted:
             batch.records.append(Persist(f"job/{job_id}", None))
             batch.records.append(Persist(f"progress/{job_id}", None))
+        batch.records += state.early_cancels.pop_records()
+        batch.cancel_calls = state.early_cancels.pop_calls()
         for worker_id in state.dropped_workers:
             batch.records.append(Persist(f"worker/{worker_id}", None))
         state.dropped_workers = []
@@ -254,4 +260,5 @@
                 worker.is_lease_suspended = False
         for _, ticket_outcome in batch.tickets:
             state.emit(ticket_outcome)
+        state.early_cancels.handle_durable(batch.cancel_calls)
         state.is_start_due = True
--- a/packages/core/src/quetzallock_core/cells/cell.py
+++ b/packages/core/src/quetzallock_core/cells/cell.py
@@ -13,7 +13,7 @@
 from .evacuation import Evacuations
 from .evacuation_moves import EvacuationMoves
 from .inventory import InventoryReader
-from .jobs import JOB_CHART
+from .jobs import JOB_CHART, Job
 from .migration import Migration
 from .models import Bounds, Inventory, WorkerEntry
 from .orders import Effect, StartRun, TicketOutcome
@@ -73,27 +73,36 @@
         """Accept a job; a repeated id gets the outcome of the first submission."""
         job = self.state.jobs.get(record.spec.job)
         if job is None:
-            job = self.state.add_job(record)
-            self.batches.add_job(job)
-            self.state.log_decision(
-                "job.taken",
-                job=job.id,
-                queue=record.policy.queue,
-                config=record.policy.version,
-                steps=[describe_step(step) for step in record.spec.steps],
-            )
+            job = self._add_job(record)
         else:
             self.state.log_decision("job.repeated", job=job.id, state=job.state)
         if job.is_stored:
-            self.state.emit(TicketOutcome(ticket, "accepted"))
+            state = self.find_state(job.id) or ""
+            self.state.emit(TicketOutcome(ticket, "accepted", state))
         else:
-            self.batches.add_ticket(job, TicketOutcome(ticket, "accepted"))
+            self.batches.add_ticket(job, TicketOutcome(ticket, "accepted", job.state))
+
+    def _add_job(self, record: JobRecord) -> Job:
+        """Add a new job, which is over at once if it was cancelled before."""
+        job = self.state.add_job(record)
+        self.batches.add_job(job)
+        self.state.log_decision(
+            "job.taken",
+            job=job.id,
+            queue=record.policy.queue,
+            config=record.policy.version,
+            steps=[describe_step(step) for step in record.spec.steps],
+        )
+        if self.state.early_cancels.pop(job.id):
+            self.state.log_decision("job.cancelled_before", job=job.id)
+            self.state.finish_job(job, "cancel")
+        return job
 
     def cancel(self, job_id: str, ticket: int) -> None:
-        """Cancel a job, unless it is over."""
+        """Cancel a job, unless it is over; the cancel of an unknown one is kept for a while."""
         job = self.state.jobs.get(job_id)
         if job is None:
-            self.state.emit(TicketOutcome(ticket, "unknown"))
+            self.state.early_cancels.add(job_id, ticket)
             return
         if not job.is_over:
             self.state.finish_job(job, "cancel")
@@ -226,6 +235,7 @@
             self._wait_reporter.report()
         self._open_due_jobs()
         self._expire_jobs(now)
+        state.early_cancels.expire()
         self.state.is_start_due = True
 
     def _drop_lapsed_unverified(self) -> None:
--- a/packages/core/src/quetzallock_core/cells/const.py
+++ b/packages/core/src/quetzallock_core/cells/const.py
@@ -31,6 +31,14 @@
 """Maximum number of ended runs that the next boots of their workers are told to reject, as each
 costs an order to such a boot."""
 
+EARLY_CANCEL_KEPT_MS: Final = 30_000
+"""Longest time, with some margin, for which copies of a submission may arrive after its cancel. A
+router repeats it until its caller's deadline, and the caller sends it again seconds later."""
+
+MAX_EARLY_CANCELS: Final = 1_000
+"""Maximum number of cancels of unknown jobs that are kept, as each takes memory of the owner and a
+record that the next owner reads."""
+
 UNREACHABLE_TIMEOUT_MS: Final = 1_500
 """Time without an answer after which a worker gets no new tasks."""
 
--- a/packages/core/src/quetzallock_core/cells/contents.py
+++ b/packages/core/src/quetzallock_core/cells/contents.py
@@ -6,6 +6,7 @@
 from ..codec import decode
 from ..exceptions import CodecError
 from .records import (
+    EarlyCancelRecord,
     HandOverRecord,
     JobRecord,
     LearnedRecord,
@@ -22,6 +23,7 @@
     Attributes:
         jobs: Accepted jobs by id.
         progress: Progress of the jobs, by id.
+        early_cancels: Cancels of jobs whose submission had not arrived, by job id.
         workers: Workers that orders may have gone to.
         learned: Estimates of earlier owners, if recorded.
         hand_over: What a planned hand-over left, if nothing was recorded since.
@@ -30,6 +32,7 @@
 
     jobs: dict[str, JobRecord] = field(default_factory=dict)
     progress: dict[str, ProgressRecord] = field(default_factory=dict)
+    early_cancels: dict[str, EarlyCancelRecord] = field(default_factory=dict)
     workers: list[WorkerRecord] = field(default_factory=list)
     learned: LearnedRecord | None = None
     hand_over: HandOverRecord | LeasesRecord | None = None
@@ -54,6 +57,8 @@
         contents.jobs[record.spec.job] = record
     elif isinstance(record, ProgressRecord):
         contents.progress[key.partition("/")[2]] = record
+    elif isinstance(record, EarlyCancelRecord):
+        contents.early_cancels[key.partition("/")[2]] = record
     elif isinstance(record, WorkerRecord):
         contents.workers.append(record)
     elif isinstance(record, LearnedRecord):
--- a/packages/core/src/quetzallock_core/cells/orders.py
+++ b/packages/core/src/quetzallock_core/cells/orders.py
@@ -54,10 +54,15 @@
 
 @dataclass(frozen=True, slots=True)
 class TicketOutcome:
-    """Final outcome of the submission or cancellation with this ticket."""
+    """Final outcome of the submission or cancellation with this ticket.
+
+    Attributes:
+        state: The job's state, in the outcome of an accepted submission.
+    """
 
     ticket: int
     outcome: str
+    state: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/quetzallock_core/cells/records.py
+++ b/packages/core/src/quetzallock_core/cells/records.py
@@ -16,6 +16,18 @@
     accepted_ms: int
 
 
+@message(231)
+@dataclass(frozen=True, slots=True)
+class EarlyCancelRecord:
+    """Journal record of the cancel of a job whose submission had not arrived.
+
+    Attributes:
+        cancelled_ms: Unix time of the cancel, by the clock of the owner's host.
+    """
+
+    cancelled_ms: int
+
+
 @message(230)
 @dataclass(frozen=True, slots=True)
 class CrashRecord:
--- a/packages/core/src/quetzallock_core/cells/state.py
+++ b/packages/core/src/quetzallock_core/cells/state.py
@@ -9,6 +9,7 @@
 from .contents import Contents
 from .crashes import CrashSuspects
 from .durations import DurationEstimates
+from .early_cancels import EarlyCancels
 from .ended_runs import EndedRuns
 from .headroom import Headroom
 from .interference import Interference
@@ -38,6 +39,7 @@
         crashes: Tasks that may crash the workers that start them.
         reservations: Capacity that workers keep for tasks that are about to start there.
         ended_runs: Ended runs whose start orders may still arrive.
+        early_cancels: Cancels of jobs whose submission had not arrived.
         open_steps: Steps with unfinished tasks whose predecessors are done.
         shares: Service that the queues have received.
         dirty: Jobs whose progress the journal does not hold yet.
@@ -74,6 +76,7 @@
         self.crashes = CrashSuspects(self)
         self.reservations = Reservations()
         self.ended_runs = EndedRuns(self)
+        self.early_cancels = EarlyCancels(self)
         self.open_steps: dict[StepRun, None] = {}
         self.dirty: dict[Job, None] = {}
         self.durations = DurationEstimates()
@@ -132,6 +135,7 @@
             self.placing.add_job(job, now)
             self.open_job(job)
             self.exhausted.update(dict.fromkeys(_list_exhausted(job)))
+        self.early_cancels.restore(contents.early_cancels, self.jobs)
         self.crashes.restore(
             self.unverified.locations, self.unverified.unbegun, self.unverified.worked
         )
--- a/packages/daemon/src/quetzallock_daemon/cells/messages.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/messages.py
@@ -76,11 +76,13 @@
             `unsettled`: the request may have been processed or not. `unproved`: the owner cannot
             answer now, as its ownership was not confirmed recently or the job is not durable yet.
         count: Number of pending jobs, in the answer to `CountPendingRequest`.
+        state: The job's state, in the answer `accepted`.
     """
 
     ticket: int
     outcome: str
     count: int = 0
+    state: str = ""
 
 
 OwnerRequest = (
--- a/packages/daemon/src/quetzallock_daemon/cells/owner.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/owner.py
@@ -294,7 +294,7 @@
         reply, ticket, registered_at = registered
         if outcome.outcome == "accepted":
             self._observe("job.accept", self.clock.now() - registered_at)
-        reply(OwnerAnswer(ticket, outcome.outcome))
+        reply(OwnerAnswer(ticket, outcome.outcome, state=outcome.state))
 
     def _observe_start(self, inputs: dict[str, Any]) -> None:
         """Record how long a step had waited for a start, unless all its tasks had run before."""
--- a/packages/daemon/src/quetzallock_daemon/cells/router.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/router.py
@@ -187,7 +187,7 @@
         )
         answer, may_have_run = await self._call_owner(owner_request, until)
         if answer.outcome == "accepted":
-            return CallerAnswer(200, state="queued")
+            return CallerAnswer(200, state=answer.state or "queued")
         if may_have_run:
             return CallerAnswer(504, code="outcome_unknown")
         if answer.outcome == "refused":
