--- a/packages/core/src/quetzallock_core/cells/state.py
+++ b/packages/core/src/quetzallock_core/cells/state.py
@@ -10,6 +10,7 @@
 from .contents import Contents
 from .crashes import CrashSuspects
 from .durations import DurationEstimates
+from .early_cancels import EarlyCancels
 from .ended_runs import EndedRuns, compute_unconfirmed_until
 from .headroom import Headroom
 from .interference import Interference
@@ -40,6 +41,7 @@
         reservations: Capacity that workers keep for tasks that are about to start there.
         ended_runs: Ended runs whose start orders may still arrive.
         cancellations: Runs of cancelled jobs, followed for the log.
+        early_cancels: Cancels of jobs whose submission had not arrived.
         open_steps: Steps with unfinished tasks whose predecessors are done.
         shares: Service that the queues have received.
         dirty: Jobs whose progress the journal does not hold yet.
@@ -77,6 +79,7 @@
         self.reservations = Reservations()
         self.ended_runs = EndedRuns(self)
         self.cancellations = Cancellations(self)
+        self.early_cancels = EarlyCancels(self)
         self.open_steps: dict[StepRun, None] = {}
         self.dirty: dict[Job, None] = {}
         self.durations = DurationEstimates()
@@ -135,6 +138,7 @@
             self.placing.add_job(job, now)
             self.open_job(job)
             self.exhausted.update(dict.fromkeys(list_exhausted(job)))
+        self.early_cancels.restore(contents.early_cancels, self.jobs)
         self.crashes.restore(
             self.unverified.locations, self.unverified.unbegun, self.unverified.worked
         )
--- a/packages/daemon/src/quetzallock_daemon/cells/owner.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/owner.py
@@ -296,7 +296,7 @@
         reply, ticket, registered_at = registered
         if outcome.outcome == "accepted":
             self._observe("job.accept", self.clock.now() - registered_at)
-        reply(OwnerAnswer(ticket, outcome.outcome))
+        reply(OwnerAnswer(ticket, outcome.outcome, state=outcome.state))
 
     def _observe_decision(self, event: str, inputs: dict[str, Any]) -> None:
         """Record the latencies that the decision on an event tells."""
