Let a moved run lapse only when no late start of it can be at work

Caller's view: none measured; a task may run twice (TWICE) after its worker has restarted and is then lost from sight, if a start order to the previous boot is carried out seconds late. Cause: the moved run lapsed with the lease that the owner itself has given the next boot, once that boot had answered a poll; the late start begins a lease of its own there. Such a run now lapses no sooner than unconfirmed_until, whether the boot has answered before or not. Runs that were not moved have 0 there and lapse as before. The bound is finite, so no task waits for good; a task whose worker restarts and is lost at once, before its stop is answered, waits up to MAX_ORDER_DELAY_MS and a longest lease.

--- a/packages/core/src/quetzallock_core/cells/cell.py
+++ b/packages/core/src/quetzallock_core/cells/cell.py
@@ -254,7 +254,7 @@
             self._lapse_runs(run for run in runs if 0 < run.unconfirmed_until <= now)
         elif worker.runs and now >= worker.compute_lapse_at():
             self.state.crashes.expose_runs(worker)
-            self._lapse_runs(worker.runs.values())
+            self._lapse_runs(run for run in worker.runs.values() if run.unconfirmed_until <= now)
         if not worker.runs and not worker.is_listed:
             self.state.drop_worker(worker, "no entry and no answer")
 
