Follow the store's records with one loop of reads at a time

Caller's view: none measured. The loop that has not ended goes on now, so its answers follow each other; after it has ended, the next start reads the newest records, also if the last answer came after the stop.

Measured: tests/daemon/test_followers.py, both failed before and pass; tests/daemon passes but for test_evacuations.py, which was not run.

--- a/packages/daemon/src/quetzallock_daemon/cells/followers.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/followers.py
@@ -31,11 +31,14 @@
         self._offset: int | None = None
         self._is_failing = False
         self._is_running = False
+        self._has_loop = False
 
     def start(self) -> None:
-        """Start reading."""
-        if not self._is_running:
-            self._is_running = True
+        """Start reading, by the loop of an earlier start if that has not ended yet."""
+        self._is_running = True
+        if not self._has_loop:
+            self._has_loop = True
+            self._offset = None
             run_in_background(self._run())
 
     def stop(self) -> None:
@@ -64,6 +67,7 @@
                 continue
             self._record_success()
             await sleep(self._reactor, self.pause_ms)
+        self._has_loop = False
 
     def _record_success(self) -> None:
         if self._is_failing:
