--- a/tests/soak/test_cancel_checks.py
+++ b/tests/soak/test_cancel_checks.py
@@ -15,7 +15,7 @@
 from .checks import list_accepted_findings, list_findings
 from .fault_log import CONTACT_MS, FaultLog, Span, list_calm_stretches
 from .order_faults import ORDER_FAULT_RATES, RESTART_RATES
-from .play import MIN_QUIET_COURSE_S, choose_quiet_spell
+from .quiet_spell import MIN_QUIET_COURSE_S, choose_quiet_spell
 
 ID = "0000000000000001"
 TASK = f"{ID}.0.0.0"
