Delete the records of expired jobs before those of new ones

Callers would lose an accepted job (LOST; found in review of the early cancels): if an id is submitted again before the batch that deletes the records of its expired job, both are in one append and the deletion came last. The next owner does not know the job.

Deletions come before the new jobs in a batch now.

--- a/packages/core/src/quetzallock_core/cells/batches.py
+++ b/packages/core/src/quetzallock_core/cells/batches.py
@@ -101,14 +101,14 @@
         batch = Batch(ends_hand_over=self.has_hand_over)
         if self.has_hand_over:
             batch.records.append(Persist(HAND_OVER_KEY, None))
+        for job_id in self._deleted:
+            batch.records.append(Persist(f"job/{job_id}", None))
+            batch.records.append(Persist(f"progress/{job_id}", None))
         for job in self._new_jobs:
             batch.records.append(Persist(f"job/{job.id}", job.record))
             batch.stored_jobs.append(job)
         for job in state.dirty:
             self._add_progress(job, batch)
-        for job_id in self._deleted:
-            batch.records.append(Persist(f"job/{job_id}", None))
-            batch.records.append(Persist(f"progress/{job_id}", None))
         batch.records += state.early_cancels.pop_records()
         batch.cancel_calls = state.early_cancels.pop_calls()
         for worker_id in state.dropped_workers:
--- a/tests/core/cells/test_cell.py
+++ b/tests/core/cells/test_cell.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from quetzallock_core.cells.cell import EXPIRY_MARGIN_MS
 from quetzallock_core.cells.models import QueuePolicy, Resources
 from quetzallock_standins.emulator import CellCluster
 from quetzallock_standins.emulator.cluster import make_spec
@@ -307,3 +308,20 @@
     cluster.run(500)
     assert cluster.cell.count_pending("queue") == 2
     assert cluster.cell.count_pending("other") == 0
+
+
+def test_job_whose_id_an_expired_job_had_is_known_to_the_next_owner() -> None:
+    """Guards against a new job that is deleted with the records of the old one."""
+    cluster = CellCluster(workers=1)
+    cluster.run(500)
+    submit_plain(cluster, "a", duration_ms=100)
+    cluster.run(2_000)
+    assert cluster.cell.find_state("a") == "completed"
+    cluster.clock.advance(cluster.bounds.status_ms + EXPIRY_MARGIN_MS)
+    cluster.cell.tick()
+    submit_plain(cluster, "a", duration_ms=30_000)
+    cluster.run(500)
+    cluster.kill_owner()
+    cluster.take_over()
+    cluster.run(500)
+    assert cluster.cell.find_state("a") == "running"
