Adopt a listed run in the inventory that shows the known one to be over

Caller's view: none measured; a lasting task whose worker runs it unseen got a start order with each inventory, until it was started on another worker, where both ran. Cause: a row is compared with the known runs before those that are in neither list are dropped. The rows of tasks whose known run has just been found over are processed again, as the next inventory would do; a run that must not go on is stopped there as before.

Measured: test_unexpected_runs[True], 85 start orders in 5 s before and one now; test_unknown_runs, test_stops_after_cancel, test_lost_stops and test_partial_inventories pass.

--- a/packages/core/src/quetzallock_core/cells/inventory.py
+++ b/packages/core/src/quetzallock_core/cells/inventory.py
@@ -66,6 +66,7 @@
         if len(listed) < len(worker.runs):
             unlisted = [run for run in worker.runs.values() if run not in listed]
             changed |= self._handle_unlisted(unlisted, inventory, now)
+            self._adopt_replaced(worker, unlisted, inventory, now)
         if not inventory.has_more_ends:
             changed |= state.unverified.remove_worker(worker.id)
         state.crashes.handle_inventory(worker, is_first)
@@ -171,6 +172,18 @@
             return False
         return any([self._check_missing(run, inventory.clock_ms) for run in runs])
 
+    def _adopt_replaced(
+        self, worker: Worker, unlisted: list[Run], inventory: Inventory, now: int
+    ) -> None:
+        """Adopt the listed runs of tasks whose known run on this worker is over.
+
+        Their tasks would be started again before the next inventory, which the worker rejects.
+        """
+        tasks = {run.task.name for run in unlisted if run.state == "over"}
+        for row in inventory.running:
+            if row.task in tasks:
+                self._handle_running(worker, row, inventory.clock_ms, now)
+
     def _check_missing(self, run: Run, clock_ms: int) -> bool:
         """Drop a run that the worker neither runs nor lists as ended.
 
