Check in replays and the fault machine that runs of cancelled jobs end

After recovery, jobs whose cancellation was acknowledged must have no run left once contact_ms and cancel_ms have passed; all other checks are made before that, as they were.

--- a/tests/common.py
+++ b/tests/common.py
@@ -73,6 +73,7 @@
             late one.
         connections_to_refuse: Number of connections to backend servers still to refuse.
         answers: Answers to callers, by host and ticket.
+        cancellations: Host and ticket of each cancellation, by job.
         request_keys: Key and duration in ms of each request, by host and ticket.
         deferred_commands: Commands to each paused worker.
     """
@@ -100,6 +101,7 @@
         self.answers_to_break = 0
         self.connections_to_refuse = 0
         self.answers: dict[tuple[str, int], Any] = {}
+        self.cancellations: dict[str, list[tuple[str, int]]] = {}
         self.executions: list[Execution] = []
         self.effects_seen: list[tuple[int, str, object]] = []
         self._scheduled_actions: list[tuple[int, int, Callable[[], None]]] = []
@@ -284,6 +286,7 @@
     def cancel(self, name: str, job: str, timeout_ms: int = 3_000) -> int:
         """Cancel a job at a host and return the ticket."""
         ticket = next(self._tickets)
+        self.cancellations.setdefault(job, []).append((name, ticket))
         self.hosts[name].host.jobs.cancel(ticket, job, timeout_ms)
         self._effects.run(name)
         return ticket
--- a/tests/proofs/outcomes.py
+++ b/tests/proofs/outcomes.py
@@ -2,12 +2,19 @@
 
 from collections import Counter
 from dataclasses import dataclass, field
+from typing import Any
 
+from quetzallock_core.jobs.const import CANCELLED
 from quetzallock_core.requests.const import NOT_RUN, WHOLE
+from quetzallock_core.workers.const import RUNNING
 from tests.common import FakeCluster
 from tests.runs import count_endings, find_overlapping_runs
 
 SETTLE_TIMEOUT_MS = 180_000
+CONTACT_MS = 3_000
+"""How long after the last fault hosts and workers may still be out of touch."""
+CANCEL_MS = 3_000
+"""Time after an acknowledged cancellation within which the runs of the job are stopped."""
 
 
 @dataclass(slots=True)
@@ -107,13 +114,38 @@
     return found
 
 
+def _is_acknowledged(answer: Any) -> bool:
+    return answer is not None and answer.outcome == CANCELLED
+
+
+def list_cancelled_jobs(cluster: FakeCluster) -> list[str]:
+    """Return the jobs whose cancellation was acknowledged."""
+    return [
+        job
+        for job, tickets in cluster.cancellations.items()
+        if any(_is_acknowledged(cluster.answers.get(ticket)) for ticket in tickets)
+    ]
+
+
+def find_cancel_violations(cluster: FakeCluster, cancelled: list[str]) -> list[str]:
+    """Return runs of jobs whose cancellation was acknowledged `CANCEL_MS` ago, or longer."""
+    return [
+        f"{run.task} runs on {run.worker} since {run.started_at}, and its job was cancelled"
+        for run in cluster.list_runs()
+        if run.ending == RUNNING and run.task.partition("/")[0] in cancelled
+    ]
+
+
 def heal_and_settle(cluster: FakeCluster, callers: CallerRecord) -> list[str]:
     """End all faults, let the work finish, and return all violations."""
     cluster.heal()
     cluster.run_until(lambda: not find_final_violations(cluster, callers), SETTLE_TIMEOUT_MS)
-    return (
+    found = (
         find_running_violations(cluster)
         + find_resume_violations(cluster)
         + find_request_violations(cluster, callers)
         + find_final_violations(cluster, callers)
     )
+    cancelled = list_cancelled_jobs(cluster)
+    cluster.run(CONTACT_MS + CANCEL_MS)
+    return found + find_cancel_violations(cluster, cancelled)
