--- a/packages/standins/src/quetzallock_standins/emulator/cancellations.py
+++ b/packages/standins/src/quetzallock_standins/emulator/cancellations.py
@@ -2,7 +2,7 @@
 
 from typing import Final
 
-from .disturbances import CONTACT_MS, DisturbanceMonitor
+from .fault_monitor import CONTACT_MS, FaultMonitor
 from .ground_truth import GroundTruth
 
 CANCEL_MS: Final = 3_000
@@ -18,16 +18,14 @@
 
     A task of a cancelled job must not start later than `CANCEL_MS` after the acknowledgement,
     unless its worker carried the order out late. A run must not go on for `CANCEL_MS` and the
-    time of a stop after the acknowledgement while nothing disturbs the cell; for a run that a
+    time of a stop after the acknowledgement while the cell has no fault; for a run that a
     worker started late, this time counts from `CONTACT_MS` after its start.
 
     Attributes:
         cancelled_at: Time in ms of the first acknowledged cancellation by job.
     """
 
-    def __init__(
-        self, ground_truth: GroundTruth, monitor: DisturbanceMonitor, stop_ms: int
-    ) -> None:
+    def __init__(self, ground_truth: GroundTruth, monitor: FaultMonitor, stop_ms: int) -> None:
         self.cancelled_at: dict[str, int] = {}
         self._ground_truth = ground_truth
         self._monitor = monitor
@@ -87,8 +85,8 @@
                 del runs[task, run]
 
     def _check_run(self, job: str, run: _Run, counted_from: int, now: int) -> None:
-        calm_from = max(self._monitor.calm_from, self.cancelled_at[job])
-        if now <= max(calm_from, counted_from) + self._end_ms or run in self._reported:
+        stable_from = max(self._monitor.stable_from, self.cancelled_at[job])
+        if now <= max(stable_from, counted_from) + self._end_ms or run in self._reported:
             return
         self._reported.add(run)
         self._report(f"{now}: {run[0]} run {run[1]}: goes on after", job)
--- a/packages/standins/src/quetzallock_standins/emulator/cluster.py
+++ b/packages/standins/src/quetzallock_standins/emulator/cluster.py
@@ -28,7 +28,7 @@
 from .behaviours import declare_tasks, make_behaviours
 from .cancellations import CHECK_INTERVAL_MS, CancellationCheck
 from .deliveries import Delivery, Order, draw_delivery
-from .disturbances import DisturbanceMonitor
+from .fault_monitor import FaultMonitor
 from .ground_truth import GroundTruth
 from .operator import EmulatedOperator
 from .owners import Owner
@@ -112,7 +112,7 @@
         self.operator = EmulatedOperator(self.clock, self.schedule)
         self.owners: list[Owner] = []
         self.take_over()
-        monitor = DisturbanceMonitor(self)
+        monitor = FaultMonitor(self)
         self.cancellations = CancellationCheck(self.ground_truth, monitor, self.bounds.stop_ms)
 
     @property
--- a/packages/standins/src/quetzallock_standins/emulator/disturbances.py
+++ b/packages/standins/src/quetzallock_standins/emulator/fault_monitor.py
@@ -1,4 +1,4 @@
-"""Tells when an emulated cell was last disturbed by an injected fault."""
+"""Tells when an emulated cell last had an injected fault."""
 
 from collections.abc import Mapping, Sequence
 from typing import Final, Protocol
@@ -12,7 +12,7 @@
 """How long after the last fault owners and workers may still be out of touch."""
 
 
-class DisturbedCluster(Protocol):
+class MonitoredCluster(Protocol):
     """What the monitor needs of the emulated cell."""
 
     is_store_up: bool
@@ -35,33 +35,33 @@
         """All owners, the newest one last."""
 
 
-class DisturbanceMonitor:
+class FaultMonitor:
     """Remembers when a fault was last seen active.
 
     Late answers, draining workers, evacuations and changes of capacity are no faults: they delay no
     order. Nor is an order that is carried out late once the rate of late orders is 0 again.
 
     Attributes:
-        disturbed_at: Time in ms of the last observation with an active fault, a new owner or a new
+        last_fault_at: Time in ms of the last observation with an active fault, a new owner or a new
             boot of a worker.
     """
 
-    def __init__(self, cluster: DisturbedCluster) -> None:
+    def __init__(self, cluster: MonitoredCluster) -> None:
         self._cluster = cluster
-        self.disturbed_at = cluster.clock.now()
+        self.last_fault_at = cluster.clock.now()
         self._lives = self._list_lives()
 
     @property
-    def calm_from(self) -> int:
-        """Time in ms from which on the cell is calm, if no further fault is seen."""
-        return self.disturbed_at + CONTACT_MS
+    def stable_from(self) -> int:
+        """Time in ms from which on the cell is stable, if no further fault is seen."""
+        return self.last_fault_at + CONTACT_MS
 
     def observe(self) -> None:
         """Look for active faults, and for owners and workers that have changed."""
         lives = self._list_lives()
         if lives != self._lives or self._has_active_fault():
             self._lives = lives
-            self.disturbed_at = self._cluster.clock.now()
+            self.last_fault_at = self._cluster.clock.now()
 
     def _list_lives(self) -> list[int]:
         """Return the number of owners and the boots of the workers."""
--- a/tests/core/cells/test_cancellation_faults.py
+++ b/tests/core/cells/test_cancellation_faults.py
@@ -67,7 +67,7 @@
     cluster.schedule(delay_ms, lambda: cluster.cancel(job))
 
 
-def disturb_owner(cluster: CellCluster, rng: Random) -> None:
+def break_owner(cluster: CellCluster, rng: Random) -> None:
     """Replace the owner, or end or start an outage of the store."""
     draw = rng.random()
     if not cluster.is_store_up or draw < 0.3:
@@ -80,7 +80,7 @@
         cluster.take_over()
 
 
-def disturb_worker(cluster: CellCluster, rng: Random) -> None:
+def break_worker(cluster: CellCluster, rng: Random) -> None:
     """Start or end a fault of a worker."""
     worker = rng.choice(list(cluster.workers.values()))
     draw = rng.random()
@@ -109,9 +109,9 @@
             harm_deliveries(cluster, rng)
         submit_and_cancel(cluster, f"j{number}", rng)
         if rng.random() < 0.15:
-            disturb_owner(cluster, rng)
+            break_owner(cluster, rng)
         if rng.random() < 0.4:
-            disturb_worker(cluster, rng)
+            break_worker(cluster, rng)
         cluster.run(rng.randrange(300))
     end_faults(cluster)
     cluster.run(SETTLE_MS)
--- a/tests/core/cells/test_cancelled_runs.py
+++ b/tests/core/cells/test_cancelled_runs.py
@@ -10,7 +10,7 @@
 from quetzallock_standins.emulator.cancellations import CANCEL_MS, CHECK_INTERVAL_MS
 from quetzallock_standins.emulator.cluster import make_spec
 from quetzallock_standins.emulator.deliveries import Delivery
-from quetzallock_standins.emulator.disturbances import CONTACT_MS
+from quetzallock_standins.emulator.fault_monitor import CONTACT_MS
 from quetzallock_standins.emulator.workers import Answer, EmulatedWorker
 
 from .common import POLICY, make_step
@@ -138,7 +138,7 @@
 
 
 def make_running_cluster(duration_ms: float | None = None) -> CellCluster:
-    """Return a calm cluster with one run of job `a`, on worker w0."""
+    """Return a stable cluster with one run of job `a`, on worker w0."""
     cluster = CellCluster(workers=2)
     cluster.unlisted_workers = {"w1"}
     cluster.run(500)
--- a/tests/soak/fault_log.py
+++ b/tests/soak/fault_log.py
@@ -1,4 +1,4 @@
-"""Log of the faults of a course, and the stretches without any."""
+"""Log of the faults of a course, and the periods without any."""
 
 from collections.abc import Iterator
 from contextlib import contextmanager
@@ -8,9 +8,9 @@
 from .deployment import now_ms
 
 CONTACT_MS: Final = 3_000
-"""How long after the last fault has ended a stretch is calm; `contactMs` of the rules."""
+"""How long after the last fault has ended hosts and workers may still be out of touch."""
 HARMLESS_FAULTS: Final = ("change_configuration",)
-"""Faults that do not end a calm stretch."""
+"""Faults that do not end a stable period."""
 
 Span = tuple[float, float]
 
@@ -21,7 +21,7 @@
 
     Attributes:
         end: Summary of a course that has reached its end.
-        spans: Begin and end of each fault that ends a calm stretch; infinity until it has ended.
+        spans: Begin and end of each fault that ends a stable period; infinity until it has ended.
     """
 
     lines: list[str] = field(default_factory=list)
@@ -48,18 +48,18 @@
             self.add(f"{fault} has ended")
 
 
-def list_calm_stretches(spans: list[Span], until: float) -> list[Span]:
-    """Return the stretches before `until` that began `CONTACT_MS` after the last fault had ended.
+def list_stable_periods(spans: list[Span], until: float) -> list[Span]:
+    """Return the periods before `until` that began `CONTACT_MS` after the last fault had ended.
 
-    Nothing before the end of the first fault is calm: it stands for the start of the processes.
+    Nothing before the end of the first fault is stable: it stands for the start of the processes.
     """
     if not spans:
         return []
     ordered = sorted(spans)
-    stretches: list[Span] = []
-    calm_from = ordered[0][1] + CONTACT_MS
+    periods: list[Span] = []
+    stable_from = ordered[0][1] + CONTACT_MS
     for began_at, ended_at in [*ordered, (until, until)]:
-        if calm_from < began_at:
-            stretches.append((calm_from, began_at))
-        calm_from = max(calm_from, ended_at + CONTACT_MS)
-    return stretches
+        if stable_from < began_at:
+            periods.append((stable_from, began_at))
+        stable_from = max(stable_from, ended_at + CONTACT_MS)
+    return periods
--- a/tests/soak/calm_end.py
+++ b/tests/soak/final_cancels.py
@@ -24,7 +24,7 @@
 PROMPT_PAUSES_MS: Final = ((0, 30), (200, 900))
 """Time from the acceptance of a job to its cancellation: starts on their way, or prompt."""
 FAULT_SPELL_MS: Final = 2_500
-CALM_SPELL_MS: Final = CONTACT_MS + 1_000
+STABLE_SPELL_MS: Final = CONTACT_MS + 1_000
 """Time after the faults of orders in which callers go on to submit and cancel jobs."""
 LATE_ORDERS_TIMEOUT_MS: Final = 15_000
 """All late orders are carried out within this time."""
@@ -65,7 +65,7 @@
         log.add(f"orders {await set_order_fault(deployment, rng, ORDER_FAULT_RATES[name])}")
         await _cancel_for(deployment, lasting[:half], cancellers, FAULT_SPELL_MS)
         await clear_order_faults(deployment)
-    await _cancel_for(deployment, lasting[half:], cancellers, CALM_SPELL_MS)
+    await _cancel_for(deployment, lasting[half:], cancellers, STABLE_SPELL_MS)
     log.add("last cancellations acknowledged")
     await _wait_until_gone(deployment)
 
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -16,13 +16,13 @@
 from quetzallock_daemon.helpers import reactor, run_coroutine, sleep
 
 from .callers import Caller, CallerJob
-from .calm_end import acknowledge_cancellations, cancel_jobs, cancel_jobs_under_restarts
 from .cancel_checks import list_cancel_findings, list_runs_of_findings
 from .cancellers import Canceller
 from .checks import list_accepted_findings, list_findings
 from .deployment import SoakDeployment, now_ms
 from .fault_log import FaultLog
 from .faults import heal, inject_faults
+from .final_cancels import acknowledge_cancellations, cancel_jobs, cancel_jobs_under_restarts
 from .order_faults import inject_order_faults
 from .quiet_spell import cancel_lasting_jobs, choose_quiet_spell
 
--- a/tests/soak/test_cancel_checks.py
+++ b/tests/soak/test_cancel_checks.py
@@ -13,7 +13,7 @@
     list_runs_of_findings,
 )
 from .checks import list_accepted_findings, list_findings
-from .fault_log import CONTACT_MS, FaultLog, Span, list_calm_stretches
+from .fault_log import CONTACT_MS, FaultLog, Span, list_stable_periods
 from .order_faults import ORDER_FAULT_RATES, RESTART_RATES
 from .quiet_spell import MIN_QUIET_COURSE_S, choose_quiet_spell
 
@@ -61,10 +61,10 @@
 
 def test_start_in_a_disturbance_is_allowed_but_must_be_stopped_after_it() -> None:
     fault = (19_000, 20_000)
-    calm_from = 20_000 + CONTACT_MS
-    assert find((calm_from - 1, calm_from + CANCEL_MS + STOP_MS), spans=(fault,)) == []
-    assert len(find((calm_from, calm_from + 10), spans=(fault,))) == 1
-    assert len(find((calm_from - 1, calm_from + CANCEL_MS + STOP_MS + 1), spans=(fault,))) == 1
+    stable_from = 20_000 + CONTACT_MS
+    assert find((stable_from - 1, stable_from + CANCEL_MS + STOP_MS), spans=(fault,)) == []
+    assert len(find((stable_from, stable_from + 10), spans=(fault,))) == 1
+    assert len(find((stable_from - 1, stable_from + CANCEL_MS + STOP_MS + 1), spans=(fault,))) == 1
 
 
 def test_fault_within_the_bound_begins_the_count_anew() -> None:
@@ -112,13 +112,13 @@
     assert list_runs_of_findings([], record) == []
 
 
-def test_stretch_is_calm_when_the_last_of_several_faults_is_over() -> None:
+def test_period_is_stable_when_the_last_of_several_faults_is_over() -> None:
     spans = [(20_000.0, 21_000.0), START_OF_PROCESSES, (10_000.0, 19_000.0), (11_000.0, 12_000.0)]
-    assert list_calm_stretches(spans, 30_000) == [(4_000, 10_000), (24_000, 30_000)]
-    assert list_calm_stretches([*spans, (22_000.0, float("inf"))], 30_000) == [(4_000, 10_000)]
+    assert list_stable_periods(spans, 30_000) == [(4_000, 10_000), (24_000, 30_000)]
+    assert list_stable_periods([*spans, (22_000.0, float("inf"))], 30_000) == [(4_000, 10_000)]
 
 
-def test_only_changes_of_the_configuration_leave_a_stretch_calm() -> None:
+def test_only_changes_of_the_configuration_leave_a_period_stable() -> None:
     log = FaultLog()
     with log.record("change_configuration"):
         assert log.spans == []
