Write no progress of a job that expires

Since the deletions of a batch come first, so progress of an expired job that had changed in the same moment would be written after its deletion and stay: a later job with that id would get it from the next owner. Nothing of an expired job is written any more.

The new test failed before (the progress record is left) and passes.

--- a/packages/core/src/quetzallock_core/cells/cell.py
+++ b/packages/core/src/quetzallock_core/cells/cell.py
@@ -316,6 +316,7 @@
         for job in list(self.state.jobs.values()):
             if job.is_over and job.ended_at and now - job.ended_at > keep_ms:
                 del self.state.jobs[job.id]
+                self.state.dirty.pop(job, None)
                 self.batches.delete_job(job.id)
 
     def pop_effects(self) -> list[Effect]:
--- a/tests/core/cells/test_cell.py
+++ b/tests/core/cells/test_cell.py
@@ -325,3 +325,17 @@
     cluster.take_over()
     cluster.run(500)
     assert cluster.cell.find_state("a") == "running"
+
+
+def test_expired_job_leaves_no_progress_behind() -> None:
+    """Guards against progress of an expired job that a later job with its id would get."""
+    cluster = CellCluster(workers=1)
+    cluster.run(500)
+    submit_plain(cluster, "a", duration_ms=100)
+    cluster.run(2_000)
+    state = cluster.cell.state
+    state.dirty[state.jobs["a"]] = None
+    cluster.clock.advance(cluster.bounds.status_ms + EXPIRY_MARGIN_MS)
+    cluster.cell.tick()
+    cluster.run(500)
+    assert not [key for key in cluster.journal if key.endswith("/a")]
