--- /dev/null
+++ b/tests/core/cells/test_displaced_tasks.py
@@ -0,0 +1,104 @@
+"""Long-running tasks that lose their worker: they are away no longer than callers can accept."""
+
+from itertools import count
+from random import Random
+
+import pytest
+
+from quetzallock_core.cells.models import Resources
+from quetzallock_standins.emulator import CellCluster
+from quetzallock_standins.emulator.cluster import make_spec
+
+from .common import POLICY, make_step
+
+MAX_AWAY_MS = 9_000
+"""Longest time without a run of a long-running task for which there is capacity."""
+DRAIN_MS = 6_000
+"""Time between the announcement of a worker and its leave."""
+SHORT_MS = 700
+WIDE = Resources(3_000, 4_000, 0)
+SMALL_WORKER = Resources(4_000, 16_000, 0)
+
+
+def submit_stream(cluster: CellCluster, until_ms: int, interval_ms: int = 150) -> None:
+    """Let short jobs arrive faster than the workers can run them."""
+    rng = Random(7)
+    numbers = count()
+
+    def submit() -> None:
+        job = f"short{next(numbers)}"
+        duration_ms = rng.randrange(SHORT_MS // 2, 2 * SHORT_MS)
+        cluster.submit(make_spec(job, make_step(4)), POLICY, {0: duration_ms})
+        if cluster.clock.now() < until_ms:
+            cluster.schedule(interval_ms, submit)
+
+    submit()
+
+
+def make_busy_cluster(workers: int = 4, tasks: int = 2) -> CellCluster:
+    """Return a cluster with long-running wide tasks among more short tasks than fit."""
+    cluster = CellCluster(workers=workers, capacity=SMALL_WORKER)
+    cluster.run(500)
+    step = make_step(tasks, lasting=True, needs=WIDE)
+    cluster.submit(make_spec("a", step), POLICY, {0: None})
+    cluster.run(500)
+    submit_stream(cluster, until_ms=40_000)
+    cluster.run(2_000)
+    assert len(cluster.ground_truth.list_running("a")) == tasks
+    return cluster
+
+
+def find_worker(cluster: CellCluster, task: str) -> str:
+    """Return the id of the worker that runs `task`."""
+    return next(name for name, worker in cluster.workers.items() if task in worker.runs)
+
+
+def measure_away_ms(cluster: CellCluster, task: str, limit_ms: int = 20_000) -> int:
+    """Run until `task` runs, and return for how long it did not."""
+    away_ms = 0
+    while task not in cluster.ground_truth.list_running("a") and away_ms < limit_ms:
+        cluster.run(50)
+        away_ms += 50
+    return away_ms
+
+
+def test_task_leaves_its_draining_worker_though_short_tasks_take_each_free_piece() -> None:
+    cluster = make_busy_cluster()
+    leaving = cluster.workers[find_worker(cluster, "a.0.0.0")]
+    leaving.drain()
+    cluster.run(DRAIN_MS)
+    assert not [task for task in leaving.runs if task.startswith("a.")]
+    assert not cluster.ground_truth.violations
+
+
+def test_task_of_a_lost_worker_starts_with_the_end_of_its_lease_though_short_tasks_wait() -> None:
+    cluster = make_busy_cluster()
+    cluster.workers[find_worker(cluster, "a.0.0.0")].crash()
+    assert measure_away_ms(cluster, "a.0.0.0") < MAX_AWAY_MS
+    assert not cluster.ground_truth.violations
+
+
+def make_full_cluster() -> CellCluster:
+    """Return a cluster whose workers are full of long-running tasks."""
+    cluster = CellCluster(workers=3, capacity=SMALL_WORKER)
+    cluster.run(500)
+    for job in ("a", "b", "c"):
+        step = make_step(1, lasting=True, needs=WIDE)
+        cluster.submit(make_spec(job, step), POLICY, {0: None})
+    cluster.run(1_000)
+    return cluster
+
+
+@pytest.mark.parametrize("hand_overs", [0, 1, 3])
+def test_announced_leave_without_a_place_to_go_costs_less_than_a_lease(hand_overs: int) -> None:
+    cluster = make_full_cluster()
+    leaving = cluster.workers[find_worker(cluster, "a.0.0.0")]
+    leaving.drain()
+    cluster.run(DRAIN_MS - 2_000 * hand_overs)
+    for _ in range(hand_overs):
+        cluster.hand_over()
+        cluster.run(2_000)
+    leaving.crash()
+    cluster.cancel("b")
+    assert measure_away_ms(cluster, "a.0.0.0") < cluster.bounds.lease_ms - 2_000
+    assert not cluster.ground_truth.violations
