Check in the emulator that long-running tasks run again in time

A task that is to last must not wait for 3 s, from 6 s after its last run, while there is capacity for it twice over and these 3 s and the 4 s before them are calm. No random test checked this; the soak looks at the end only.

The emulator now checks it every 50 ms. Hand-overs, joining workers and announced leaves are planned and count as calm, so a worker can leave as announced, which differs from a crash. Capacity is what is free in total; a violation also tells how many such tasks fit on single workers.

--- a/packages/standins/src/quetzallock_standins/emulator/cluster.py
+++ b/packages/standins/src/quetzallock_standins/emulator/cluster.py
@@ -28,8 +28,9 @@
 from .behaviours import declare_tasks, make_behaviours
 from .cancellations import CHECK_INTERVAL_MS, CancellationCheck
 from .deliveries import Delivery, Order, draw_delivery
-from .fault_monitor import FaultMonitor
+from .fault_monitor import FaultMonitor, UnplannedFaultMonitor
 from .ground_truth import GroundTruth
+from .long_running import LongRunningCheck
 from .operator import EmulatedOperator
 from .owners import Owner
 from .workers import Answer, EmulatedWorker, TaskBehaviour
@@ -48,6 +49,8 @@
     Attributes:
         ground_truth: What the workers really ran.
         cancellations: Checks the runs of cancelled jobs.
+        long_running: Checks that tasks which ran before and are to last run again in time.
+        planned_hand_overs: Number of owners that have taken over as planned.
         behaviours: Behaviour of each task when it runs.
         is_store_up: Whether appends succeed; while the store is down they are repeated.
         append_delay_ms: Time until an append is durable.
@@ -93,27 +96,18 @@
         self._event_number = 0
         self._ticket = 0
         self._cancelled_jobs: dict[int, str] = {}
-        worker_capacity = capacity or Resources(16_000, 64_000, 0)
-        self.workers = {
-            f"w{number}": EmulatedWorker(
-                make_entry(
-                    f"w{number}",
-                    worker_capacity,
-                    f"rack{number % 2}",
-                    boot_ms=1,
-                    data_centre=data_centres[number % len(data_centres)],
-                ),
-                self.ground_truth,
-                self.behaviours,
-                stop_ms=self.bounds.stop_ms,
-            )
-            for number in range(workers)
-        }
+        self._capacity = capacity or Resources(16_000, 64_000, 0)
+        self._data_centres = data_centres
+        self.planned_hand_overs = 0
+        self.workers: dict[str, EmulatedWorker] = {}
+        for number in range(workers):
+            self._add_worker(number, boot_ms=1)
         self.operator = EmulatedOperator(self.clock, self.schedule)
         self.owners: list[Owner] = []
         self.take_over()
         monitor = FaultMonitor(self)
         self.cancellations = CancellationCheck(self.ground_truth, monitor, self.bounds.stop_ms)
+        self.long_running = LongRunningCheck(self, UnplannedFaultMonitor(self))
 
     @property
     def owner(self) -> Owner:
@@ -125,6 +119,23 @@
         """The newest owner's cell."""
         return self.owner.cell
 
+    def _add_worker(self, number: int, boot_ms: int) -> EmulatedWorker:
+        data_centre = self._data_centres[number % len(self._data_centres)]
+        entry = make_entry(
+            f"w{number}", self._capacity, f"rack{number % 2}", boot_ms, data_centre=data_centre
+        )
+        worker = EmulatedWorker(
+            entry, self.ground_truth, self.behaviours, stop_ms=self.bounds.stop_ms
+        )
+        self.workers[worker.id] = worker
+        return worker
+
+    def join_worker(self) -> EmulatedWorker:
+        """Let another worker join the cell."""
+        worker = self._add_worker(len(self.workers), boot_ms=self.clock.now() + 1)
+        self.schedule(self.latency_ms, lambda: self._poll_inventory(self.owner, worker))
+        return worker
+
     def read_unix_ms(self) -> int:
         """Return the Unix time in ms."""
         return UNIX_START_MS + self.clock.now()
@@ -134,9 +145,13 @@
         self._event_number += 1
         heapq.heappush(self._events, (self.clock.now() + ms, self._event_number, action))
 
+    def _check(self) -> None:
+        self.cancellations.check()
+        self.long_running.check()
+
     def run(self, ms: int) -> None:
         """Advance the emulation by `ms` milliseconds."""
-        self.cancellations.check()
+        self._check()
         until = self.clock.now() + ms
         while self.clock.now() < until:
             self.clock.advance(STEP_MS)
@@ -145,8 +160,8 @@
             while self._events and self._events[0][0] <= self.clock.now():
                 heapq.heappop(self._events)[2]()
             if self.clock.now() % CHECK_INTERVAL_MS < STEP_MS:
-                self.cancellations.check()
-        self.cancellations.check()
+                self._check()
+        self._check()
 
     def _advance_worker(self, worker: EmulatedWorker) -> None:
         was_up = worker.is_up
@@ -183,6 +198,7 @@
     def hand_over(self) -> Owner:
         """Let the newest owner hand the cell over, and start another one."""
         owner = self.owner
+        self.planned_hand_overs += owner.is_running
         owner.cell.may_order = False
         for _ in range(20):
             if not owner.is_writing:
@@ -369,6 +385,7 @@
         """
         self.behaviours.update(make_behaviours(spec, durations, behaviour))
         declare_tasks(self.ground_truth, spec, policy.max_attempts)
+        self.long_running.record_submission(spec, policy.service)
         self._ticket += 1
         record = JobRecord(spec, policy, self.read_unix_ms())
         self.cell.submit(record, self._ticket)
@@ -379,6 +396,7 @@
         """Cancel a job at the newest owner and return the ticket."""
         self._ticket += 1
         self._cancelled_jobs[self._ticket] = job
+        self.long_running.record_cancellation(job)
         self.cell.cancel(job, self._ticket)
         self.run_effects(self.owner)
         return self._ticket
--- a/packages/standins/src/quetzallock_standins/emulator/fault_monitor.py
+++ b/packages/standins/src/quetzallock_standins/emulator/fault_monitor.py
@@ -5,6 +5,7 @@
 
 from quetzallock_core.clock import Clock
 
+from .operator import EmulatedOperator
 from .owners import Owner
 from .workers import EmulatedWorker
 
@@ -13,13 +14,17 @@
 
 
 class MonitoredCluster(Protocol):
-    """What the monitor needs of the emulated cell."""
+    """What the monitors need of the emulated cell."""
 
     is_store_up: bool
     order_loss_rate: float
     order_delay_rate: float
     pace_loss_rate: float
     busy_rate: float
+    answer_delay_rate: float
+    holds_orders: bool
+    planned_hand_overs: int
+    operator: EmulatedOperator
     unlisted_workers: set[str]
 
     @property
@@ -38,8 +43,9 @@
 class FaultMonitor:
     """Remembers when a fault was last seen active.
 
-    Late answers, draining workers, evacuations and changes of capacity are no faults: they delay no
-    order. Nor is an order that is carried out late once the rate of late orders is 0 again.
+    Late answers, draining workers and their leave, evacuations and changes of capacity are no
+    faults: they delay no order. Nor is an order that is carried out late once the rate of late
+    orders is 0 again.
 
     Attributes:
         last_fault_at: Time in ms of the last observation with an active fault, a new owner or a new
@@ -83,5 +89,29 @@
         )
 
 
+class UnplannedFaultMonitor(FaultMonitor):
+    """The same without planned work: hand-overs and workers that join are no faults either.
+
+    Faults that keep an owner from sending orders count as well.
+    """
+
+    def _list_lives(self) -> list[int]:
+        """Return the number of owners that took over unplanned, and of crashes."""
+        cluster = self._cluster
+        crashes = sum(worker.crashes for worker in cluster.workers.values())
+        return [len(cluster.owners) - cluster.planned_hand_overs, crashes]
+
+    def _has_active_fault(self) -> bool:
+        cluster = self._cluster
+        return (
+            super()._has_active_fault()
+            or cluster.holds_orders
+            or not cluster.operator.is_readable
+            or bool(cluster.answer_delay_rate)
+        )
+
+
 def _is_faulty(worker: EmulatedWorker) -> bool:
+    if worker.has_left:
+        return False
     return not worker.is_up or worker.is_isolated or worker.is_replaced or worker.mode != "sound"
--- a/packages/standins/src/quetzallock_standins/emulator/workers.py
+++ b/packages/standins/src/quetzallock_standins/emulator/workers.py
@@ -95,6 +95,8 @@
         is_replaced: Whether it is down and another worker answers at its address.
         has_broken_connections: Whether the next call finds its connection broken by a crash.
         is_crashed_by_task: Whether a task has crashed it since its last start.
+        has_left: Whether it is down since it has left as announced.
+        crashes: Number of its crashes.
         interference: For a pair of images, the relative increase of the first one's tail latency
             if tasks of the second use the whole processor.
         compute_load: Returns, for a time on its clock, the factor by which the load of the serving
@@ -119,6 +121,8 @@
     is_replaced: bool = False
     has_broken_connections: bool = False
     is_crashed_by_task: bool = False
+    has_left: bool = False
+    crashes: int = 0
     interference: dict[tuple[str, str], float] = field(default_factory=dict)
     compute_load: Callable[[float], float] = _compute_even_load
     fence: int = 0
@@ -341,7 +345,7 @@
                 self._end_run(run, "broken")
 
     def drain(self) -> None:
-        """Announce that the worker is about to leave; it goes on until `crash`."""
+        """Announce that the worker is about to leave; it goes on until `leave`."""
         self.entry = replace(self.entry, is_draining=True)
 
     def set_cold(self, remaining_ms: int) -> None:
@@ -350,10 +354,21 @@
 
     def crash(self) -> None:
         """Lose all state; the worker does not answer until `revive`."""
+        self.crashes += 1
+        self._shut_down("crashed")
+
+    def leave(self) -> None:
+        """Leave as announced by `drain`: all runs end, and the entry goes."""
+        if not self.entry.is_draining:
+            raise ValueError(f"{self.id} has not announced its leave")
+        self.has_left = True
+        self._shut_down("left")
+
+    def _shut_down(self, outcome: str) -> None:
         self.is_up = False
         self.has_broken_connections = True
         for run in self.runs.values():
-            self.ground_truth.record_end(run.order.task, run.order.run, "crashed")
+            self.ground_truth.record_end(run.order.task, run.order.run, outcome)
         self.runs.clear()
         self.ends.clear()
         self.highest_closed_runs.clear()
@@ -369,4 +384,5 @@
         self.capacity = entry.capacity
         self._clock = 0.0
         self.is_up = True
+        self.has_left = False
         self.is_crashed_by_task = False
