Grant draining workers shorter leases, and extend none after an unanswered poll

Cause: the owner granted whole leases of 6 s to the end, and once more with each poll that followed an unanswered one, as the worker counted as reachable for 1.5 s. A new owner counted the lease from its own first inventory, though the hand-over had said when it ends.

Change: a worker that drains gets leases of 3 s; a poll after an unanswered one extends nothing; the first inventory at a new owner is bounded by the lease end that the hand-over has recorded. A lease end is still the latest that any order may have set, so no task can run twice: the earlier, longer lease of a worker that has just begun to drain still counts.

--- a/packages/core/src/quetzallock_core/cells/const.py
+++ b/packages/core/src/quetzallock_core/cells/const.py
@@ -12,6 +12,10 @@
 MAX_LEASE_MS: Final = 6_000
 """Longest lease requested from a worker. Bounds how long the tasks of a lost worker wait."""
 
+DRAINING_LEASE_MS: Final = 3_000
+"""Longest lease requested from a worker that drains. Longer than a poll and the hand-over of the
+cell after it take."""
+
 CLOCK_DRIFT: Final = 0.02
 """Largest share by which a worker's monotonic clock may run slow."""
 
--- a/packages/core/src/quetzallock_core/cells/inventory.py
+++ b/packages/core/src/quetzallock_core/cells/inventory.py
@@ -50,8 +50,9 @@
         worker.inventory_asked_at = max(worker.inventory_asked_at, asked_at)
         worker.is_poll_unanswered = False
         if is_first:
+            left_ms = state.unverified.compute_longest_lease(boot, asked_at, state.bounds.lease_ms)
             known_end = worker.lease_end_clock_ms
-            worker.lease_end_clock_ms = max(known_end, inventory.clock_ms + state.bounds.lease_ms)
+            worker.lease_end_clock_ms = max(known_end, inventory.clock_ms + left_ms)
         changed = is_first
         for row in inventory.ended:
             if row.number > worker.cursor:
--- a/packages/core/src/quetzallock_core/cells/unverified.py
+++ b/packages/core/src/quetzallock_core/cells/unverified.py
@@ -170,6 +170,19 @@
                 return True
         return False
 
+    def compute_longest_lease(self, boot: Boot, asked_at: int, lease_ms: int) -> int:
+        """Return how long the lease of a boot may still last, in ms.
+
+        Args:
+            boot: The boot.
+            asked_at: Local ms from which the time is counted.
+            lease_ms: Duration of a lease.
+        """
+        unverified_worker = self.by_boot.get(boot)
+        if unverified_worker is None:
+            return lease_ms
+        return max(0, min(lease_ms, unverified_worker.lapse_at - asked_at))
+
     def compute_lapse_at(self, worker: Worker, now: int) -> int:
         """Return the local ms at which the lease of a worker without any inventory has lapsed."""
         unverified_worker = self.by_boot.get((worker.id, worker.entry.boot_ms))
--- a/packages/core/src/quetzallock_core/cells/workers.py
+++ b/packages/core/src/quetzallock_core/cells/workers.py
@@ -5,6 +5,7 @@
 
 from .const import (
     CLOCK_DRIFT,
+    DRAINING_LEASE_MS,
     LEASE_MARGIN_MS,
     METRIC_WINDOW_MS,
     SERVING_PEAK_LOAD,
@@ -276,6 +277,21 @@
         if self.unanswered_since < 0:
             self.unanswered_since = now
 
+    def renew_lease(self, lease_ms: int, now: int) -> int | None:
+        """Extend the lease with a poll that is sent at `now`, if it may be extended.
+
+        A worker that drains gets a shorter one, as its tasks wait for the lease once it is gone. A
+        poll after an unanswered one extends nothing, as the worker may be gone already.
+
+        Returns:
+            The end on the worker's clock, or None.
+        """
+        if not self.is_reachable(now) or not self.may_renew_lease or self.unanswered_since >= 0:
+            return None
+        if self.entry.is_draining:
+            lease_ms = min(lease_ms, DRAINING_LEASE_MS)
+        return self.extend_lease(lease_ms, now)
+
     def extend_lease(self, lease_ms: int, now: int) -> int:
         """Extend the lease and return its end on the worker's clock for an order sent at `now`."""
         until = self.clock_ms + (now - self.clock_read_at) + lease_ms
--- a/packages/daemon/src/quetzallock_daemon/cells/inventory.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/inventory.py
@@ -82,8 +82,7 @@
         owner = self._owner
         now = owner.clock.now()
         is_reachable = worker.is_reachable(now)
-        may_renew = is_reachable and worker.may_renew_lease
-        lease_end_clock_ms = worker.extend_lease(self._bounds.lease_ms, now) if may_renew else None
+        lease_end_clock_ms = worker.renew_lease(self._bounds.lease_ms, now)
         wait_ms = owner.load_control.choose_wait_ms(worker) if is_reachable else 0
         entry = worker.entry
         answer = await self._workers.poll_inventory(
--- a/packages/standins/src/quetzallock_standins/emulator/cluster.py
+++ b/packages/standins/src/quetzallock_standins/emulator/cluster.py
@@ -240,8 +240,7 @@
             return
         boot = cell_worker.boot
         now = self.clock.now()
-        may_extend = cell_worker.is_reachable(now) and cell_worker.may_renew_lease
-        until = cell_worker.extend_lease(self.bounds.lease_ms, now) if may_extend else None
+        until = cell_worker.renew_lease(self.bounds.lease_ms, now)
         if self._is_misdirected(worker, cell_worker.entry.address):
             self.schedule(
                 self.latency_ms,
