Let the next owner know which long-running tasks have run before

Cause: an owner that takes a cell over did not know which tasks had run, so that all tasks of started jobs passed the limit on new long-running tasks. With each hand-over, tasks that never ran took room of the ones that had.

Change: a hand-over names the long-running tasks that wait for their next run; those with runs are named already. After a crash all tasks of a started job count as having run, as before. The limit also counts what displaced tasks will take again.

--- a/packages/core/src/quetzallock_core/cells/batches.py
+++ b/packages/core/src/quetzallock_core/cells/batches.py
@@ -6,9 +6,10 @@
 from ..exceptions import CodecError
 from .const import UNVERIFIED_RECORD_AFTER_MS
 from .early_cancels import CancelCall
+from .job_records import list_interrupted
 from .jobs import Job
 from .orders import Persist, TicketOutcome
-from .records import WorkerRecord
+from .records import HandOverRecord, WorkerRecord
 from .state import CellState
 from .unverified import UnverifiedWorker
 from .workers import Worker
@@ -233,6 +234,8 @@
         """Return all records that wait to be written, and last the hand-over record."""
         batch = self.pop_batch()
         record = self._state.unverified.to_hand_over_record()
+        if isinstance(record, HandOverRecord):
+            record = replace(record, interrupted=list_interrupted(self._state.open_steps))
         batch.records.append(Persist(HAND_OVER_KEY, record))
         return batch
 
--- a/packages/core/src/quetzallock_core/cells/headroom.py
+++ b/packages/core/src/quetzallock_core/cells/headroom.py
@@ -46,11 +46,14 @@
     Attributes:
         capacity: CPU of the workers that accept tasks, in thousandths of a core.
         lasting_cpu: CPU that long-running tasks hold there.
+        displaced_cpu: CPU for which long-running tasks will come back there, as they wait for their
+            next run, or run on workers that drain.
         demands: Recent demand of short tasks by priority.
     """
 
     capacity: int = 0
     lasting_cpu: int = 0
+    displaced_cpu: int = 0
     demands: defaultdict[int, _Demand] = field(default_factory=lambda: defaultdict(_Demand))
 
     def compute_limit(self, priority: int) -> float:
@@ -73,17 +76,24 @@
         for pool in self._pools.values():
             pool.capacity = 0
             pool.lasting_cpu = 0
+            pool.displaced_cpu = 0
         for worker in workers:
+            pool = self._pools[worker.entry.service]
             if worker.can_accept_task(now):
-                pool = self._pools[worker.entry.service]
                 pool.capacity += worker.entry.capacity.cpu
                 pool.lasting_cpu += worker.lasting_cpu
+            elif worker.entry.is_draining:
+                pool.displaced_cpu += worker.lasting_cpu
         demands: defaultdict[tuple[str, int], int] = defaultdict(int)
         for step in steps:
-            if not step.spec.lasting and not step.spec.fills:
-                policy = step.job.policy
-                unfinished = len(step.tasks) - step.done
-                demands[policy.service, policy.priority] += unfinished * step.spec.needs.cpu
+            policy = step.job.policy
+            if step.spec.fills:
+                continue
+            if step.spec.lasting:
+                self._pools[policy.service].displaced_cpu += compute_interrupted_cpu(step)
+                continue
+            unfinished = len(step.tasks) - step.done
+            demands[policy.service, policy.priority] += unfinished * step.spec.needs.cpu
         for service, pool in self._pools.items():
             priorities = {priority for other, priority in demands if other == service}
             for priority in priorities | pool.demands.keys():
@@ -96,18 +106,18 @@
     def may_start_all(self, tasks: list[Task]) -> bool:
         """Return whether these tasks of one step may take CPU together.
 
-        Tasks that were ordered before are not held back, as their users notice each second without
-        them. After a takeover this holds for all tasks of a started job, since the journal does not
-        tell which of them ran.
+        Tasks that have run before are not held back, as their users notice each second without
+        them.
         """
         job = tasks[0].job
-        if not _holds_cpu(tasks[0]) or (job.is_loaded and job.has_started):
+        if not _holds_cpu(tasks[0]):
             return True
         pool = self._pools[job.policy.service]
         new_cpu = sum(task.spec.needs.cpu for task in tasks if not task.has_run)
         if not pool.capacity or not new_cpu:
             return True
-        return pool.lasting_cpu + new_cpu <= pool.compute_limit(job.policy.priority)
+        held_cpu = pool.lasting_cpu + pool.displaced_cpu
+        return held_cpu + new_cpu <= pool.compute_limit(job.policy.priority)
 
     def add(self, task: Task) -> None:
         """Count a task that was placed, or got a reservation, since the last update."""
@@ -115,6 +125,13 @@
             self._pools[task.job.policy.service].lasting_cpu += task.spec.needs.cpu
 
 
+def compute_interrupted_cpu(step: StepRun) -> int:
+    """Return the CPU of the tasks of a long-running step that have run before and wait."""
+    if step.has_no_waiting_task or not step.job.has_started:
+        return 0
+    return sum(task.has_run and task.is_waiting for task in step.tasks) * step.spec.needs.cpu
+
+
 def _holds_cpu(task: Task) -> bool:
     """Return whether `task` commits CPU until its job is cancelled; best effort commits none."""
     return task.spec.lasting and not task.spec.fills
--- a/packages/core/src/quetzallock_core/cells/job_records.py
+++ b/packages/core/src/quetzallock_core/cells/job_records.py
@@ -1,8 +1,14 @@
 """Makes jobs from the records of the journal."""
 
-from .jobs import Job, Task
+from collections.abc import Iterable, Mapping
+from typing import Final
+
+from .jobs import Job, StepRun, Task, parse_task_name
 from .models import JobSpec
-from .records import JobRecord, ProgressRecord
+from .records import HandOverRecord, JobRecord, LeasesRecord, ProgressRecord
+
+MAX_INTERRUPTED: Final = 1_000
+"""Maximum number of interrupted tasks that a hand-over names, as it is one record of the store."""
 
 
 def compute_work(spec: JobSpec) -> float:
@@ -53,3 +59,40 @@
         for task in job.list_tasks()
         if not task.is_done and task.attempts and task.attempts >= job.policy.max_attempts
     ]
+
+
+def list_interrupted(steps: Iterable[StepRun]) -> tuple[str, ...]:
+    """Return the names of long-running tasks that have run before and wait, with a limit."""
+    names = [
+        task.name
+        for step in steps
+        if step.spec.lasting and step.job.has_started and not step.has_no_waiting_task
+        for task in step.tasks
+        if task.is_waiting and task.has_run
+    ]
+    return tuple(names[:MAX_INTERRUPTED])
+
+
+def restore_has_run(
+    jobs: Mapping[str, Job], hand_over: HandOverRecord | LeasesRecord | None
+) -> None:
+    """Mark the long-running tasks that have run before.
+
+    Without a record of the runs, all such tasks of a started job count as having run.
+    """
+    if not isinstance(hand_over, HandOverRecord):
+        for job in jobs.values():
+            if job.has_started and not job.is_over:
+                for task in job.list_tasks():
+                    task.has_run |= task.spec.lasting
+        return
+    for name in (*(run[0] for run in hand_over.runs), *hand_over.interrupted):
+        found = _find_task(jobs, name)
+        if found is not None and found.spec.lasting:
+            found.has_run = True
+
+
+def _find_task(jobs: Mapping[str, Job], name: str) -> Task | None:
+    parts = parse_task_name(name)
+    job = None if parts is None else jobs.get(parts[0])
+    return None if job is None or parts is None or job.is_over else job.find_task(*parts[1:])
--- a/packages/core/src/quetzallock_core/cells/jobs.py
+++ b/packages/core/src/quetzallock_core/cells/jobs.py
@@ -112,7 +112,8 @@
             another task or to the loss of most of a rack.
         may_give_up_at: Local ms from which on its job may be given up for the crashes.
         crash_revision: The job's `crash_revision` at the last change of its crashes or exposures.
-        has_run: This owner has ordered or found a run of it.
+        has_run: A run of it was ordered or found, by this owner or, if it is long-running, by an
+            earlier one.
         name: Job id, occurrence, step and index, joined by dots.
         spec: Specification of its step.
         job: The job it belongs to.
--- a/packages/core/src/quetzallock_core/cells/records.py
+++ b/packages/core/src/quetzallock_core/cells/records.py
@@ -166,12 +166,14 @@
             has lapsed at the latest. The owner renews no lease after it has written the record.
         unbegun: Those of the runs that had not begun, as far as the workers had answered.
         worked: Those that had worked past the time in which they may be expected to crash a worker.
+        interrupted: Long-running tasks that have run before and wait for their next run.
     """
 
     runs: tuple[tuple[str, str, int], ...]
     leases: tuple[tuple[str, int, int], ...] = ()
     unbegun: tuple[tuple[str, str, int], ...] = ()
     worked: tuple[tuple[str, str, int], ...] = ()
+    interrupted: tuple[str, ...] = ()
 
 
 @message(229)
--- a/packages/core/src/quetzallock_core/cells/state.py
+++ b/packages/core/src/quetzallock_core/cells/state.py
@@ -14,7 +14,7 @@
 from .ended_runs import EndedRuns, compute_unconfirmed_until
 from .headroom import Headroom
 from .interference import Interference
-from .job_records import list_exhausted, make_job, restore_job
+from .job_records import list_exhausted, make_job, restore_has_run, restore_job
 from .jobs import Job, Run, StepRun, Task
 from .models import Boot, Bounds, WorkerEntry
 from .orders import Decision, Effect, PaceRun, StopRun
@@ -145,6 +145,7 @@
             self.placing.add_job(job, now)
             self.open_job(job)
             self.exhausted.update(dict.fromkeys(list_exhausted(job)))
+        restore_has_run(self.jobs, contents.hand_over)
         self.early_cancels.restore(contents.early_cancels, self.jobs)
         self.crashes.restore(
             self.unverified.locations, self.unverified.unbegun, self.unverified.worked
