Let the search for room off leaving workers reach each step in turn

What callers saw: long-running tasks stay on a worker that has announced its leave, although another has room for them, until it leaves and its lease lapses.

Cause: one tick searches for 16 steps, and a step without room is searched for again after 300 ms. With ticks every 100 ms the first 48 steps in the order of the workers are due again before the 49th had its turn, which so never gets one. Moves out of evacuated data centres have the same limit and order.

Change: among the steps whose pause is over, the one searched for longest ago comes first. The limit and the pause stay.

--- a/packages/core/src/quetzallock_core/cells/evacuation_moves.py
+++ b/packages/core/src/quetzallock_core/cells/evacuation_moves.py
@@ -6,7 +6,7 @@
 
 from .const import MAX_STEPS_MOVED_PER_TICK, ROOM_SEARCH_PAUSE_MS
 from .jobs import Run, StepRun, Task
-from .migration import count_movable, move_run
+from .migration import count_movable, keep_known, list_searchable, move_run
 from .placement import Placement
 from .scheduler import may_start
 from .state import CellState
@@ -39,8 +39,8 @@
         state = self._state
         now = state.clock.now()
         runs_by_step = self._group_runs(now)
-        self._search_after = {step: at for step, at in self._search_after.items() if at > now}
-        steps = [step for step in runs_by_step if step not in self._search_after]
+        self._search_after = keep_known(self._search_after, runs_by_step)
+        steps = list_searchable(runs_by_step, self._search_after, now)
         if not steps:
             return
         steps.sort(key=lambda step: not step.spec.lasting)
--- a/packages/core/src/quetzallock_core/cells/migration.py
+++ b/packages/core/src/quetzallock_core/cells/migration.py
@@ -1,7 +1,7 @@
 """Moves runs to other workers: stops them where another worker has room for their tasks."""
 
 from collections import defaultdict
-from collections.abc import Iterable
+from collections.abc import Container, Iterable, Mapping
 from typing import TypeVar
 
 from .const import (
@@ -74,8 +74,8 @@
         state = self._state
         now = state.clock.now()
         runs_by_step = self._group_leaving_runs(now)
-        self._search_after = drop_past(self._search_after, now)
-        steps = [step for step in runs_by_step if step not in self._search_after]
+        self._search_after = keep_known(self._search_after, runs_by_step)
+        steps = list_searchable(runs_by_step, self._search_after, now)
         if not steps:
             return
         placement = state.make_placement()
@@ -111,6 +111,23 @@
     return {key: at for key, at in times.items() if at > now}
 
 
+def keep_known(times: dict[_Key, int], known: Container[_Key]) -> dict[_Key, int]:
+    """Return the entries whose key is in `known`, also those whose time is past."""
+    return {key: at for key, at in times.items() if key in known}
+
+
+def list_searchable(
+    steps: Iterable[StepRun], search_after: Mapping[StepRun, int], now: int
+) -> list[StepRun]:
+    """Return the steps whose pause is over, the one searched for longest ago first.
+
+    A tick searches for a limited number of steps. In a fixed order the first ones, whose pause is
+    over again, would keep it from the last.
+    """
+    due = [step for step in steps if search_after.get(step, 0) <= now]
+    return sorted(due, key=lambda step: search_after.get(step, 0))
+
+
 def move_run(state: CellState, run: Run, target: Worker, reason: str) -> None:
     """Stop a run, and keep room for its task on another worker until the run has ended."""
     state.reservations.reserve_for_move(run, target)
