Count no step that may not be moved against the limit of a tick

What callers saw: long-running tasks stay on a leaving worker, although another has room and their step may miss one.

Cause: a step of which no more tasks may be unavailable has no run to move, but took one of the 16 places of each tick, without a pause after it. With 16 such steps in front, no other was moved at all while their missing tasks waited. Moves out of evacuated data centres left such steps out already.

Change: both leave out these steps before the limit, by the same function.

Evidence: the new test fails on the commit before and passes now.

--- a/packages/core/src/quetzallock_core/cells/evacuation_moves.py
+++ b/packages/core/src/quetzallock_core/cells/evacuation_moves.py
@@ -6,7 +6,7 @@
 
 from .const import MAX_STEPS_MOVED_PER_TICK, ROOM_SEARCH_PAUSE_MS
 from .jobs import Run, StepRun, Task
-from .migration import count_movable, keep_known, list_searchable, move_run
+from .migration import count_movable, keep_known, limit_runs, list_searchable, move_run
 from .placement import Placement
 from .scheduler import may_start
 from .state import CellState
@@ -46,19 +46,13 @@
         steps.sort(key=lambda step: not step.spec.lasting)
         placement = state.make_placement()
         demands = list_demands(state, now)
-        searched = 0
-        for step in steps:
-            runs = runs_by_step[step][: count_evacuable(step)]
-            if not runs:
-                continue
-            if searched == MAX_STEPS_MOVED_PER_TICK:
-                break
-            searched += 1
+        for step in steps[:MAX_STEPS_MOVED_PER_TICK]:
+            runs = runs_by_step[step]
             if self._move_step(runs, placement, demands) < len(runs):
                 self._search_after[step] = now + ROOM_SEARCH_PAUSE_MS
 
     def _group_runs(self, now: int) -> dict[StepRun, list[Run]]:
-        """Return the runs on evacuated workers that may move, by step."""
+        """Return the runs on evacuated workers that may be moved now, by step."""
         runs_by_step: defaultdict[StepRun, list[Run]] = defaultdict(list)
         for worker in self._state.workers.values():
             if not worker.is_evacuated or not worker.is_reachable(now):
@@ -66,7 +60,7 @@
             for run in worker.runs.values():
                 if self._may_move(run):
                     runs_by_step[run.task.step].append(run)
-        return runs_by_step
+        return limit_runs(runs_by_step, count_evacuable)
 
     def _may_move(self, run: Run) -> bool:
         task = run.task
--- a/packages/core/src/quetzallock_core/cells/migration.py
+++ b/packages/core/src/quetzallock_core/cells/migration.py
@@ -1,7 +1,7 @@
 """Moves runs to other workers: stops them where another worker has room for their tasks."""
 
 from collections import defaultdict
-from collections.abc import Container, Iterable, Mapping
+from collections.abc import Callable, Container, Iterable, Mapping
 from typing import TypeVar
 
 from .const import (
@@ -80,12 +80,12 @@
             return
         placement = state.make_placement()
         for step in steps[:MAX_STEPS_MOVED_PER_TICK]:
-            runs = runs_by_step[step][: count_movable(step)]
+            runs = runs_by_step[step]
             if self._migrate_step(runs, placement) < len(runs):
                 self._search_after[step] = now + ROOM_SEARCH_PAUSE_MS
 
     def _group_leaving_runs(self, now: int) -> dict[StepRun, list[Run]]:
-        """Return the lasting runs on draining workers whose tasks could start again, by step."""
+        """Return the lasting runs on draining workers that may be moved now, by step."""
         runs_by_step: defaultdict[StepRun, list[Run]] = defaultdict(list)
         for worker in self._state.workers.values():
             if not worker.entry.is_draining or not worker.is_reachable(now):
@@ -93,7 +93,7 @@
             for run in worker.runs.values():
                 if is_movable(run, self._state):
                     runs_by_step[run.task.step].append(run)
-        return runs_by_step
+        return limit_runs(runs_by_step, count_movable)
 
     def _migrate_step(self, runs: list[Run], placement: Placement) -> int:
         """Stop runs of one step while another worker has room, and return their number."""
@@ -116,6 +116,14 @@
     return {key: at for key, at in times.items() if key in known}
 
 
+def limit_runs(
+    runs_by_step: Mapping[StepRun, list[Run]], count: Callable[[StepRun], int]
+) -> dict[StepRun, list[Run]]:
+    """Return the first `count` runs of each step, without the steps that keep none."""
+    limited = {step: runs[: count(step)] for step, runs in runs_by_step.items()}
+    return {step: runs for step, runs in limited.items() if runs}
+
+
 def list_searchable(
     steps: Iterable[StepRun], search_after: Mapping[StepRun, int], now: int
 ) -> list[StepRun]:
--- a/tests/core/cells/test_move_limits.py
+++ b/tests/core/cells/test_move_limits.py
@@ -70,3 +70,20 @@
     cluster.run(MOVE_MS)
     assert "small.0.0.0" in cluster.workers[f"w{LEAVING}"].runs
     assert not cluster.ground_truth.violations
+
+
+def test_steps_of_which_none_may_be_missed_do_not_keep_others_from_leaving_in_time() -> None:
+    cluster = make_cluster()
+    for number in range(MAX_STEPS_MOVED_PER_TICK):
+        kept = start_on(cluster, f"kept{number}", "w0", count=2, max_unavailable=1, needs=TINY)
+        kept[1].not_before = cluster.clock.now() + 60_000
+        cluster.cell.state.stop_run(next(iter(kept[1].runs.values())), "test")
+        cluster.run(300)
+    start_on(cluster, "small", "w1", count=1)
+    cluster.run(500)
+    cluster.workers["w0"].drain()
+    cluster.workers["w1"].drain()
+    cluster.run(MOVE_MS)
+    assert cluster.workers["w0"].runs
+    assert not cluster.workers["w1"].runs
+    assert not cluster.ground_truth.violations
