Look at the workers once for a report of waiting steps

Cause: each of the 8 steps of a report built a placement over all workers, in the one tick a second that reports.

Change: one placement for the report. The reports are the same.

The new test fails before.

--- a/packages/core/src/quetzallock_core/cells/waiting.py
+++ b/packages/core/src/quetzallock_core/cells/waiting.py
@@ -1,18 +1,16 @@
 """Reports why tasks wait: what keeps them from each worker, and how much room is free meanwhile."""
 
 from collections import Counter
-from collections.abc import Iterable
 from dataclasses import dataclass, replace
 from typing import Final
 
 from .descriptions import describe_kind, describe_resources
-from .interference import Interference
 from .jobs import StepRun, Task
 from .models import Resources
 from .placement import Obstacle, Placement
 from .scheduler import may_start
 from .state import CellState
-from .workers import Worker, compute_commitment
+from .workers import compute_commitment
 
 REPORT_INTERVAL_MS: Final = 1_000
 """Minimum time between two reports, each of which looks at all workers."""
@@ -100,9 +98,12 @@
         if task is not None and now - step.ready_at >= REPORT_AFTER_MS:
             waiting.append((step.ready_at, task))
     waiting.sort(key=lambda entry: (entry[0], entry[1].name))
+    if not waiting:
+        return []
+    placement = Placement(state.workers.values(), state.interference, now)
     reports = []
     for _, task in waiting[:MAX_STEPS_REPORTED]:
-        report = explain_wait(task, state.workers.values(), state.interference, now)
+        report = explain_wait(task, placement, now)
         if state.unverified.may_be_running(task):
             report = replace(report, reason=UNVERIFIED)
         elif not state.headroom.may_start(task):
@@ -133,14 +134,11 @@
     return next((task for task in step.tasks if task.is_waiting and now >= task.not_before), None)
 
 
-def explain_wait(
-    task: Task, workers: Iterable[Worker], interference: Interference, now: int
-) -> WaitReport:
-    """Return what keeps `task` from each of `workers` that accepts tasks."""
+def explain_wait(task: Task, placement: Placement, now: int) -> WaitReport:
+    """Return what keeps `task` from each worker of `placement`."""
     obstacles: Counter[str] = Counter()
     largest_free = Resources()
     total_free = Resources()
-    placement = Placement(workers, interference, now)
     for worker in placement.workers:
         obstacle = placement.find_obstacle(task, worker)
         obstacles[obstacle or NO_OBSTACLE] += 1
--- a/tests/core/cells/test_decision_costs.py
+++ b/tests/core/cells/test_decision_costs.py
@@ -10,6 +10,7 @@
 from quetzallock_core.cells.pacing import PAUSED_PACE
 from quetzallock_core.cells.placement import STARVING_AFTER_MS, Placement
 from quetzallock_core.cells.regression import TermEstimates
+from quetzallock_core.cells.waiting import MAX_STEPS_REPORTED, REPORT_AFTER_MS, explain_waits
 from quetzallock_standins.emulator import CellCluster
 from quetzallock_standins.emulator.cluster import TICK_INTERVAL_MS, make_spec
 
@@ -99,6 +100,20 @@
     assert not evaluated
 
 
+def test_report_of_waiting_steps_looks_at_the_workers_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a tick that grows with the steps in a report."""
+    cluster = CellCluster(workers=WORKERS, capacity=CAPACITY)
+    cluster.run(500)
+    too_wide = Resources(CAPACITY.cpu + 1, 1_000, 0)
+    for number in range(MAX_STEPS_REPORTED):
+        cluster.submit(make_spec(f"waits{number}", StepSpec(1, too_wide)), POLICY, {0: 500})
+    cluster.run(REPORT_AFTER_MS + 100)
+    state = cluster.cell.state
+    placements = count_calls(monkeypatch, Placement, "__init__")
+    assert len(explain_waits(state, state.clock.now())) == MAX_STEPS_REPORTED
+    assert len(placements) == 1
+
+
 def test_paused_runs_without_another_worker_are_searched_for_at_an_interval(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
