Check the constraints of a worker once in a search for victims

Cause: a search checked each worker twice, added up what its candidates would free in new objects, and looked at all tasks of steps that have just begun to wait. It was more than half of a tick.

Change: the second check, the objects and these tasks are left out. The choices are the same.

--- a/packages/core/src/quetzallock_core/cells/preemption.py
+++ b/packages/core/src/quetzallock_core/cells/preemption.py
@@ -213,6 +213,8 @@
     def _has_late_task(self, step: StepRun, now: int) -> bool:
         if step.spec.fills or step.spec.gang or step.has_no_waiting_task:
             return False
+        if now - step.ready_at < WAIT_LIMIT_MS:
+            return False
         return step.job.is_stored and any(self._is_late(task, now) for task in step.tasks)
 
     def _is_late(self, task: Task, now: int) -> bool:
@@ -277,6 +279,21 @@
         search.handle_preempted(choice)
 
 
+def _can_free(needs: Resources, worker: Worker, candidates: Iterable[Candidate]) -> bool:
+    """Return whether `needs` would fit on `worker` without all of `candidates`."""
+    capacity = worker.entry.capacity
+    committed = worker.committed
+    cpu = capacity.cpu - committed.cpu
+    memory_mb = capacity.memory_mb - committed.memory_mb
+    gpus = capacity.gpus - committed.gpus
+    for candidate in candidates:
+        freed = candidate.freed
+        cpu += freed.cpu
+        memory_mb += freed.memory_mb
+        gpus += freed.gpus
+    return needs.cpu <= cpu and needs.memory_mb <= memory_mb and needs.gpus <= gpus
+
+
 @dataclass(frozen=True, slots=True)
 class _Choice:
     """A worker and the runs to preempt there."""
@@ -311,7 +328,7 @@
         first = self._first_worker % len(usable)
         choices: dict[Worker, _Choice] = {}
         for worker in (*usable[first:], *usable[:first]):
-            self.update_choice(task, worker, choices)
+            self._set_choice(task, worker, choices)
             if len(choices) >= MAX_CHOICES:
                 break
         return choices
@@ -337,13 +354,15 @@
 
     def update_choice(self, task: Task, worker: Worker, choices: dict[Worker, _Choice]) -> None:
         """Set the choice on `worker`, if there is one, after something has changed there."""
-        if not self._may_use(worker, task):
-            return
+        if self._may_use(worker, task):
+            self._set_choice(task, worker, choices)
+
+    def _set_choice(self, task: Task, worker: Worker, choices: dict[Worker, _Choice]) -> None:
+        """Set the choice on a worker that may be used, if there is one."""
         priority = task.job.policy.priority
         candidates = [one for one in self._list_candidates(worker) if one.priority > priority]
-        available = sum((one.freed for one in candidates), worker.free)
         needs = task.spec.needs
-        if not candidates or not needs.fits_in(available):
+        if not candidates or not _can_free(needs, worker, candidates):
             return
         victims = choose_victims(needs, worker.free, candidates, self._left_by_queue)
         if victims is None:
--- a/tests/core/cells/test_decision_costs.py
+++ b/tests/core/cells/test_decision_costs.py
@@ -9,6 +9,8 @@
 from quetzallock_core.cells.models import Resources, StepSpec
 from quetzallock_core.cells.pacing import PAUSED_PACE
 from quetzallock_core.cells.placement import STARVING_AFTER_MS, Placement
+from quetzallock_core.cells.preemption import VictimSearch
+from quetzallock_core.cells.preemption_limits import PreemptionLimits
 from quetzallock_core.cells.regression import TermEstimates
 from quetzallock_core.cells.waiting import MAX_STEPS_REPORTED, REPORT_AFTER_MS, explain_waits
 from quetzallock_standins.emulator import CellCluster
@@ -114,6 +116,22 @@
     assert len(placements) == 1
 
 
+def test_search_for_victims_checks_each_worker_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against two checks of the constraints of each worker in each search."""
+    cluster = CellCluster(workers=WORKERS, capacity=CAPACITY)
+    cluster.run(500)
+    full = StepSpec(WORKERS, CAPACITY)
+    cluster.submit(make_spec("full", full), BEST_EFFORT_POLICY, {0: 9_000})
+    cluster.run(500)
+    cluster.submit(make_spec("waits", StepSpec(1, CAPACITY)), POLICY, {0: 500})
+    state = cluster.cell.state
+    task = state.jobs["waits"].open_occurrence(0).steps[0].tasks[0]
+    search = VictimSearch(state, PreemptionLimits(), state.clock.now(), first_worker=0)
+    checked = count_calls(monkeypatch, VictimSearch, "_may_use")
+    assert len(search.list_choices(task)) == WORKERS
+    assert len(checked) == WORKERS
+
+
 def test_paused_runs_without_another_worker_are_searched_for_at_an_interval(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
