Rank only the workers that have the resources for a step

Cause: each ranking called the full evaluation for each worker, of which most have no room in a full pool.

Change: one pass over the workers leaves these out. The rankings are the same.

The new test fails before.

--- a/packages/core/src/quetzallock_core/cells/placement.py
+++ b/packages/core/src/quetzallock_core/cells/placement.py
@@ -319,13 +319,27 @@
 
     def _rank(self, task: Task, is_starving: bool) -> _Ranking:
         ranking = _Ranking(task, is_starving, [])
-        for position, worker in enumerate(self.workers):
+        for position, worker in self._list_fitting(task.spec):
             cost = self._compute_total_cost(task, worker, is_starving)
             if cost is not None:
                 ranking.heap.append((cost, position, self._versions[position], worker))
         heapify(ranking.heap)
         return ranking
 
+    def _list_fitting(self, spec: StepSpec) -> list[tuple[int, Worker]]:
+        """Return the workers, and their positions, that have the resources for a task of `spec`.
+
+        Most workers of a full pool have not, so this check is made for all of them at once.
+        """
+        commitment = compute_commitment(spec.needs, spec.fills)
+        min_idle_cpu = MIN_IDLE_SHARE * spec.needs.cpu
+        return [
+            (position, worker)
+            for position, worker in enumerate(self.workers)
+            if worker.has_capacity_for(commitment)
+            and (not spec.fills or worker.idle_cpu >= min_idle_cpu)
+        ]
+
     def _compute_total_cost(self, task: Task, worker: Worker, is_starving: bool) -> float | None:
         """Return the cost of `worker` for the step of `task`, or None where it may not start."""
         if not can_place(task, worker, self._now):
--- a/tests/core/cells/test_decision_costs.py
+++ b/tests/core/cells/test_decision_costs.py
@@ -132,6 +132,21 @@
     assert len(checked) == WORKERS
 
 
+def test_workers_without_room_for_a_step_are_not_ranked(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against rounds that grow with the workers that are full."""
+    cluster = CellCluster(workers=WORKERS, capacity=CAPACITY)
+    cluster.run(500)
+    cluster.submit(make_spec("full", StepSpec(WORKERS - 1, CAPACITY)), POLICY, {0: 9_000})
+    cluster.run(500)
+    cluster.submit(make_spec("fits", make_step(1)), POLICY, {0: 9_000})
+    state = cluster.cell.state
+    task = state.jobs["fits"].open_occurrence(0).steps[0].tasks[0]
+    placement = state.make_placement()
+    evaluated = count_calls(monkeypatch, Placement, "_compute_total_cost")
+    assert placement.choose(task) is not None
+    assert len(evaluated) == 1
+
+
 def test_paused_runs_without_another_worker_are_searched_for_at_an_interval(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
