--- a/tests/core/cells/test_decision_costs.py
+++ b/tests/core/cells/test_decision_costs.py
@@ -9,7 +9,10 @@
 from quetzallock_core.cells.models import Resources, StepSpec
 from quetzallock_core.cells.pacing import PAUSED_PACE
 from quetzallock_core.cells.placement import STARVING_AFTER_MS, Placement
+from quetzallock_core.cells.preemption import VictimSearch
+from quetzallock_core.cells.preemption_limits import PreemptionLimits
 from quetzallock_core.cells.regression import TermEstimates
+from quetzallock_core.cells.waiting import MAX_STEPS_REPORTED, REPORT_AFTER_MS, explain_waits
 from quetzallock_standins.emulator import CellCluster
 from quetzallock_standins.emulator.cluster import TICK_INTERVAL_MS, make_spec
 
@@ -99,6 +102,51 @@
     assert not evaluated
 
 
+def test_report_of_waiting_steps_looks_at_the_workers_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a tick that grows with the steps in a report."""
+    cluster = CellCluster(workers=WORKERS, capacity=CAPACITY)
+    cluster.run(500)
+    too_wide = Resources(CAPACITY.cpu + 1, 1_000, 0)
+    for number in range(MAX_STEPS_REPORTED):
+        cluster.submit(make_spec(f"waits{number}", StepSpec(1, too_wide)), POLICY, {0: 500})
+    cluster.run(REPORT_AFTER_MS + 100)
+    state = cluster.cell.state
+    placements = count_calls(monkeypatch, Placement, "__init__")
+    assert len(explain_waits(state, state.clock.now())) == MAX_STEPS_REPORTED
+    assert len(placements) == 1
+
+
+def test_search_for_victims_checks_each_worker_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against two checks of the constraints of each worker in each search."""
+    cluster = CellCluster(workers=WORKERS, capacity=CAPACITY)
+    cluster.run(500)
+    full = StepSpec(WORKERS, CAPACITY)
+    cluster.submit(make_spec("full", full), BEST_EFFORT_POLICY, {0: 9_000})
+    cluster.run(500)
+    cluster.submit(make_spec("waits", StepSpec(1, CAPACITY)), POLICY, {0: 500})
+    state = cluster.cell.state
+    task = state.jobs["waits"].open_occurrence(0).steps[0].tasks[0]
+    search = VictimSearch(state, PreemptionLimits(), state.clock.now(), first_worker=0)
+    checked = count_calls(monkeypatch, VictimSearch, "_may_use")
+    assert len(search.list_choices(task)) == WORKERS
+    assert len(checked) == WORKERS
+
+
+def test_workers_without_room_for_a_step_are_not_ranked(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against rounds that grow with the workers that are full."""
+    cluster = CellCluster(workers=WORKERS, capacity=CAPACITY)
+    cluster.run(500)
+    cluster.submit(make_spec("full", StepSpec(WORKERS - 1, CAPACITY)), POLICY, {0: 9_000})
+    cluster.run(500)
+    cluster.submit(make_spec("fits", make_step(1)), POLICY, {0: 9_000})
+    state = cluster.cell.state
+    task = state.jobs["fits"].open_occurrence(0).steps[0].tasks[0]
+    placement = state.make_placement()
+    evaluated = count_calls(monkeypatch, Placement, "_compute_total_cost")
+    assert placement.choose(task) is not None
+    assert len(evaluated) == 1
+
+
 def test_paused_runs_without_another_worker_are_searched_for_at_an_interval(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
