--- a/tests/core/cells/common.py
+++ b/tests/core/cells/common.py
@@ -1,8 +1,11 @@
-"""Jobs that the tests of cells share."""
+"""Jobs and clusters that the tests of cells share."""
+
+from typing import Any
 
 from quetzallock_core.cells.models import JobSpec, QueuePolicy, Resources, StepSpec
+from quetzallock_core.cells.orders import Decision, Effect
 from quetzallock_standins.emulator import CellCluster
-from quetzallock_standins.emulator.cluster import make_spec
+from quetzallock_standins.emulator.cluster import Owner, make_spec
 
 CAPACITY = Resources(16_000, 64_000, 0)
 SERVING_POLICY = QueuePolicy("serving", "pool", 0, 3, 2.2, 2_500, 1)
@@ -11,6 +14,28 @@
 SMALL = Resources(1_000, 2_000, 0)
 
 
+class TracedCluster(CellCluster):
+    """A cluster that keeps the decisions of its owners."""
+
+    def __init__(self, **fields: Any) -> None:
+        self.decisions: list[Decision] = []
+        super().__init__(**fields)
+
+    def run_effects(self, owner: Owner) -> None:
+        """Keep the decisions among the effects, and run all of them."""
+        if owner.cell.state.is_start_due:
+            owner.cell.start_waiting_tasks()
+        effects: list[Effect] = owner.cell.pop_effects()
+        self.decisions += [effect for effect in effects if isinstance(effect, Decision)]
+        for effect in effects:
+            owner.cell.state.emit(effect)
+        super().run_effects(owner)
+
+    def list_inputs(self, event: str) -> list[dict[str, object]]:
+        """Return the inputs of the decisions on an event."""
+        return [decision.inputs for decision in self.decisions if decision.event == event]
+
+
 def make_step(count: int = 2, **fields: object) -> StepSpec:
     """Return a step of small tasks."""
     return StepSpec(**{"count": count, "needs": SMALL, "estimate_ms": 500, **fields})  # type: ignore[arg-type]
--- a/tests/core/cells/test_cancellations.py
+++ b/tests/core/cells/test_cancellations.py
@@ -6,38 +6,14 @@
 from quetzallock_core.cells.cancellations import FINISHED_EVENT, OVERDUE_EVENT
 from quetzallock_core.cells.const import CANCEL_OVERDUE_MS
 from quetzallock_core.cells.models import Inventory, RunningRow
-from quetzallock_core.cells.orders import Decision, Effect
-from quetzallock_standins.emulator import CellCluster
-from quetzallock_standins.emulator.cluster import INVENTORY_POLL_INTERVAL_MS, Owner, make_spec
+from quetzallock_standins.emulator.cluster import INVENTORY_POLL_INTERVAL_MS, make_spec
 
-from .common import POLICY, make_step
+from .common import POLICY, TracedCluster, make_step
 
 POLL_MARGIN_MS = 2 * INVENTORY_POLL_INTERVAL_MS
 """Time in which the end of a run is seen after it, with a poll that was just missed."""
 
 
-class TracedCluster(CellCluster):
-    """A cluster that keeps the decisions of its owners."""
-
-    def __init__(self, **fields: int) -> None:
-        self.decisions: list[Decision] = []
-        super().__init__(**fields)
-
-    def run_effects(self, owner: Owner) -> None:
-        """Keep the decisions among the effects, and run all of them."""
-        if owner.cell.state.is_start_due:
-            owner.cell.start_waiting_tasks()
-        effects: list[Effect] = owner.cell.pop_effects()
-        self.decisions += [effect for effect in effects if isinstance(effect, Decision)]
-        for effect in effects:
-            owner.cell.state.emit(effect)
-        super().run_effects(owner)
-
-    def list_inputs(self, event: str) -> list[dict[str, object]]:
-        """Return the inputs of the decisions on an event."""
-        return [decision.inputs for decision in self.decisions if decision.event == event]
-
-
 def make_running(count: int = 1, workers: int = 1) -> TracedCluster:
     """Return a cluster that runs a job "a" of tasks that last."""
     cluster = TracedCluster(workers=workers)
