Log why a long-running task was away, and what became of draining workers

cells/interruptions.py follows each long-running task from the end of its last run to the next confirmed start, in four parts: end_unseen, owner_wait, capacity_wait, start_unconfirmed. The decision task.resumed names the longest, the worker, how the run ended and for how long the worker was draining; the owner observes lasting.away.PART. cells/drains.py counts searches, moves and failures of a draining worker's long-running runs, for one line worker.drain_report when its runs lapse or it is gone. Neither decides anything; both keep their state in memory only, within limits.

--- a/packages/core/src/quetzallock_core/cells/answers.py
+++ b/packages/core/src/quetzallock_core/cells/answers.py
@@ -75,6 +75,7 @@
         run.progressed_at = now
         if run.state == "ordered":
             run.advance("confirm")
+            self._state.interruptions.handle_confirmed(run)
             mark_started(self._state, run.task.job)
         if run.task.spec.fills and self._state.start_window.needs_refill(now):
             self._state.is_start_due = True
--- a/packages/core/src/quetzallock_core/cells/cell.py
+++ b/packages/core/src/quetzallock_core/cells/cell.py
@@ -151,6 +151,7 @@
                 state.log_decision("worker.draining", worker=worker.id)
             if entry.capacity != worker.entry.capacity:
                 self._log_resize(worker, entry)
+            state.drains.handle_entry(worker, entry)
             self.evacuations.update_worker(worker, entry)
             worker.entry = entry
             worker.is_listed = True
@@ -220,6 +221,7 @@
         now = state.clock.now()
         self.evacuations.report()
         self._drop_lapsed_unverified()
+        state.interruptions.update(self._may_start_tasks())
         for worker in list(state.workers.values()):
             self._check_worker(worker, now)
         state.reservations.release_unusable(now)
@@ -267,6 +269,7 @@
 
     def _lapse_runs(self, worker: Worker, now: int) -> None:
         """End the runs of a lapsed lease, but those that a late start order may still begin."""
+        self.state.drains.report(worker)
         for run in list(worker.runs.values()):
             if run.unconfirmed_until > now:
                 continue
--- a/packages/core/src/quetzallock_core/cells/const.py
+++ b/packages/core/src/quetzallock_core/cells/const.py
@@ -34,6 +34,9 @@
 MAX_FOLLOWED_RUNS: Final = 2_000
 """Maximum number of runs of cancelled jobs, and of these jobs, that are followed to their ends."""
 
+MAX_FOLLOWED_INTERRUPTIONS: Final = 2_000
+"""Maximum number of long-running tasks without a run that are followed to their next start."""
+
 MAX_ENDED_RUNS: Final = 1_000
 """Maximum number of ended runs that the next boots of their workers are told to reject, as each
 costs an order to such a boot."""
--- a/packages/core/src/quetzallock_core/cells/inventory.py
+++ b/packages/core/src/quetzallock_core/cells/inventory.py
@@ -45,6 +45,7 @@
             return False
         now = state.clock.now()
         is_first = worker.inventory_at < 0
+        state.interruptions.handle_inventory(worker)
         worker.record_contact(inventory.clock_ms, asked_at, now)
         worker.inventory_at = now
         worker.inventory_asked_at = max(worker.inventory_asked_at, asked_at)
@@ -106,6 +107,7 @@
                 return None
         if run.state == "ordered":
             run.advance("confirm")
+            self._state.interruptions.handle_confirmed(run)
             mark_started(self._state, run.task.job)
         elif run.state == "stopping":
             _handle_listed_after_stop(run, clock_ms)
--- a/packages/core/src/quetzallock_core/cells/migration.py
+++ b/packages/core/src/quetzallock_core/cells/migration.py
@@ -81,8 +81,11 @@
         placement = state.make_placement()
         for step in steps[:MAX_STEPS_MOVED_PER_TICK]:
             runs = runs_by_step[step][: count_movable(step)]
-            if self._migrate_step(runs, placement) < len(runs):
+            moved = self._migrate_step(runs, placement)
+            state.drains.handle_search(runs_by_step[step], len(runs), moved)
+            if moved < len(runs):
                 self._search_after[step] = now + ROOM_SEARCH_PAUSE_MS
+        state.drains.limited_ticks += len(steps) > MAX_STEPS_MOVED_PER_TICK
 
     def _group_leaving_runs(self, now: int) -> dict[StepRun, list[Run]]:
         """Return the lasting runs on draining workers whose tasks could start again, by step."""
@@ -93,6 +96,8 @@
             for run in worker.runs.values():
                 if is_movable(run, self._state):
                     runs_by_step[run.task.step].append(run)
+                elif run.task.spec.lasting and run.state != "stopping":
+                    self._state.drains.handle_unmovable(run)
         return runs_by_step
 
     def _migrate_step(self, runs: list[Run], placement: Placement) -> int:
--- a/packages/core/src/quetzallock_core/cells/state.py
+++ b/packages/core/src/quetzallock_core/cells/state.py
@@ -9,11 +9,13 @@
 from .const import RETRY_PAUSE_MS, RUNS_PER_EPOCH
 from .contents import Contents
 from .crashes import CrashSuspects
+from .drains import Drains
 from .durations import DurationEstimates
 from .early_cancels import EarlyCancels
 from .ended_runs import EndedRuns, compute_unconfirmed_until
 from .headroom import Headroom
 from .interference import Interference
+from .interruptions import Interruptions
 from .job_records import list_exhausted, make_job, restore_job
 from .jobs import Job, Run, StepRun, Task
 from .models import Boot, Bounds, WorkerEntry
@@ -41,6 +43,8 @@
         reservations: Capacity that workers keep for tasks that are about to start there.
         ended_runs: Ended runs whose start orders may still arrive.
         cancellations: Runs of cancelled jobs, followed for the log.
+        drains: What was tried for the runs on draining workers, counted for the log.
+        interruptions: Long-running tasks without a run, followed for the log.
         early_cancels: Cancels of jobs whose submission had not arrived.
         open_steps: Steps with unfinished tasks whose predecessors are done.
         shares: Service that the queues have received.
@@ -79,6 +83,8 @@
         self.reservations = Reservations()
         self.ended_runs = EndedRuns(self)
         self.cancellations = Cancellations(self)
+        self.drains = Drains(self)
+        self.interruptions = Interruptions(self)
         self.early_cancels = EarlyCancels(self)
         self.open_steps: dict[StepRun, None] = {}
         self.dirty: dict[Job, None] = {}
@@ -122,6 +128,7 @@
         """Load the records of the journal; its workers are unverified at first."""
         now = self.clock.now()
         self.unverified.restore(contents, self.bounds.lease_ms)
+        self.interruptions.handle_restored()
         learned = contents.learned
         if learned is not None:
             self.interference.restore(learned.coefficients, learned.peak_tails)
@@ -223,6 +230,7 @@
         self.cancellations.follow(job)
         for task in job.list_tasks():
             self.reservations.release(task)
+            self.interruptions.forget(task)
             for run in list(task.runs.values()):
                 self.stop_run(run, "job is over")
 
@@ -280,6 +288,7 @@
 
         `how` says for the log how its end was seen.
         """
+        self.interruptions.handle_end(run, how)
         run.advance(event)
         run.task.runs.pop(run.number, None)
         run.task.step.has_no_waiting_task = False
@@ -303,6 +312,7 @@
         """Add a run to its worker and commit its resources."""
         self.reservations.handle_start(run)
         worker.add(run)
+        self.interruptions.handle_run(run)
         run.task.has_run = True
         self._record_best_effort_shares(worker, run)
 
@@ -387,6 +397,7 @@
         """
         self.log_decision("worker.gone", worker=worker.id, reason=reason, runs=len(worker.runs))
         self.crashes.handle_loss(worker)
+        self.drains.handle_gone(worker)
         for run in list(worker.runs.values()):
             self.lapse_run(run, "worker_gone")
         self.reservations.release_worker(worker)
--- a/packages/core/src/quetzallock_core/cells/waiting.py
+++ b/packages/core/src/quetzallock_core/cells/waiting.py
@@ -79,6 +79,7 @@
             return
         self._reported_at = now
         for waiting in explain_waits(state, now):
+            state.interruptions.handle_waiting(waiting.task, waiting.reason, waiting.obstacles)
             state.log_decision(
                 f"tasks.waiting.{waiting.reason}",
                 task=waiting.task.name,
--- a/packages/daemon/src/quetzallock_daemon/cells/owner.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/owner.py
@@ -11,6 +11,7 @@
 from quetzallock_core.cells.cancellations import FINISHED_EVENT, OVERDUE_EVENT
 from quetzallock_core.cells.const import OWNERSHIP_VALID_MS
 from quetzallock_core.cells.contents import read_contents
+from quetzallock_core.cells.interruptions import RESUMED_EVENT
 from quetzallock_core.cells.load import LoadControl
 from quetzallock_core.cells.models import Bounds, WorkerEntry
 from quetzallock_core.cells.orders import Decision, PaceRun, StartRun, StopRun, TicketOutcome
@@ -304,6 +305,8 @@
             self._observe_start(inputs)
         elif event == FINISHED_EVENT:
             self._observe(f"cancel.end.{inputs['longest']}", inputs["after_ms"])
+        elif event == RESUMED_EVENT:
+            self._observe(f"lasting.away.{inputs['longest']}", inputs["after_ms"])
 
     def _observe_start(self, inputs: dict[str, Any]) -> None:
         """Record how long a step had waited for a start, unless all its tasks had run before."""
--- a/tests/daemon/test_load_meter.py
+++ b/tests/daemon/test_load_meter.py
@@ -9,6 +9,7 @@
 
 from quetzallock_core.cells.cancellations import FINISHED_EVENT, OVERDUE_EVENT
 from quetzallock_core.cells.const import OWNERSHIP_VALID_MS
+from quetzallock_core.cells.interruptions import RESUMED_EVENT
 from quetzallock_core.cells.models import Bounds, Inventory, JobSpec, QueuePolicy
 from quetzallock_core.cells.orders import Decision, PaceRun, StartRun, StopRun, TicketOutcome
 from quetzallock_core.cells.scheduler import STARTED_EVENT
@@ -229,6 +230,14 @@
         assert bucket % (bound_s, count) in page.render()[1]
 
 
+def test_time_of_a_long_running_task_without_a_run_is_observed_by_its_longest_part(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    observed = ObservedOwner(monkeypatch)
+    observed.emit(Decision(RESUMED_EVENT, {"longest": "capacity_wait", "after_ms": 9_700}))
+    assert observed.observed == [("lasting.away.capacity_wait", 9_700)]
+
+
 def test_overdue_cancel_is_a_warning(
     monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
 ) -> None:
