--- a/packages/core/src/quetzallock_core/cells/displacement.py
+++ b/packages/core/src/quetzallock_core/cells/displacement.py
@@ -182,6 +182,7 @@
             if target is not None:
                 state.reservations.reserve_for_move(run, target, now + KEPT_MS)
                 state.stop_run(run, "worker is leaving")
+                state.drains.handle_search([run], allowed=1, moved=1)
 
 
 def find_kinds(tasks: Iterable[Task]) -> list[Task]:
--- a/packages/core/src/quetzallock_core/cells/migration.py
+++ b/packages/core/src/quetzallock_core/cells/migration.py
@@ -73,7 +73,10 @@
         """
         state = self._state
         now = state.clock.now()
-        runs_by_step = self._group_leaving_runs(now)
+        leaving = self._group_leaving_runs(now)
+        runs_by_step = limit_runs(leaving, count_movable)
+        for step in leaving.keys() - runs_by_step.keys():
+            state.drains.handle_search(leaving[step], allowed=0, moved=0)
         self._search_after = keep_known(self._search_after, runs_by_step)
         steps = list_searchable(runs_by_step, self._search_after, now)
         if not steps:
@@ -81,11 +84,14 @@
         placement = state.make_placement()
         for step in steps[:MAX_STEPS_MOVED_PER_TICK]:
             runs = runs_by_step[step]
-            if self._migrate_step(runs, placement) < len(runs):
+            moved = self._migrate_step(runs, placement)
+            state.drains.handle_search(leaving[step], len(runs), moved)
+            if moved < len(runs):
                 self._search_after[step] = now + ROOM_SEARCH_PAUSE_MS
+        state.drains.limited_ticks += len(steps) > MAX_STEPS_MOVED_PER_TICK
 
     def _group_leaving_runs(self, now: int) -> dict[StepRun, list[Run]]:
-        """Return the lasting runs on draining workers that may be moved now, by step."""
+        """Return the lasting runs on draining workers whose tasks could start again, by step."""
         runs_by_step: defaultdict[StepRun, list[Run]] = defaultdict(list)
         for worker in self._state.workers.values():
             if not worker.entry.is_draining or not worker.is_reachable(now):
@@ -93,7 +99,9 @@
             for run in worker.runs.values():
                 if is_movable(run, self._state):
                     runs_by_step[run.task.step].append(run)
-        return limit_runs(runs_by_step, count_movable)
+                elif run.task.spec.lasting and run.state != "stopping":
+                    self._state.drains.handle_unmovable(run)
+        return runs_by_step
 
     def _migrate_step(self, runs: list[Run], placement: Placement) -> int:
         """Stop runs of one step while another worker has room, and return their number."""
