Report interruptions that began before a takeover for tasks known to have run

A new owner now marks the long-running tasks that ran before, so that their first start there ends an interruption, and that of another task does not.

--- a/packages/core/src/quetzallock_core/cells/interruptions.py
+++ b/packages/core/src/quetzallock_core/cells/interruptions.py
@@ -206,9 +206,9 @@
     def _find(self, task: Task) -> Interruption | None:
         """Return the interruption of a waiting task, also if it has begun before the takeover."""
         known = self._by_task.get(task)
-        if known is not None or task.has_run:
+        if known is not None or not task.has_run:
             return known
-        if not task.spec.lasting or not task.job.is_loaded or not task.job.has_started:
+        if not task.spec.lasting or not task.job.is_loaded:
             return None
         boot = self._find_location(task)
         return self._add(
