Record how long a suspended lease lasts, for owners that cannot read its clocks

Cause: a worker's record told the end of a suspended lease only by clocks of other workers' boots.

The record now has the ms, from its writing, after which the lease has lapsed.

No task can run twice: the record is popped when the lease is not renewed any more, and it is rewritten, with -1, before the lease is renewed again, by the rule that `lapsed_by` keeps already.

--- a/packages/core/src/quetzallock_core/cells/batches.py
+++ b/packages/core/src/quetzallock_core/cells/batches.py
@@ -157,7 +157,8 @@
             else worker.compute_lapse_at()
         )
         lapsed_by = () if may_renew else state.unverified.make_clock_references(lapse_at)
-        record = WorkerRecord(entry.worker, entry.address, entry.boot_ms, lapsed_by)
+        lapses_in_ms = -1 if may_renew else max(0, lapse_at - now)
+        record = WorkerRecord(entry.worker, entry.address, entry.boot_ms, lapsed_by, lapses_in_ms)
         batch.records.append(Persist(f"worker/{worker.id}", record))
         batch.workers.append((worker, worker.record_revision, may_renew))
 
@@ -178,18 +179,23 @@
         state = self._state
         for unverified_worker in self._list_due_lapses():
             unverified_worker.is_lapse_recorded = True
+            lapses_in_ms = unverified_worker.lapse_at - state.clock.now()
             state.log_decision(
                 "worker.unverified",
                 worker=unverified_worker.record.worker,
                 born=unverified_worker.record.boot_ms,
-                lapses_in_ms=unverified_worker.lapse_at - state.clock.now(),
+                lapses_in_ms=lapses_in_ms,
             )
             worker = state.workers.get(unverified_worker.record.worker)
             if worker is not None and worker.entry.boot_ms == unverified_worker.record.boot_ms:
                 state.suspend_lease(worker)
                 continue
             references = state.unverified.make_clock_references(unverified_worker.lapse_at)
-            record = replace(unverified_worker.record, lapsed_by=references)
+            record = replace(
+                unverified_worker.record,
+                lapsed_by=references,
+                lapses_in_ms=max(0, lapses_in_ms),
+            )
             batch.records.append(Persist(f"worker/{record.worker}", record))
 
     def withdraw_new_jobs(self, batch: Batch) -> None:
--- a/packages/core/src/quetzallock_core/cells/records.py
+++ b/packages/core/src/quetzallock_core/cells/records.py
@@ -124,12 +124,20 @@
         boot_ms: Unix time in ms of its start, which identifies the boot.
         lapsed_by: Empty while its lease is renewed. Otherwise the lease is not renewed before this
             record is rewritten, and has lapsed once any of these clock references is passed.
+        lapses_in_ms: The ms, from the writing of the record, after which it has lapsed at the
+            latest, for owners that can read none of these clocks; -1 while it is renewed.
     """
 
     worker: str
     address: str
     boot_ms: int
     lapsed_by: tuple[ClockReference, ...] = ()
+    lapses_in_ms: int = -1
+
+    @property
+    def is_suspended(self) -> bool:
+        """Whether the lease is not renewed before this record is rewritten."""
+        return bool(self.lapsed_by) or self.lapses_in_ms >= 0
 
 
 @message(218)
--- a/packages/core/src/quetzallock_core/cells/unverified.py
+++ b/packages/core/src/quetzallock_core/cells/unverified.py
@@ -57,8 +57,9 @@
     def restore(self, contents: Contents, lease_ms: int) -> None:
         """Mark every worker in the journal as unverified.
 
-        An owner that handed the cell over has recorded when the leases lapse. After any other
-        takeover they may have been renewed until the previous owner's right to order ended.
+        An owner that handed the cell over has recorded when the leases lapse, and the record of a
+        worker whose lease is suspended says so too. Any other lease may have been renewed until the
+        previous owner's right to order ended.
         """
         now = self._clock.now()
         longest_ms = int(lease_ms / (1 - CLOCK_DRIFT)) + OWNERSHIP_VALID_MS + LEASE_MARGIN_MS
@@ -76,7 +77,10 @@
             remaining_ms = {(worker, boot_ms): left_ms for worker, boot_ms, left_ms in leases}
         for record in contents.workers:
             boot = (record.worker, record.boot_ms)
-            lapse_at = now + min(longest_ms, remaining_ms.get(boot, longest_ms))
+            left_ms = min(longest_ms, remaining_ms.get(boot, longest_ms))
+            if record.lapses_in_ms >= 0:
+                left_ms = min(left_ms, record.lapses_in_ms)
+            lapse_at = now + left_ms
             self.by_boot[boot] = UnverifiedWorker(record, lapse_at)
 
     def may_be_running(self, task: Task) -> bool:
@@ -108,7 +112,7 @@
     def has_recorded_lapse(self, boot: Boot) -> bool:
         """Return whether the journal says when the lease of an unverified boot has lapsed."""
         unverified_worker = self.by_boot.get(boot)
-        return unverified_worker is not None and bool(unverified_worker.record.lapsed_by)
+        return unverified_worker is not None and unverified_worker.record.is_suspended
 
     def _is_readable(self, record: WorkerRecord) -> bool:
         """Return whether a clock that the record refers to is known to this owner."""
--- /dev/null
+++ b/tests/core/cells/test_takeover_waits.py
@@ -0,0 +1,48 @@
+"""What a new owner knows of the leases that earlier owners gave: no wait is longer than need be."""
+
+from quetzallock_core.cells.const import CLOCK_DRIFT, LEASE_MARGIN_MS, MAX_LEASE_MS
+from quetzallock_standins.emulator import CellCluster
+
+from .test_leaving_workers import find_busiest_worker, make_cluster
+
+LEASE_LAPSE_MS = int(MAX_LEASE_MS / (1 - CLOCK_DRIFT)) + LEASE_MARGIN_MS
+RESTART_MARGIN_MS = 500
+
+
+def restart_workers(cluster: CellCluster, but: str) -> None:
+    """Replace each boot but that of one worker by a next one, whose clock starts anew."""
+    for worker in cluster.workers.values():
+        if worker.id != but:
+            worker.crash()
+    cluster.run(50)
+    for worker in cluster.workers:
+        if worker != but:
+            cluster.revive(worker)
+
+
+def test_recorded_lease_end_is_not_lost_with_the_workers_whose_clocks_it_refers_to() -> None:
+    cluster = make_cluster()
+    lost = find_busiest_worker(cluster)
+    cluster.workers[lost].crash()
+    cluster.run(2_500)
+    cluster.kill_owner()
+    restart_workers(cluster, lost)
+    cluster.take_over()
+    cluster.run(LEASE_LAPSE_MS + RESTART_MARGIN_MS)
+    assert len(cluster.ground_truth.list_running("a")) == 6
+    assert not cluster.ground_truth.violations
+
+
+def test_recorded_lease_end_without_readable_clocks_is_not_too_early() -> None:
+    cluster = make_cluster()
+    cut_off = cluster.workers[find_busiest_worker(cluster)]
+    cut_off.clock_rate = 1 - CLOCK_DRIFT
+    cut_off.is_isolated = True
+    cluster.run(2_500)
+    for _ in range(3):
+        cluster.kill_owner()
+        restart_workers(cluster, cut_off.id)
+        cluster.take_over()
+        cluster.run(2_000)
+    assert not cut_off.runs
+    assert not cluster.ground_truth.violations
