--- a/packages/core/src/quetzallock_core/cells/batches.py
+++ b/packages/core/src/quetzallock_core/cells/batches.py
@@ -156,6 +156,7 @@
             if is_unverified
             else worker.compute_lapse_at()
         )
+        worker.is_lease_suspended |= not may_renew
         lapsed_by = () if may_renew else state.unverified.make_clock_references(lapse_at)
         lapses_in_ms = -1 if may_renew else max(0, lapse_at - now)
         record = WorkerRecord(entry.worker, entry.address, entry.boot_ms, lapsed_by, lapses_in_ms)
--- a/tests/core/cells/test_takeover_waits.py
+++ b/tests/core/cells/test_takeover_waits.py
@@ -1,6 +1,12 @@
 """What a new owner knows of the leases that earlier owners gave: no wait is longer than need be."""
 
-from quetzallock_core.cells.const import CLOCK_DRIFT, LEASE_MARGIN_MS, MAX_LEASE_MS
+from quetzallock_core.cells.const import (
+    CLOCK_DRIFT,
+    LEASE_MARGIN_MS,
+    MAX_LEASE_MS,
+    UNREACHABLE_TIMEOUT_MS,
+)
+from quetzallock_core.cells.records import WorkerRecord
 from quetzallock_standins.emulator import CellCluster
 
 from .test_leaving_workers import find_busiest_worker, make_cluster
@@ -46,3 +52,18 @@
         cluster.run(2_000)
     assert not cut_off.runs
     assert not cluster.ground_truth.violations
+
+
+def test_lease_is_not_renewed_while_the_journal_says_when_it_has_lapsed() -> None:
+    """The owner was frozen: it writes the record of a silent worker before its next tick."""
+    cluster = make_cluster()
+    cell = cluster.cell
+    worker = cell.state.workers["w0"]
+    cell.state.invalidate_record(worker)
+    cluster.clock.advance(UNREACHABLE_TIMEOUT_MS)
+    batch = cell.batches.pop_batch()
+    record = next(record.value for record in batch.records if record.key == "worker/w0")
+    assert isinstance(record, WorkerRecord)
+    assert record.is_suspended
+    cell.batches.handle_durable(batch)
+    assert not worker.may_renew_lease
