List boots that never answered in the leases of a hand-over

Callers saw: after a crash of an owner and a hand-over, all tasks without a known run stayed away for 9.27 s from the hand-over, with capacity free, because of one worker that had joined, or was still listed, and had never answered.

Cause: the leases of the hand-over left out workers without an inventory, and the next owner takes the longest wait for a boot that is not among them. While it does not know where the runs are, that wait holds up every task.

Such a boot is now listed as lapsed, unless it is unverified, or runs were moved to it from its previous boot.

--- a/packages/core/src/quetzallock_core/cells/unverified.py
+++ b/packages/core/src/quetzallock_core/cells/unverified.py
@@ -222,10 +222,16 @@
         return HandOverRecord(tuple(runs), leases, tuple(unbegun), tuple(worked))
 
     def _list_leases(self) -> list[tuple[str, int, int]]:
-        """Return worker, boot and the ms until its lease has lapsed, of all that may run tasks."""
+        """Return worker, boot and the ms until its lease has lapsed, of all that may run tasks.
+
+        A boot that no owner has had an answer of got no order and no lease; it is listed too, as
+        the journal has a record of it.
+        """
         now = self._clock.now()
         lapses = {boot: unverified.lapse_at for boot, unverified in self.by_boot.items()}
         for worker in self._workers.values():
             if worker.inventory_at >= 0:
-                lapses[worker.id, worker.entry.boot_ms] = worker.compute_lapse_at()
+                lapses[worker.boot] = worker.compute_lapse_at()
+            elif worker.contact_at < 0 and not worker.runs:
+                lapses.setdefault(worker.boot, now)
         return [(*boot, max(0, lapse_at - now)) for boot, lapse_at in lapses.items()]
--- a/tests/core/cells/test_takeover_waits.py
+++ b/tests/core/cells/test_takeover_waits.py
@@ -9,6 +9,7 @@
 from quetzallock_core.cells.records import WorkerRecord
 from quetzallock_standins.emulator import CellCluster
 
+from .test_lease_waits import LONGEST_WAIT_MS
 from .test_leaving_workers import find_busiest_worker, make_cluster
 
 LEASE_LAPSE_MS = int(MAX_LEASE_MS / (1 - CLOCK_DRIFT)) + LEASE_MARGIN_MS
@@ -67,3 +68,25 @@
     assert record.is_suspended
     cell.batches.handle_durable(batch)
     assert not worker.may_renew_lease
+
+
+def test_boot_that_never_answered_does_not_delay_all_tasks_at_the_next_owner() -> None:
+    cluster = make_cluster(workers=5)
+    newcomer = find_busiest_worker(cluster)
+    cluster.workers[newcomer].crash()
+    cluster.run(LONGEST_WAIT_MS)
+    lost = find_busiest_worker(cluster)
+    cluster.kill_owner()
+    cluster.workers[lost].crash()
+    taken_over_at = cluster.clock.now()
+    cluster.take_over()
+    cluster.run(LONGEST_WAIT_MS - 1_000)
+    cluster.revive(newcomer)
+    cluster.workers[newcomer].is_isolated = True
+    cluster.run(500)
+    assert f"worker/{newcomer}" in cluster.journal
+    cluster.workers[newcomer].crash()
+    cluster.hand_over()
+    cluster.run(taken_over_at + LONGEST_WAIT_MS + 1_000 - cluster.clock.now())
+    assert len(cluster.ground_truth.list_running("a")) == 6
+    assert not cluster.ground_truth.violations
