Renew no lease by polls after one that got no answer

Callers saw: a long-running task of a worker that left or crashed stayed away longer than its lease, by up to 1.5 s, with capacity free.

Cause: after a refused poll the owner polled again and again, with a renewed lease, until UNREACHABLE_TIMEOUT_MS had passed since the last answer. It has to count each renewal as received, so the wait began with the last of them.

A poll that follows an unanswered one does not renew the lease. The first answer makes the next poll renew it again, and less than UNREACHABLE_TIMEOUT_MS of the lease is gone by then.

No task can run twice: the wait still ends with the latest lease end that any order has named. It is shorter as no later end is named any more.

--- a/packages/core/src/quetzallock_core/cells/workers.py
+++ b/packages/core/src/quetzallock_core/cells/workers.py
@@ -276,6 +276,14 @@
         if self.unanswered_since < 0:
             self.unanswered_since = now
 
+    def may_extend_lease(self, now: int) -> bool:
+        """Return whether the next poll may renew its lease.
+
+        One that follows an unanswered poll does not: each renewal counts as received, and a worker
+        that is gone would be waited for as long as it was asked.
+        """
+        return self.is_reachable(now) and self.may_renew_lease and self.unanswered_since < 0
+
     def extend_lease(self, lease_ms: int, now: int) -> int:
         """Extend the lease and return its end on the worker's clock for an order sent at `now`."""
         until = self.clock_ms + (now - self.clock_read_at) + lease_ms
--- a/packages/daemon/src/quetzallock_daemon/cells/inventory.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/inventory.py
@@ -81,10 +81,9 @@
         """Poll a worker once, and return the pause in ms before the next poll."""
         owner = self._owner
         now = owner.clock.now()
-        is_reachable = worker.is_reachable(now)
-        may_renew = is_reachable and worker.may_renew_lease
+        may_renew = worker.may_extend_lease(now)
         lease_end_clock_ms = worker.extend_lease(self._bounds.lease_ms, now) if may_renew else None
-        wait_ms = owner.load_control.choose_wait_ms(worker) if is_reachable else 0
+        wait_ms = owner.load_control.choose_wait_ms(worker) if worker.is_reachable(now) else 0
         entry = worker.entry
         answer = await self._workers.poll_inventory(
             entry, owner.epoch, worker.ack_cursor, lease_end_clock_ms, wait_ms
--- a/packages/standins/src/quetzallock_standins/emulator/busy.py
+++ b/packages/standins/src/quetzallock_standins/emulator/busy.py
@@ -72,7 +72,7 @@
             return
         cell_worker = owner.cell.state.workers[worker.id]
         lease_end = None
-        if cell_worker.may_renew_lease and cell_worker.is_reachable(now):
+        if cell_worker.may_extend_lease(now):
             lease_end = cell_worker.extend_lease(self.bounds.lease_ms, now)
         answer = worker.poll_inventory(owner.epoch, cell_worker.ack_cursor, lease_end)
         delay_ms = self.latency_ms + self.processor.take("inventory", now)
--- a/packages/standins/src/quetzallock_standins/emulator/cluster.py
+++ b/packages/standins/src/quetzallock_standins/emulator/cluster.py
@@ -224,7 +224,7 @@
             return
         boot = cell_worker.boot
         now = self.clock.now()
-        may_extend = cell_worker.is_reachable(now) and cell_worker.may_renew_lease
+        may_extend = cell_worker.may_extend_lease(now)
         until = cell_worker.extend_lease(self.bounds.lease_ms, now) if may_extend else None
         if self._is_misdirected(worker, cell_worker.entry.address):
             self.schedule(
--- a/tests/core/cells/test_takeover_waits.py
+++ b/tests/core/cells/test_takeover_waits.py
@@ -90,3 +90,13 @@
     cluster.run(taken_over_at + LONGEST_WAIT_MS + 1_000 - cluster.clock.now())
     assert len(cluster.ground_truth.list_running("a")) == 6
     assert not cluster.ground_truth.violations
+
+
+def test_lease_of_a_worker_that_refuses_connections_is_not_renewed_in_vain() -> None:
+    cluster = make_cluster()
+    lost = cluster.workers[find_busiest_worker(cluster)]
+    lost.crash()
+    lost.has_broken_connections = True
+    cluster.run(LEASE_LAPSE_MS + RESTART_MARGIN_MS)
+    assert len(cluster.ground_truth.list_running("a")) == 6
+    assert not cluster.ground_truth.violations
