Learn from another process of its host that the previous owner is over

Callers saw: after all hosts, or the owner, had been killed, long-running tasks of a worker that did not answer stayed away for 9.27 s from the takeover, with capacity free; and no other task whose run was not known could start.

Cause: a new owner counted OWNERSHIP_VALID_MS, for which the previous owner may have gone on renewing leases, and the lease, both from its own start, although the process had been over for seconds.

The next owner finds out when that process was over: it listens at the same address itself, or asks there with `ProcessProbe`.

Not tried with real processes.

--- a/packages/core/src/quetzallock_core/cells/batches.py
+++ b/packages/core/src/quetzallock_core/cells/batches.py
@@ -4,17 +4,18 @@
 from typing import Final
 
 from ..exceptions import CodecError
-from .const import UNVERIFIED_RECORD_AFTER_MS
+from .const import OWNERSHIP_VALID_MS, UNVERIFIED_RECORD_AFTER_MS
 from .early_cancels import CancelCall
 from .jobs import Job
 from .orders import Persist, TicketOutcome
-from .records import WorkerRecord
+from .records import OwnerRecord, WorkerRecord
 from .state import CellState
 from .unverified import UnverifiedWorker
 from .workers import Worker
 
 HAND_OVER_KEY: Final = "handover"
 LEARNED_KEY: Final = "learned"
+OWNER_KEY: Final = "owner"
 LEARNED_INTERVAL_MS: Final = 2_000
 """Minimum time between two records of the learned estimates."""
 
@@ -52,6 +53,8 @@
     Attributes:
         has_hand_over: The journal still holds the previous owner's hand-over record. No task is
             started while it does, as the record must name all runs.
+        unrecorded_owner: Record of the own process that is still to be written; None if there is
+            none.
     """
 
     def __init__(self, state: CellState) -> None:
@@ -62,6 +65,7 @@
         self._learned_at = state.clock.now()
         self._restored_at = state.clock.now()
         self.has_hand_over = False
+        self.unrecorded_owner: OwnerRecord | None = None
 
     def handle_restored(self, has_hand_over: bool) -> None:
         """Record that the journal was loaded."""
@@ -92,9 +96,25 @@
             or self._deleted
             or state.dropped_workers
             or state.has_worker_changes
+            or self._is_owner_due()
             or self._list_due_lapses()
         )
 
+    def _is_owner_due(self) -> bool:
+        """Return whether the own process is to be recorded.
+
+        The next owner takes the end of this process for the end of all renewals, so the record
+        waits until earlier owners have lost the right to order.
+        """
+        held_ms = self._state.clock.now() - self._restored_at
+        return self.unrecorded_owner is not None and held_ms >= OWNERSHIP_VALID_MS
+
+    def _record_owner(self, batch: Batch) -> None:
+        """Add the record of the own process, if it is due."""
+        if self._is_owner_due():
+            batch.records.append(Persist(OWNER_KEY, self.unrecorded_owner))
+            self.unrecorded_owner = None
+
     def pop_batch(self) -> Batch:
         """Return all records that wait to be written, for one atomic append."""
         state = self._state
@@ -115,6 +135,7 @@
             batch.records.append(Persist(f"worker/{worker_id}", None))
         state.dropped_workers = []
         self._record_unverified(batch)
+        self._record_owner(batch)
         for worker in state.workers.values():
             if not worker.is_recorded:
                 self._record_worker(worker, batch)
@@ -159,7 +180,9 @@
         worker.is_lease_suspended |= not may_renew
         lapsed_by = () if may_renew else state.unverified.make_clock_references(lapse_at)
         lapses_in_ms = -1 if may_renew else max(0, lapse_at - now)
-        record = WorkerRecord(entry.worker, entry.address, entry.boot_ms, lapsed_by, lapses_in_ms)
+        record = WorkerRecord(
+            entry.worker, entry.address, entry.boot_ms, lapsed_by, lapses_in_ms, state.epoch
+        )
         batch.records.append(Persist(f"worker/{worker.id}", record))
         batch.workers.append((worker, worker.record_revision, may_renew))
 
--- a/packages/core/src/quetzallock_core/cells/cell.py
+++ b/packages/core/src/quetzallock_core/cells/cell.py
@@ -197,6 +197,20 @@
             known.record_no_answer(self.state.clock.now())
             self.state.crashes.expose_runs(known)
 
+    def handle_previous_owner_gone(self, gone_at: int) -> None:
+        """Process that the previous owner's process was over at the local ms `gone_at`."""
+        owner = self.state.unverified.previous_owner
+        if owner is None:
+            return
+        self.state.log_decision(
+            "owner.gone",
+            host=owner.host,
+            epoch=owner.epoch,
+            since_ms=self.state.clock.now() - gone_at,
+            unverified=len(self.state.unverified.list_renewable()),
+        )
+        self.state.unverified.handle_previous_owner_gone(gone_at)
+
     def start_waiting_tasks(self) -> None:
         """Start the waiting tasks for which there is a worker."""
         self.state.is_start_due = False
--- a/packages/core/src/quetzallock_core/cells/contents.py
+++ b/packages/core/src/quetzallock_core/cells/contents.py
@@ -11,6 +11,7 @@
     JobRecord,
     LearnedRecord,
     LeasesRecord,
+    OwnerRecord,
     ProgressRecord,
     WorkerRecord,
 )
@@ -27,6 +28,7 @@
         workers: Workers that orders may have gone to.
         learned: Estimates of earlier owners, if recorded.
         hand_over: What a planned hand-over left, if nothing was recorded since.
+        owner: The last process that has owned the cell for long enough to be recorded.
         unreadable: Keys of records that cannot be decoded.
     """
 
@@ -36,6 +38,7 @@
     workers: list[WorkerRecord] = field(default_factory=list)
     learned: LearnedRecord | None = None
     hand_over: HandOverRecord | LeasesRecord | None = None
+    owner: OwnerRecord | None = None
     unreadable: list[str] = field(default_factory=list)
 
 
@@ -65,5 +68,7 @@
         contents.learned = record
     elif isinstance(record, HandOverRecord | LeasesRecord):
         contents.hand_over = record
+    elif isinstance(record, OwnerRecord):
+        contents.owner = record
     else:
         contents.unreadable.append(key)
--- a/packages/core/src/quetzallock_core/cells/records.py
+++ b/packages/core/src/quetzallock_core/cells/records.py
@@ -126,6 +126,7 @@
             record is rewritten, and has lapsed once any of these clock references is passed.
         lapses_in_ms: The ms, from the writing of the record, after which it has lapsed at the
             latest, for owners that can read none of these clocks; -1 while it is renewed.
+        epoch: Epoch of the owner that has written the record; no later one has renewed the lease.
     """
 
     worker: str
@@ -133,6 +134,7 @@
     boot_ms: int
     lapsed_by: tuple[ClockReference, ...] = ()
     lapses_in_ms: int = -1
+    epoch: int = 0
 
     @property
     def is_suspended(self) -> bool:
@@ -140,6 +142,24 @@
         return bool(self.lapsed_by) or self.lapses_in_ms >= 0
 
 
+@message(232)
+@dataclass(frozen=True, slots=True)
+class OwnerRecord:
+    """Journal record of the process that owns the cell, once earlier owners may not order any more.
+
+    Attributes:
+        epoch: Epoch of the ownership.
+        host: Name of the host.
+        address: `ip:port` of the process for other hosts.
+        incarnation: Random number that distinguishes the process from others of the host.
+    """
+
+    epoch: int
+    host: str
+    address: str
+    incarnation: int
+
+
 @message(218)
 @dataclass(frozen=True, slots=True)
 class LearnedRecord:
--- a/packages/core/src/quetzallock_core/cells/unverified.py
+++ b/packages/core/src/quetzallock_core/cells/unverified.py
@@ -15,7 +15,7 @@
 from .isolation import is_past_crash_risk, may_have_begun
 from .jobs import Task
 from .models import Boot
-from .records import ClockReference, HandOverRecord, LeasesRecord, WorkerRecord
+from .records import ClockReference, HandOverRecord, LeasesRecord, OwnerRecord, WorkerRecord
 from .workers import Worker
 
 
@@ -43,6 +43,7 @@
             over; None after any other takeover.
         unbegun: Task and boot of those of its runs that had not begun when it did so.
         worked: Task and boot of those that had worked past their risky time.
+        previous_owner: The process that may have renewed the leases until now, if recorded.
     """
 
     def __init__(self, workers: Mapping[str, Worker], clock: Clock) -> None:
@@ -52,6 +53,7 @@
         self.locations: dict[str, Boot] | None = None
         self.unbegun: set[tuple[str, Boot]] = set()
         self.worked: set[tuple[str, Boot]] = set()
+        self.previous_owner: OwnerRecord | None = None
         self._longest_wait_ms = 0
 
     def restore(self, contents: Contents, lease_ms: int) -> None:
@@ -64,6 +66,7 @@
         now = self._clock.now()
         longest_ms = int(lease_ms / (1 - CLOCK_DRIFT)) + OWNERSHIP_VALID_MS + LEASE_MARGIN_MS
         self._longest_wait_ms = longest_ms
+        self.previous_owner = contents.owner
         remaining_ms: dict[Boot, int] = {}
         if isinstance(contents.hand_over, HandOverRecord):
             runs = contents.hand_over.runs
@@ -83,6 +86,30 @@
             lapse_at = now + left_ms
             self.by_boot[boot] = UnverifiedWorker(record, lapse_at)
 
+    def list_renewable(self) -> list[UnverifiedWorker]:
+        """Return those whose leases the previous owner, and no other, may have renewed."""
+        owner = self.previous_owner
+        if owner is None:
+            return []
+        return [
+            unverified_worker
+            for unverified_worker in self.by_boot.values()
+            if unverified_worker.record.epoch == owner.epoch
+        ]
+
+    def handle_previous_owner_gone(self, gone_at: int) -> None:
+        """Process that the process of the previous owner was over at the local ms `gone_at`.
+
+        Each order sent by then names the end of its lease, by the worker's clock, so that a late
+        one does not extend the lease either.
+        """
+        lapse_at = gone_at + self._longest_wait_ms - OWNERSHIP_VALID_MS
+        for unverified_worker in self.list_renewable():
+            if lapse_at < unverified_worker.lapse_at:
+                unverified_worker.lapse_at = lapse_at
+                unverified_worker.is_lapse_recorded = False
+        self.previous_owner = None
+
     def may_be_running(self, task: Task) -> bool:
         """Return whether an unverified worker may be running `task`."""
         if not self.by_boot or not task.job.is_loaded:
--- a/packages/daemon/src/quetzallock_daemon/cells/const.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/const.py
@@ -14,6 +14,9 @@
 OWNER_PROBE_INTERVAL_MS: Final = 1_000
 """How often a host probes the owner of the first cell."""
 
+PROCESS_PROBE_INTERVAL_MS: Final = 500
+"""How often a new owner asks whether the previous owner's process is over, while it matters."""
+
 INCARNATION_BITS: Final = 32
 """Size of the random number that distinguishes a process from earlier ones of its host."""
 
--- a/packages/daemon/src/quetzallock_daemon/cells/messages.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/messages.py
@@ -64,6 +64,14 @@
     ticket: int
 
 
+@message(233)
+@dataclass(frozen=True, slots=True)
+class ProcessProbe:
+    """Question which process of the host answers, and since when it runs."""
+
+    ticket: int
+
+
 @message(224)
 @dataclass(frozen=True, slots=True)
 class OwnerAnswer:
@@ -75,8 +83,11 @@
             unavailable. `overloaded`: no job can be accepted, as the owner is late with all work.
             `unsettled`: the request may have been processed or not. `unproved`: the owner cannot
             answer now, as its ownership was not confirmed recently or the job is not durable yet.
-        count: Number of pending jobs, in the answer to `CountPendingRequest`.
-        state: The job's state, in the answer `accepted`.
+            `process`: answer to `ProcessProbe`.
+        count: Number of pending jobs, in the answer to `CountPendingRequest`; ms since the start of
+            the process, in the answer `process`.
+        state: The job's state, in the answer `accepted`; the process's name as a member, in the
+            answer `process`.
     """
 
     ticket: int
@@ -88,4 +99,4 @@
 OwnerRequest = (
     SubmitJobRequest | CancelJobRequest | JobStateRequest | CountPendingRequest | OwnerProbe
 )
-PeerRequest = OwnerRequest | AssignmentNotice
+PeerRequest = OwnerRequest | AssignmentNotice | ProcessProbe
--- a/packages/daemon/src/quetzallock_daemon/cells/router.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/router.py
@@ -33,6 +33,7 @@
     OwnerAnswer,
     OwnerProbe,
     OwnerRequest,
+    ProcessProbe,
     SubmitJobRequest,
 )
 from .peers import PeerLostError, Peers, PeerUnreachableError
@@ -215,6 +216,13 @@
         )
         return answer.outcome == "alive"
 
+    async def probe_process(self, address: str) -> OwnerAnswer | None:
+        """Return the answer of the process at `address` that says which one it is, or None."""
+        try:
+            return await self._peers.send(address, ProcessProbe(self._next_ticket()))
+        except PeerLostError:
+            return None
+
     def notify_members(self) -> None:
         """Let the other members look at once whether cells are assigned to them."""
         for address in self._owners.list_addresses():
--- a/packages/daemon/src/quetzallock_daemon/cells/service.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/service.py
@@ -22,10 +22,11 @@
 from .followers import ConfigurationFollower, EntriesFollower, choose_config_wait_ms
 from .front import FrontState, ReadRequest, make_caller_factory, make_page_factory
 from .membership import Member, MembershipTask, OwnersTask, StoreContact
-from .messages import AssignmentNotice, OwnerAnswer, OwnerRequest, PeerRequest
+from .messages import AssignmentNotice, OwnerAnswer, OwnerRequest, PeerRequest, ProcessProbe
 from .owner import CellOwner
 from .peers import Peers, make_request_factory
 from .ports import Configuration, Membership, RequestLimits, Store, Workers
+from .previous_owner import PreviousOwnerSearch, make_owner_record
 from .router import CallerAnswer, DecodeJob, Router
 
 _LOGGER = logging.getLogger(__name__)
@@ -106,6 +107,8 @@
         store = adapters.store
         own = Candidate(settings.power, settings.host)
         member = Member(own, settings.peers, SystemRandom().getrandbits(INCARNATION_BITS))
+        self._member = member
+        self._listening_since = 0
         contact = StoreContact()
         self._membership = MembershipTask(
             reactor, store, member.format_name(), contact, self._handle_membership
@@ -157,6 +160,7 @@
         ready_pages = {self._adapters.ready_path.encode(): self._render_readiness}
         metrics_pages = {settings.metrics_path.encode(): self._metrics_page.render}
         self._listen(settings.peers, make_request_factory(self._handle_peer_request))
+        self._listening_since = self._clock.now()
         self._listen(settings.front, make_caller_factory(self._front))
         self._listen(settings.ready, make_page_factory(ready_pages))
         self._listen(settings.metrics, make_page_factory(metrics_pages))
@@ -232,6 +236,7 @@
             self._metrics_page.observe,
         )
         owner.ownership_confirmed_at = sent_at
+        owner.cell.batches.unrecorded_owner = make_owner_record(self._member, epoch)
         if self._evacuations_confirmed_at is not None:
             owner.handle_evacuations(self._evacuated, self._evacuations_confirmed_at)
         self._owned[cell] = owner
@@ -246,6 +251,11 @@
             self._membership.handle_loaded(self._clock.now() - started_at)
         run_in_background(self._membership.join())
         owner.handle_entries(self._select_entries(owner.number))
+        if owner.is_active:
+            search = PreviousOwnerSearch(
+                self._member, self._listening_since, self.router.probe_process
+            )
+            run_in_background(search.run(owner))
 
     async def _hand_over(self, owner: CellOwner, reason: str) -> None:
         """Write the last records of a cell, then give it up."""
@@ -296,6 +306,10 @@
             run_in_background(self._membership.join_again())
             reply(OwnerAnswer(request.ticket, "noted"))
             return
+        if isinstance(request, ProcessProbe):
+            up_ms = self._clock.now() - self._listening_since
+            reply(OwnerAnswer(request.ticket, "process", up_ms, self._member.format_name()))
+            return
         self._handle_owner_request(request, reply)
 
     def _handle_owner_request(
