Keep the lease ends of a hand-over when its record is deleted

Callers saw: a long-running task whose worker had left stayed away for 9.27 s from a takeover, with capacity free, when the owner before had been handed the cell and was killed within a second.

Cause: the first append of a new owner deletes the hand-over record, and lease ends of unverified workers were written a second after the takeover only.

The lease ends of boots without an entry are now written as soon as the platform's list is read. Boots with an entry still wait for that second, as most of them answer and their records would be written twice.

No task can run twice: nothing is sent to a boot without an entry, and once it gets one its record is rewritten before the lease is renewed.

--- a/packages/core/src/quetzallock_core/cells/batches.py
+++ b/packages/core/src/quetzallock_core/cells/batches.py
@@ -98,6 +98,7 @@
             or state.has_worker_changes
             or self._is_owner_due()
             or self._list_due_lapses()
+            or self._state.unverified.list_unlisted_lapses()
         )
 
     def _is_owner_due(self) -> bool:
@@ -214,13 +215,21 @@
             if worker is not None and worker.entry.boot_ms == unverified_worker.record.boot_ms:
                 state.suspend_lease(worker)
                 continue
-            references = state.unverified.make_clock_references(unverified_worker.lapse_at)
-            record = replace(
-                unverified_worker.record,
-                lapsed_by=references,
-                lapses_in_ms=max(0, lapses_in_ms),
-            )
-            batch.records.append(Persist(f"worker/{record.worker}", record))
+            self._record_lapse(unverified_worker, batch)
+        for unverified_worker in state.unverified.list_unlisted_lapses():
+            self._record_lapse(unverified_worker, batch)
+
+    def _record_lapse(self, unverified_worker: UnverifiedWorker, batch: Batch) -> None:
+        """Add the record of when the lease of a boot without an entry has lapsed."""
+        state = self._state
+        unverified_worker.is_lapse_handed_over = False
+        lapse_at = unverified_worker.lapse_at
+        record = replace(
+            unverified_worker.record,
+            lapsed_by=state.unverified.make_clock_references(lapse_at),
+            lapses_in_ms=max(0, lapse_at - state.clock.now()),
+        )
+        batch.records.append(Persist(f"worker/{record.worker}", record))
 
     def withdraw_new_jobs(self, batch: Batch) -> None:
         """Refuse the new jobs of a batch of which the store has certainly written nothing."""
--- a/packages/core/src/quetzallock_core/cells/unverified.py
+++ b/packages/core/src/quetzallock_core/cells/unverified.py
@@ -27,11 +27,14 @@
         record: The journal's record of the boot.
         lapse_at: Local ms at which its lease has lapsed at the latest.
         is_lapse_recorded: This owner has written to the journal when the lease lapses.
+        is_lapse_handed_over: The hand-over record, which is deleted, said so, and this owner has
+            not written it yet.
     """
 
     record: WorkerRecord
     lapse_at: int
     is_lapse_recorded: bool = False
+    is_lapse_handed_over: bool = False
 
 
 class UnverifiedWorkers:
@@ -84,7 +87,9 @@
             if record.lapses_in_ms >= 0:
                 left_ms = min(left_ms, record.lapses_in_ms)
             lapse_at = now + left_ms
-            self.by_boot[boot] = UnverifiedWorker(record, lapse_at)
+            unverified_worker = UnverifiedWorker(record, lapse_at)
+            unverified_worker.is_lapse_handed_over = boot in remaining_ms
+            self.by_boot[boot] = unverified_worker
 
     def list_renewable(self) -> list[UnverifiedWorker]:
         """Return those whose leases the previous owner, and no other, may have renewed."""
@@ -164,6 +169,19 @@
             and self._find_answering(boot) is None
         ]
 
+    def list_unlisted_lapses(self) -> list[UnverifiedWorker]:
+        """Return those that only the deleted hand-over record and the journal name.
+
+        There are none before the platform's list is read. The others are asked at once.
+        """
+        if not self._workers:
+            return []
+        return [
+            unverified_worker
+            for boot, unverified_worker in self.by_boot.items()
+            if unverified_worker.is_lapse_handed_over and boot[0] not in self._workers
+        ]
+
     def pop_lapsed(self) -> list[Boot]:
         """Remove and return the boots whose leases have lapsed."""
         now = self._clock.now()
--- a/tests/core/cells/test_takeover_waits.py
+++ b/tests/core/cells/test_takeover_waits.py
@@ -7,6 +7,7 @@
     UNREACHABLE_TIMEOUT_MS,
 )
 from quetzallock_core.cells.records import WorkerRecord
+from quetzallock_core.codec import decode
 from quetzallock_standins.emulator import CellCluster
 
 from .test_lease_waits import LONGEST_WAIT_MS
@@ -100,3 +101,33 @@
     cluster.run(LEASE_LAPSE_MS + RESTART_MARGIN_MS)
     assert len(cluster.ground_truth.list_running("a")) == 6
     assert not cluster.ground_truth.violations
+
+
+def test_lease_end_that_was_handed_over_is_not_lost_with_an_owner_that_soon_dies() -> None:
+    cluster = make_cluster()
+    cluster.workers[find_busiest_worker(cluster)].crash()
+    cluster.run(100)
+    cluster.hand_over()
+    cluster.run(400)
+    cluster.kill_owner()
+    cluster.take_over()
+    cluster.run(LEASE_LAPSE_MS + RESTART_MARGIN_MS)
+    assert len(cluster.ground_truth.list_running("a")) == 6
+    assert not cluster.ground_truth.violations
+
+
+def test_handed_over_lease_end_is_not_kept_for_a_worker_that_is_listed_later() -> None:
+    cluster = make_cluster()
+    worker = cluster.workers[find_busiest_worker(cluster)]
+    worker.clock_rate = 1 - CLOCK_DRIFT
+    cluster.unlisted_workers.add(worker.id)
+    cluster.hand_over()
+    cluster.run(400)
+    assert decode(cluster.journal[f"worker/{worker.id}"]).is_suspended
+    cluster.unlisted_workers.clear()
+    cluster.run(LEASE_LAPSE_MS)
+    cluster.kill_owner()
+    worker.is_isolated = True
+    cluster.take_over()
+    cluster.run(LEASE_LAPSE_MS)
+    assert not cluster.ground_truth.violations
