--- a/packages/core/src/quetzallock_core/cells/batches.py
+++ b/packages/core/src/quetzallock_core/cells/batches.py
@@ -4,18 +4,19 @@
 from typing import Final
 
 from ..exceptions import CodecError
-from .const import UNVERIFIED_RECORD_AFTER_MS
+from .const import OWNERSHIP_VALID_MS, UNVERIFIED_RECORD_AFTER_MS
 from .early_cancels import CancelCall
 from .job_records import list_interrupted
 from .jobs import Job
 from .orders import Persist, TicketOutcome
-from .records import HandOverRecord, WorkerRecord
+from .records import HandOverRecord, OwnerRecord, WorkerRecord
 from .state import CellState
 from .unverified import UnverifiedWorker
 from .workers import Worker
 
 HAND_OVER_KEY: Final = "handover"
 LEARNED_KEY: Final = "learned"
+OWNER_KEY: Final = "owner"
 LEARNED_INTERVAL_MS: Final = 2_000
 """Minimum time between two records of the learned estimates."""
 
@@ -53,6 +54,8 @@
     Attributes:
         has_hand_over: The journal still holds the previous owner's hand-over record. No task is
             started while it does, as the record must name all runs.
+        unrecorded_owner: Record of the own process that is still to be written; None if there is
+            none.
     """
 
     def __init__(self, state: CellState) -> None:
@@ -63,6 +66,7 @@
         self._learned_at = state.clock.now()
         self._restored_at = state.clock.now()
         self.has_hand_over = False
+        self.unrecorded_owner: OwnerRecord | None = None
 
     def handle_restored(self, has_hand_over: bool) -> None:
         """Record that the journal was loaded."""
@@ -93,9 +97,26 @@
             or self._deleted
             or state.dropped_workers
             or state.has_worker_changes
+            or self._is_owner_due()
             or self._list_due_lapses()
+            or self._state.unverified.list_unlisted_lapses()
         )
 
+    def _is_owner_due(self) -> bool:
+        """Return whether the own process is to be recorded.
+
+        The next owner takes the end of this process for the end of all renewals, so the record
+        waits until earlier owners have lost the right to order.
+        """
+        held_ms = self._state.clock.now() - self._restored_at
+        return self.unrecorded_owner is not None and held_ms >= OWNERSHIP_VALID_MS
+
+    def _record_owner(self, batch: Batch) -> None:
+        """Add the record of the own process, if it is due."""
+        if self._is_owner_due():
+            batch.records.append(Persist(OWNER_KEY, self.unrecorded_owner))
+            self.unrecorded_owner = None
+
     def pop_batch(self) -> Batch:
         """Return all records that wait to be written, for one atomic append."""
         state = self._state
@@ -116,6 +137,7 @@
             batch.records.append(Persist(f"worker/{worker_id}", None))
         state.dropped_workers = []
         self._record_unverified(batch)
+        self._record_owner(batch)
         for worker in state.workers.values():
             if not worker.is_recorded:
                 self._record_worker(worker, batch)
@@ -157,8 +179,12 @@
             if is_unverified
             else worker.compute_lapse_at()
         )
+        worker.is_lease_suspended |= not may_renew
         lapsed_by = () if may_renew else state.unverified.make_clock_references(lapse_at)
-        record = WorkerRecord(entry.worker, entry.address, entry.boot_ms, lapsed_by)
+        lapses_in_ms = -1 if may_renew else max(0, lapse_at - now)
+        record = WorkerRecord(
+            entry.worker, entry.address, entry.boot_ms, lapsed_by, lapses_in_ms, state.epoch
+        )
         batch.records.append(Persist(f"worker/{worker.id}", record))
         batch.workers.append((worker, worker.record_revision, may_renew))
 
@@ -179,19 +205,32 @@
         state = self._state
         for unverified_worker in self._list_due_lapses():
             unverified_worker.is_lapse_recorded = True
+            lapses_in_ms = unverified_worker.lapse_at - state.clock.now()
             state.log_decision(
                 "worker.unverified",
                 worker=unverified_worker.record.worker,
                 born=unverified_worker.record.boot_ms,
-                lapses_in_ms=unverified_worker.lapse_at - state.clock.now(),
+                lapses_in_ms=lapses_in_ms,
             )
             worker = state.workers.get(unverified_worker.record.worker)
             if worker is not None and worker.entry.boot_ms == unverified_worker.record.boot_ms:
                 state.suspend_lease(worker)
                 continue
-            references = state.unverified.make_clock_references(unverified_worker.lapse_at)
-            record = replace(unverified_worker.record, lapsed_by=references)
-            batch.records.append(Persist(f"worker/{record.worker}", record))
+            self._record_lapse(unverified_worker, batch)
+        for unverified_worker in state.unverified.list_unlisted_lapses():
+            self._record_lapse(unverified_worker, batch)
+
+    def _record_lapse(self, unverified_worker: UnverifiedWorker, batch: Batch) -> None:
+        """Add the record of when the lease of a boot without an entry has lapsed."""
+        state = self._state
+        unverified_worker.is_lapse_handed_over = False
+        lapse_at = unverified_worker.lapse_at
+        record = replace(
+            unverified_worker.record,
+            lapsed_by=state.unverified.make_clock_references(lapse_at),
+            lapses_in_ms=max(0, lapse_at - state.clock.now()),
+        )
+        batch.records.append(Persist(f"worker/{record.worker}", record))
 
     def withdraw_new_jobs(self, batch: Batch) -> None:
         """Refuse the new jobs of a batch of which the store has certainly written nothing."""
--- a/packages/core/src/quetzallock_core/cells/unverified.py
+++ b/packages/core/src/quetzallock_core/cells/unverified.py
@@ -15,7 +15,7 @@
 from .isolation import is_past_crash_risk, may_have_begun
 from .jobs import Task
 from .models import Boot
-from .records import ClockReference, HandOverRecord, LeasesRecord, WorkerRecord
+from .records import ClockReference, HandOverRecord, LeasesRecord, OwnerRecord, WorkerRecord
 from .workers import Worker
 
 
@@ -27,11 +27,14 @@
         record: The journal's record of the boot.
         lapse_at: Local ms at which its lease has lapsed at the latest.
         is_lapse_recorded: This owner has written to the journal when the lease lapses.
+        is_lapse_handed_over: The hand-over record, which is deleted, said so, and this owner has
+            not written it yet.
     """
 
     record: WorkerRecord
     lapse_at: int
     is_lapse_recorded: bool = False
+    is_lapse_handed_over: bool = False
 
 
 class UnverifiedWorkers:
@@ -43,6 +46,7 @@
             over; None after any other takeover.
         unbegun: Task and boot of those of its runs that had not begun when it did so.
         worked: Task and boot of those that had worked past their risky time.
+        previous_owner: The process that may have renewed the leases until now, if recorded.
     """
 
     def __init__(self, workers: Mapping[str, Worker], clock: Clock) -> None:
@@ -52,17 +56,20 @@
         self.locations: dict[str, Boot] | None = None
         self.unbegun: set[tuple[str, Boot]] = set()
         self.worked: set[tuple[str, Boot]] = set()
+        self.previous_owner: OwnerRecord | None = None
         self._longest_wait_ms = 0
 
     def restore(self, contents: Contents, lease_ms: int) -> None:
         """Mark every worker in the journal as unverified.
 
-        An owner that handed the cell over has recorded when the leases lapse. After any other
-        takeover they may have been renewed until the previous owner's right to order ended.
+        An owner that handed the cell over has recorded when the leases lapse, and the record of a
+        worker whose lease is suspended says so too. Any other lease may have been renewed until the
+        previous owner's right to order ended.
         """
         now = self._clock.now()
         longest_ms = int(lease_ms / (1 - CLOCK_DRIFT)) + OWNERSHIP_VALID_MS + LEASE_MARGIN_MS
         self._longest_wait_ms = longest_ms
+        self.previous_owner = contents.owner
         remaining_ms: dict[Boot, int] = {}
         if isinstance(contents.hand_over, HandOverRecord):
             runs = contents.hand_over.runs
@@ -76,8 +83,37 @@
             remaining_ms = {(worker, boot_ms): left_ms for worker, boot_ms, left_ms in leases}
         for record in contents.workers:
             boot = (record.worker, record.boot_ms)
-            lapse_at = now + min(longest_ms, remaining_ms.get(boot, longest_ms))
-            self.by_boot[boot] = UnverifiedWorker(record, lapse_at)
+            left_ms = min(longest_ms, remaining_ms.get(boot, longest_ms))
+            if record.lapses_in_ms >= 0:
+                left_ms = min(left_ms, record.lapses_in_ms)
+            lapse_at = now + left_ms
+            unverified_worker = UnverifiedWorker(record, lapse_at)
+            unverified_worker.is_lapse_handed_over = boot in remaining_ms
+            self.by_boot[boot] = unverified_worker
+
+    def list_renewable(self) -> list[UnverifiedWorker]:
+        """Return those whose leases the previous owner, and no other, may have renewed."""
+        owner = self.previous_owner
+        if owner is None:
+            return []
+        return [
+            unverified_worker
+            for unverified_worker in self.by_boot.values()
+            if unverified_worker.record.epoch == owner.epoch
+        ]
+
+    def handle_previous_owner_gone(self, gone_at: int) -> None:
+        """Process that the process of the previous owner was over at the local ms `gone_at`.
+
+        Each order sent by then names the end of its lease, by the worker's clock, so that a late
+        one does not extend the lease either.
+        """
+        lapse_at = gone_at + self._longest_wait_ms - OWNERSHIP_VALID_MS
+        for unverified_worker in self.list_renewable():
+            if lapse_at < unverified_worker.lapse_at:
+                unverified_worker.lapse_at = lapse_at
+                unverified_worker.is_lapse_recorded = False
+        self.previous_owner = None
 
     def may_be_running(self, task: Task) -> bool:
         """Return whether an unverified worker may be running `task`."""
@@ -108,7 +144,7 @@
     def has_recorded_lapse(self, boot: Boot) -> bool:
         """Return whether the journal says when the lease of an unverified boot has lapsed."""
         unverified_worker = self.by_boot.get(boot)
-        return unverified_worker is not None and bool(unverified_worker.record.lapsed_by)
+        return unverified_worker is not None and unverified_worker.record.is_suspended
 
     def _is_readable(self, record: WorkerRecord) -> bool:
         """Return whether a clock that the record refers to is known to this owner."""
@@ -133,6 +169,19 @@
             and self._find_answering(boot) is None
         ]
 
+    def list_unlisted_lapses(self) -> list[UnverifiedWorker]:
+        """Return those that only the deleted hand-over record and the journal name.
+
+        There are none before the platform's list is read. The others are asked at once.
+        """
+        if not self._workers:
+            return []
+        return [
+            unverified_worker
+            for boot, unverified_worker in self.by_boot.items()
+            if unverified_worker.is_lapse_handed_over and boot[0] not in self._workers
+        ]
+
     def pop_lapsed(self) -> list[Boot]:
         """Remove and return the boots whose leases have lapsed."""
         now = self._clock.now()
@@ -231,10 +280,16 @@
         return HandOverRecord(tuple(runs), leases, tuple(unbegun), tuple(worked))
 
     def _list_leases(self) -> list[tuple[str, int, int]]:
-        """Return worker, boot and the ms until its lease has lapsed, of all that may run tasks."""
+        """Return worker, boot and the ms until its lease has lapsed, of all that may run tasks.
+
+        A boot that no owner has had an answer of got no order and no lease; it is listed too, as
+        the journal has a record of it.
+        """
         now = self._clock.now()
         lapses = {boot: unverified.lapse_at for boot, unverified in self.by_boot.items()}
         for worker in self._workers.values():
             if worker.inventory_at >= 0:
-                lapses[worker.id, worker.entry.boot_ms] = worker.compute_lapse_at()
+                lapses[worker.boot] = worker.compute_lapse_at()
+            elif worker.contact_at < 0 and not worker.runs:
+                lapses.setdefault(worker.boot, now)
         return [(*boot, max(0, lapse_at - now)) for boot, lapse_at in lapses.items()]
--- a/packages/core/src/quetzallock_core/cells/workers.py
+++ b/packages/core/src/quetzallock_core/cells/workers.py
@@ -286,7 +286,8 @@
         """Extend the lease with a poll that is sent at `now`, if it may be extended.
 
         A worker that drains gets a shorter one, as its tasks wait for the lease once it is gone. A
-        poll after an unanswered one extends nothing, as the worker may be gone already.
+        poll after an unanswered one extends nothing: each renewal counts as received, and a worker
+        that is gone would be waited for as long as it was asked.
 
         Returns:
             The end on the worker's clock, or None.
--- a/packages/standins/src/quetzallock_standins/emulator/busy.py
+++ b/packages/standins/src/quetzallock_standins/emulator/busy.py
@@ -71,9 +71,7 @@
             self.schedule(END_CHECK_INTERVAL_MS, lambda: self._await_end(owner, worker, until))
             return
         cell_worker = owner.cell.state.workers[worker.id]
-        lease_end = None
-        if cell_worker.may_renew_lease and cell_worker.is_reachable(now):
-            lease_end = cell_worker.extend_lease(self.bounds.lease_ms, now)
+        lease_end = cell_worker.renew_lease(self.bounds.lease_ms, now)
         answer = worker.poll_inventory(owner.epoch, cell_worker.ack_cursor, lease_end)
         delay_ms = self.latency_ms + self.processor.take("inventory", now)
         boot = cell_worker.boot
