Expect an overdue run to take as long again, where capacity is kept

A run past its expected end was expected to end in 200 ms, so its worker looked like the next one with room for a displaced task. Capacity was kept there for 5 s, in vain where the run hangs or is far slower than estimated, and no search was made for 5 s more: callers missed the long-running task while other workers had room within a second.

The remaining time of such a run is now the time by which it is overdue.

test_overdue_runs_are_not_taken_for_the_next_ones_to_end failed before (the task was still on its draining worker when that left, 6 s after the announcement), and passes now: the reservation is on the worker whose short task ends within a second.

--- a/packages/core/src/quetzallock_core/cells/displacement.py
+++ b/packages/core/src/quetzallock_core/cells/displacement.py
@@ -35,7 +35,7 @@
 """Maximum number of kinds of displaced tasks for which a start of a new one is checked."""
 
 MIN_TIME_LEFT_MS: Final = 200
-"""When a run ends that should have ended before, from now."""
+"""Least time until the expected end of a run."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -271,11 +271,12 @@
 
     def _expect_end(self, run: Run) -> ExpectedEnd:
         spec = run.task.spec
-        earliest = self._now + MIN_TIME_LEFT_MS
-        at = run.ordered_at + self._state.durations.expect(run.task.step)
-        if run.state == "stopping":
-            at = earliest
-        return ExpectedEnd(max(at, earliest), run, compute_commitment(spec.needs, spec.fills))
+        left_ms = 0.0
+        if run.state != "stopping":
+            expected_end = run.ordered_at + self._state.durations.expect(run.task.step)
+            left_ms = abs(expected_end - self._now)
+        at = self._now + max(MIN_TIME_LEFT_MS, left_ms)
+        return ExpectedEnd(at, run, compute_commitment(spec.needs, spec.fills))
 
 
 def _frees_capacity(run: Run) -> bool:
