Hold new long-running tasks off while others may be without a run

A long-running task on a worker that stops answering counted as displaced only 3 s before its lease lapses, and one that may be on an unverified worker not at all. A new long-running task that was submitted meanwhile took the only worker with room, and the older one stayed away for good: callers saw 9 s and more without it.

The kinds of tasks for which new ones are held off now include those on silent and on unverified workers, until they answer or their leases lapse. Capacity is still kept for them as before. In a pool with less than half of its CPU committed nothing is held off, as there is room for both.

--- a/packages/core/src/quetzallock_core/cells/displacement.py
+++ b/packages/core/src/quetzallock_core/cells/displacement.py
@@ -7,6 +7,7 @@
 from collections import Counter
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
+from itertools import chain
 from typing import Final
 
 from .const import ROOM_SEARCH_PAUSE_MS, TAKEOVER_SETTLE_MS
@@ -91,7 +92,7 @@
         if reserved:
             self._move_or_release(reserved, now)
         tasks = self._list_tasks(now)
-        self._state.displaced = find_kinds(tasks)
+        self._state.displaced = find_kinds(chain(tasks, self._list_expected(now)))
         is_settled = now >= self._state.restored_at + TAKEOVER_SETTLE_MS
         self._state.knows_displaced |= is_settled or not self._state.unverified.by_boot
         self._reserve(tasks, now)
@@ -159,6 +160,41 @@
                     left_by_step[task.step] += 1
                     yield task
 
+    def _list_expected(self, now: int) -> list[Task]:
+        """Return tasks that may be without a run, though it is too early to start them elsewhere.
+
+        They are on workers that do not answer, or may be on unverified ones. New tasks that start
+        meanwhile would take the capacity that they need once the leases have lapsed. Where less
+        than half of a pool is committed, there is enough for both.
+        """
+        tasks = [*self._list_on_silent_workers(now), *self._list_unverified()]
+        if not tasks:
+            return tasks
+        services = find_busy_services(self._state.workers.values(), now)
+        reserved = self._state.reservations.by_task
+        return [t for t in tasks if t.job.policy.service in services and t not in reserved]
+
+    def _list_on_silent_workers(self, now: int) -> Iterator[Task]:
+        """Yield the long-running tasks with a run on a worker that does not answer any more."""
+        for worker in self._state.workers.values():
+            if not worker.lasting_count or worker.contact_at < 0 or worker.is_reachable(now):
+                continue
+            for run in worker.runs.values():
+                if is_movable(run, self._state):
+                    yield run.task
+
+    def _list_unverified(self) -> Iterator[Task]:
+        """Yield the tasks that have run before, and may be running on an unverified worker."""
+        unverified = self._state.unverified
+        if not unverified.by_boot:
+            return
+        for step in self._state.open_steps:
+            if not step.spec.lasting or step.spec.gang or not step.job.has_started:
+                continue
+            for task in step.tasks:
+                if _is_interrupted(task) and unverified.may_be_running(task):
+                    yield task
+
     def _list_reserved_runs(self) -> list[Run]:
         """Return the runs whose tasks have capacity elsewhere, and have not begun to move there."""
         return [
@@ -194,6 +230,15 @@
     return list(kinds.values())
 
 
+def find_busy_services(workers: Iterable[Worker], now: int) -> set[str]:
+    """Return the pools in which at least half of the CPU of the usable workers is committed."""
+    spare_cpu: Counter[str] = Counter()
+    for worker in workers:
+        if worker.can_accept_task(now):
+            spare_cpu[worker.entry.service] += worker.entry.capacity.cpu - 2 * worker.committed.cpu
+    return {service for service, cpu in spare_cpu.items() if cpu <= 0}
+
+
 def _is_interrupted(task: Task) -> bool:
     """Return whether `task` waits for its next run."""
     return task.is_waiting and task.has_run and not task.is_crash_suspect
