Search in turns for capacity for displaced tasks, once a tick for each size

A tick searched for the first eight displaced tasks, in a fixed order.

Those searched for longest ago come first now, and a size that fits nowhere is looked for once a tick. test_displaced_tasks_that_fit_nowhere_do_not_keep_ capacity_from_the_others failed before (still on its worker at the leave) and passes.

--- a/packages/core/src/quetzallock_core/cells/displacement.py
+++ b/packages/core/src/quetzallock_core/cells/displacement.py
@@ -4,7 +4,7 @@
 that enough for a long-running task is hardly ever free on one worker.
 """
 
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from itertools import chain
@@ -12,7 +12,7 @@
 
 from .const import ROOM_SEARCH_PAUSE_MS, TAKEOVER_SETTLE_MS
 from .jobs import Run, Task
-from .migration import count_movable, drop_past, is_movable
+from .migration import count_movable, is_movable, keep_known
 from .models import Resources
 from .placement import find_constraint
 from .scheduler import may_start
@@ -98,13 +98,19 @@
         self._reserve(tasks, now)
 
     def _reserve(self, tasks: list[Task], now: int) -> None:
-        """Keep capacity that is about to become free for some of the displaced `tasks`."""
-        self._search_after = drop_past(self._search_after, now)
-        tasks = [task for task in tasks if task not in self._search_after]
-        if not tasks:
+        """Keep capacity that is about to become free for some of the displaced `tasks`.
+
+        Those searched for longest ago come first, as the first ones would keep it from the others.
+        """
+        self._search_after = keep_known(self._search_after, set(tasks))
+        due = [task for task in tasks if self._search_after.get(task, 0) <= now]
+        if not due:
             return
+        due.sort(key=lambda task: self._search_after.get(task, 0))
         search = VacancySearch(self._state, now)
-        for task in tasks[:MAX_TASKS_SEARCHED]:
+        for task in due:
+            if search.count == MAX_TASKS_SEARCHED:
+                break
             vacancy = search.find(task)
             if vacancy is None:
                 self._search_after[task] = now + ROOM_SEARCH_PAUSE_MS
@@ -253,13 +259,19 @@
 
 
 class VacancySearch:
-    """The search within one tick for workers that will soon have room."""
+    """The search within one tick for workers that will soon have room.
+
+    Attributes:
+        count: Number of tasks for which all workers were looked at.
+    """
 
     def __init__(self, state: CellState, now: int) -> None:
         self._state = state
         self._now = now
         self._workers = [w for w in state.workers.values() if w.can_accept_task(now)]
         self._ends: dict[Worker, list[ExpectedEnd]] = {}
+        self._too_large: defaultdict[tuple[str, str], list[Resources]] = defaultdict(list)
+        self.count = 0
         self._left: dict[str, int] = {}
         reserved: Counter[str] = Counter()
         total: Counter[str] = Counter()
@@ -271,8 +283,20 @@
 
     def find(self, task: Task) -> Vacancy | None:
         """Return the vacancy for `task` that is expected first, or None."""
-        if self._left.get(task.job.policy.service, 0) <= 0:
+        spec = task.spec
+        pool = (task.job.policy.service, spec.required_label)
+        if self._left.get(pool[0], 0) <= 0:
+            return None
+        if any(too_large.fits_in(spec.needs) for too_large in self._too_large[pool]):
             return None
+        self.count += 1
+        best = self._find_first(task)
+        if best is None and not task.avoid and not spec.max_per_worker:
+            self._too_large[pool].append(spec.needs)
+        return best
+
+    def _find_first(self, task: Task) -> Vacancy | None:
+        """Return the vacancy for `task` that is expected first on any worker, or None."""
         best: Vacancy | None = None
         for worker in self._workers:
             if worker.reservations or worker.id in task.avoid or worker.is_overcommitted:
--- a/tests/core/cells/test_displaced_tasks.py
+++ b/tests/core/cells/test_displaced_tasks.py
@@ -102,3 +102,18 @@
     cluster.cancel("b")
     assert measure_away_ms(cluster, "a.0.0.0") < cluster.bounds.lease_ms - 2_000
     assert not cluster.ground_truth.violations
+
+
+def test_displaced_tasks_that_fit_nowhere_do_not_keep_capacity_from_the_others() -> None:
+    cluster = make_busy_cluster(workers=4, tasks=1)
+    large = make_step(40, lasting=True, needs=Resources(4_100, 4_000, 0))
+    cluster.submit(make_spec("large", large), POLICY, {0: None})
+    cluster.run(500)
+    job = cluster.cell.state.jobs["large"]
+    job.has_started = True
+    for task in job.list_tasks():
+        task.has_run = True
+    cluster.workers[find_worker(cluster, "a.0.0.0")].drain()
+    cluster.run(DRAIN_MS)
+    assert cluster.ground_truth.list_running("a") == ["a.0.0.0"]
+    assert cluster.cell.state.counters["task.reserved"]
