Check in the soak that long-running tasks run again in calm

In half of the courses of 40 s or longer, after the recovery, hosts are restarted in series and workers announce their leave, serve for 6 s more and leave, each replaced by a new one, under a flood of long-running jobs that does not fit.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -31,6 +31,7 @@
         accepted_at: When it was first accepted.
         cancel_acknowledged_at: When its cancellation was acknowledged.
         cancel_sent: A cancellation was sent.
+        cancel_sent_at: When its first cancellation was sent.
         state: Last state that a host returned.
     """
 
@@ -42,6 +43,7 @@
     cancel_acknowledged_at: float | None = None
     cancel_sent: bool = False
     state: str = ""
+    cancel_sent_at: float = float("inf")
 
     @property
     def was_refused(self) -> bool:
@@ -151,6 +153,7 @@
     async def cancel(self, job: CallerJob) -> None:
         """Cancel a job, with a bounded number of attempts."""
         job.cancel_sent = True
+        job.cancel_sent_at = min(job.cancel_sent_at, now_ms())
         for _ in range(MAX_ATTEMPTS):
             status, _answer = await self._call("DELETE", job)
             if status in (OK, GONE):
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -79,12 +79,26 @@
     async def prepare(self) -> None:
         """Advertise a proxy for each worker and wait until all hosts are ready."""
         for worker, address in (await self.call_standin("workers"))["workers"].items():
-            proxy = Proxy(self.reactor, address)
-            self.worker_proxies[worker] = proxy
-            await self.call_standin("advertise", worker, proxy.address)
+            await self._advertise(worker, address)
         for host in self.hosts:
             await self.wait_ready(host)
 
+    async def _advertise(self, worker: str, address: str) -> None:
+        proxy = Proxy(self.reactor, address)
+        self.worker_proxies[worker] = proxy
+        await self.call_standin("advertise", worker, proxy.address)
+
+    async def add_worker(self, worker: str) -> None:
+        """Start another worker."""
+        await self.call_standin("add", worker)
+        answer = await self.call_standin("listen", worker)
+        await self._advertise(worker, answer["address"])
+
+    async def remove_worker(self, worker: str) -> None:
+        """Let a worker leave for good; its address refuses connections from then on."""
+        await self.call_standin("leave", worker)
+        self.worker_proxies.pop(worker).set_mode("reset")
+
     async def wait_ready(self, host: Host) -> None:
         """Wait until a host reports ready; add a finding if it does not in time."""
         for _ in range(READY_TIMEOUT_MS // _POLL_INTERVAL_MS):
--- a/tests/soak/fault_log.py
+++ b/tests/soak/fault_log.py
@@ -11,6 +11,15 @@
 """How long after the last fault has ended hosts and workers may still be out of touch."""
 HARMLESS_FAULTS: Final = ("change_configuration",)
 """Faults that do not end a stable period."""
+PLANNED_WORK: Final = (
+    *HARMLESS_FAULTS,
+    "force_rebalance",
+    "reload_host",
+    "replace_workers",
+    "restart_hosts",
+    "stop_host",
+)
+"""Faults that are planned work: they do not end a calm period."""
 
 Span = tuple[float, float]
 
@@ -22,11 +31,13 @@
     Attributes:
         end: Summary of a course that has reached its end.
         spans: Begin and end of each fault that ends a stable period; infinity until it has ended.
+        unplanned_spans: The same of each fault that ends a calm period.
     """
 
     lines: list[str] = field(default_factory=list)
     end: str = ""
     spans: list[Span] = field(default_factory=list)
+    unplanned_spans: list[Span] = field(default_factory=list)
 
     def add(self, text: str) -> None:
         """Add a line with the present time."""
@@ -36,20 +47,25 @@
     def record(self, fault: str, detail: str = "") -> Iterator[None]:
         """Record a fault that lasts as long as the context."""
         self.add(f"{fault} {detail}".rstrip())
-        index = len(self.spans)
         began_at = now_ms()
+        disturbed = []
         if fault not in HARMLESS_FAULTS:
-            self.spans.append((began_at, float("inf")))
+            disturbed.append(self.spans)
+        if fault not in PLANNED_WORK:
+            disturbed.append(self.unplanned_spans)
+        indexes = [len(spans) for spans in disturbed]
+        for spans in disturbed:
+            spans.append((began_at, float("inf")))
         try:
             yield
         finally:
-            if fault not in HARMLESS_FAULTS:
-                self.spans[index] = (began_at, now_ms())
+            for spans, index in zip(disturbed, indexes, strict=True):
+                spans[index] = (began_at, now_ms())
             self.add(f"{fault} has ended")
 
 
-def list_stable_periods(spans: list[Span], until: float) -> list[Span]:
-    """Return the periods before `until` that began `CONTACT_MS` after the last fault had ended.
+def list_stable_periods(spans: list[Span], until: float, settle_ms: int = CONTACT_MS) -> list[Span]:
+    """Return the periods before `until` that began `settle_ms` after the last fault had ended.
 
     Nothing before the end of the first fault is stable: it stands for the start of the processes.
     """
@@ -57,9 +73,9 @@
         return []
     ordered = sorted(spans)
     periods: list[Span] = []
-    stable_from = ordered[0][1] + CONTACT_MS
+    stable_from = ordered[0][1] + settle_ms
     for began_at, ended_at in [*ordered, (until, until)]:
         if stable_from < began_at:
             periods.append((stable_from, began_at))
-        stable_from = max(stable_from, ended_at + CONTACT_MS)
+        stable_from = max(stable_from, ended_at + settle_ms)
     return periods
--- /dev/null
+++ b/tests/soak/planned_work.py
@@ -0,0 +1,142 @@
+"""Planned work after the recovery: hosts restart and workers are replaced under a flood of jobs."""
+
+import signal
+from random import Random
+from typing import Any, Final
+
+from twisted.internet.defer import gatherResults
+
+from quetzallock_daemon.helpers import run_coroutine, sleep
+
+from .callers import Caller, JobMaker
+from .deployment import Host, SoakDeployment, now_ms
+from .fault_log import FaultLog
+from .lasting_checks import ABSENCE_MS, CALM_MS, RESTART_MS
+
+MIN_COURSE_S: Final = 40
+"""Shorter courses have no planned work."""
+PLANNED_SHARE: Final = 0.5
+"""Share of the other courses that have it."""
+FLOOD_CALLER_COUNT: Final = 3
+LASTING_CPU: Final = (1_000, 2_400, 2_800, 4_200)
+"""Needs of the long-running tasks that are drawn, in thousandths of a core; mixed, so that the room
+that short tasks leave does not fit each of them."""
+TIMED_CPU: Final = (300, 600, 1_050)
+FLOOD_MS: Final = 14_000
+"""Time in which callers submit more long-running tasks than the workers can run."""
+FLOOD_PAUSE_MS: Final = 500
+DRAIN_MS: Final = 6_000
+"""Time that a worker serves after it has announced that it leaves."""
+REPLACEMENT_DELAY_MS: Final = 400
+REPLACEMENT_GAPS_MS: Final = (700, 1_500, 3_000)
+"""Times between the announcements of two workers that are drawn; all shorter than `DRAIN_MS`."""
+RESTART_COUNT: Final = 6
+RESTART_GAPS_MS: Final = (500, 1_000, 2_000)
+_PROCESS_POLL_MS: Final = 50
+
+FLOOD_KINDS: Final[dict[str, JobMaker]] = {
+    "lasting": lambda rng: _make_lasting(rng, rng.choice(LASTING_CPU)),
+    "timed": lambda rng: _make_timed(rng, rng.choice(TIMED_CPU)),
+}
+"""Kinds as in `callers.JOB_KINDS`."""
+
+
+def _make_lasting(rng: Random, cpu: int) -> tuple[str, tuple[int, ...], dict[str, Any]]:
+    return f"lasts {cpu}", (rng.randrange(1, 5),), {"longRunning": True, "cpu": cpu}
+
+
+def _make_timed(rng: Random, cpu: int) -> tuple[str, tuple[int, ...], dict[str, Any]]:
+    return f"{rng.randrange(200, 2_500)} {cpu}", (rng.randrange(2, 9),), {"cpu": cpu}
+
+
+class FloodCaller(Caller):
+    """A caller of long-running jobs during the flood, and of timed ones as long as it runs."""
+
+    async def run(self, until: float) -> None:
+        """Submit jobs until `until`."""
+        flood_until = now_ms() + FLOOD_MS
+        while now_ms() < until:
+            is_lasting = now_ms() < flood_until and self._rng.random() < 0.5
+            kind = "lasting" if is_lasting else "timed"
+            job, body = self._make_job_of(kind, FLOOD_KINDS[kind])
+            self.jobs.append(job)
+            await self._submit(job, body)
+            await sleep(self._deployment.reactor, self._rng.randrange(FLOOD_PAUSE_MS))
+
+    async def cancel_lasting(self) -> None:
+        """Cancel the accepted long-running jobs."""
+        for job in self.jobs:
+            if job.kind == "lasting" and job.accepted_at is not None:
+                await self.cancel(job)
+
+
+async def do_planned_work(
+    deployment: SoakDeployment, seed: int, seconds: float, first_caller: int, log: FaultLog
+) -> list[Caller]:
+    """Restart hosts and replace workers in some of the courses; return the callers of the flood.
+
+    It draws from a source of its own, to keep recorded seeds.
+    """
+    rng = Random(f"planned work {seed}")
+    if seconds < MIN_COURSE_S or rng.random() >= PLANNED_SHARE:
+        return []
+    callers = [
+        FloodCaller(deployment, Random(rng.random()), first_caller + number)
+        for number in range(FLOOD_CALLER_COUNT)
+    ]
+    works = [_restart_hosts(deployment, Random(rng.random()), log)]
+    works.append(_replace_workers(deployment, Random(rng.random()), log))
+    until = now_ms() + FLOOD_MS + DRAIN_MS + RESTART_MS + ABSENCE_MS + CALM_MS
+    tasks = [run_coroutine(caller.run(until)) for caller in callers]
+    await sleep(deployment.reactor, FLOOD_MS // 2)
+    tasks += [run_coroutine(work) for work in works]
+    await gatherResults(tasks, consumeErrors=True)
+    await gatherResults(
+        [run_coroutine(caller.cancel_lasting()) for caller in callers], consumeErrors=True
+    )
+    return list(callers)
+
+
+async def _restart_hosts(deployment: SoakDeployment, rng: Random, log: FaultLog) -> None:
+    """Stop one host after the other by SIGTERM and restart it."""
+    hosts = rng.sample(deployment.hosts, len(deployment.hosts))
+    gap_ms = rng.choice(RESTART_GAPS_MS)
+    with log.record("restart_hosts", f"gap {gap_ms}"):
+        for number in range(RESTART_COUNT):
+            await _restart_host(deployment, hosts[number % len(hosts)], log)
+            await sleep(deployment.reactor, gap_ms)
+        for host in hosts:
+            await deployment.wait_ready(host)
+
+
+async def _restart_host(deployment: SoakDeployment, host: Host, log: FaultLog) -> None:
+    log.add(f"SIGTERM to {host.name}")
+    host.send_signal(signal.SIGTERM)
+    while host.is_running:
+        await sleep(deployment.reactor, _PROCESS_POLL_MS)
+    host.start()
+    log.add(f"{host.name} has started")
+
+
+async def _replace_workers(deployment: SoakDeployment, rng: Random, log: FaultLog) -> None:
+    """Start a new worker for each of some, which leave `DRAIN_MS` after their announcement."""
+    workers = sorted(deployment.worker_proxies)
+    leaving = rng.sample(workers, rng.randrange(len(workers) // 2, len(workers) + 1))
+    gap_ms = rng.choice(REPLACEMENT_GAPS_MS)
+    with log.record("replace_workers", f"{leaving} gap {gap_ms}"):
+        tasks = []
+        for worker in leaving:
+            tasks.append(run_coroutine(_replace_worker(deployment, worker, log)))
+            await sleep(deployment.reactor, gap_ms)
+        await gatherResults(tasks, consumeErrors=True)
+
+
+async def _replace_worker(deployment: SoakDeployment, worker: str, log: FaultLog) -> None:
+    await deployment.call_standin("drain", worker)
+    log.add(f"{worker} drains")
+    await sleep(deployment.reactor, REPLACEMENT_DELAY_MS)
+    await deployment.add_worker(f"{worker}-next")
+    log.add(f"{worker}-next has started")
+    await sleep(deployment.reactor, DRAIN_MS - REPLACEMENT_DELAY_MS)
+    await deployment.remove_worker(worker)
+    log.add(f"{worker} has left")
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -16,15 +16,18 @@
 from quetzallock_daemon.helpers import reactor, run_coroutine, sleep
 
 from .callers import Caller, CallerJob
-from .cancel_checks import list_cancel_findings, list_runs_of_findings
+from .cancel_checks import list_cancel_findings
 from .cancellers import Canceller
 from .checks import list_accepted_findings, list_findings
 from .deployment import SoakDeployment, now_ms
 from .fault_log import FaultLog
 from .faults import heal, inject_faults
 from .final_cancels import acknowledge_cancellations, cancel_jobs, cancel_jobs_under_restarts
+from .lasting_checks import list_lasting_findings
 from .order_faults import inject_order_faults
+from .planned_work import do_planned_work
 from .quiet_spell import cancel_lasting_jobs, choose_quiet_spell
+from .runs import list_runs_of_findings
 
 SETTLE_PAUSE_MS: Final = 1_500
 RECOVERY_TIMEOUT_MS: Final = 26_000
@@ -39,7 +42,8 @@
 ) -> list[str]:
     """Play the course of a seed and return the findings.
 
-    Faults are injected for `seconds` s and removed; after the recovery callers cancel jobs.
+    Faults are injected for `seconds` s and removed; after the recovery some courses have planned
+    work, and callers cancel jobs.
     """
     rng = Random(seed)
     with log.record("start of the processes"):
@@ -56,6 +60,9 @@
     await wait_for_final_states(deployment, everyone, healed_at)
     jobs = [job for caller in everyone for job in caller.jobs]
     findings = list_accepted_findings(jobs, await deployment.call_standin("record"))
+    flood = await do_planned_work(deployment, seed, seconds, len(everyone), log)
+    await wait_for_final_states(deployment, [*everyone, *flood], now_ms())
+    everyone += flood
     await cancel_jobs_under_restarts(deployment, restart_cancellers, restart_rng, log)
     await cancel_jobs(deployment, everyone, cancellers, end_rng, log)
     return findings + await _check_end(deployment, everyone, healed_at, log)
@@ -112,6 +119,7 @@
         deployment.findings
         + list_findings(jobs, record, healed_at)
         + list_cancel_findings(jobs, record, log.spans, recorded_at)
+        + list_lasting_findings(jobs, record, log.unplanned_spans, recorded_at)
     )
     log.lines += list_runs_of_findings(findings, record)
     return findings
--- a/tests/soak/test_cancel_checks.py
+++ b/tests/soak/test_cancel_checks.py
@@ -5,17 +5,12 @@
 import pytest
 
 from .callers import CallerJob
-from .cancel_checks import (
-    CANCEL_MS,
-    STOP_MS,
-    list_cancel_findings,
-    list_runs,
-    list_runs_of_findings,
-)
+from .cancel_checks import CANCEL_MS, STOP_MS, list_cancel_findings
 from .checks import list_accepted_findings, list_findings
 from .fault_log import CONTACT_MS, FaultLog, Span, list_stable_periods
 from .order_faults import ORDER_FAULT_RATES, RESTART_RATES
 from .quiet_spell import MIN_QUIET_COURSE_S, choose_quiet_spell
+from .runs import list_runs, list_runs_of_findings
 
 ID = "0000000000000001"
 TASK = f"{ID}.0.0.0"
