Check in the fault machine that long-running tasks run again in calm

Their runs, listings of workers and faults are now read by the check of the soak once all faults have ended; a stop of a host and the announced leave of a worker leave a period calm. This core has no long-running kind: tasks of many hours stand for it, and a worker offers what the preset leaves to tasks.

--- a/tests/common.py
+++ b/tests/common.py
@@ -1,7 +1,7 @@
 """Shared test helpers: entry hosts on a simulated network with models of log and workers."""
 
 import heapq
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 from itertools import count
 from random import Random
@@ -74,6 +74,8 @@
         connections_to_refuse: Number of connections to backend servers still to refuse.
         answers: Answers to callers, by host and ticket.
         cancellations: Host and ticket of each cancellation, by job.
+        specs: Specification of each submitted job.
+        leaves: Time, worker, state (`draining`, `gone` or `ready`) of each change of its listing.
         request_keys: Key and duration in ms of each request, by host and ticket.
         deferred_commands: Commands to each paused worker.
     """
@@ -102,6 +104,8 @@
         self.connections_to_refuse = 0
         self.answers: dict[tuple[str, int], Any] = {}
         self.cancellations: dict[str, list[tuple[str, int]]] = {}
+        self.specs: dict[str, JobSpec] = {}
+        self.leaves: list[tuple[int, str, str]] = []
         self.executions: list[Execution] = []
         self.effects_seen: list[tuple[int, str, object]] = []
         self._scheduled_actions: list[tuple[int, int, Callable[[], None]]] = []
@@ -186,6 +190,7 @@
         self.crash_worker(name)
         self.paused_workers.add(name)
         self.removed_workers.add(name)
+        self.leaves.append((self.clock.now(), name, "gone"))
         self.send_worker_list_to_all()
 
     def restore_worker(self, name: str) -> None:
@@ -193,10 +198,13 @@
         self.removed_workers.discard(name)
         self.deferred_commands.pop(name, None)
         self.resume_worker(name)
+        self.leaves.append((self.clock.now(), name, "ready"))
         self.send_worker_list_to_all()
 
-    def send_worker_list_to_all(self, leaving: Iterable[str] = ()) -> None:
+    def send_worker_list_to_all(self, leaving: Sequence[str] = ()) -> None:
         """Send the platform's list of workers to all entry hosts."""
+        for worker in leaving:
+            self.leaves.append((self.clock.now(), worker, "draining"))
         for host in self.hosts:
             self.send_worker_list(host, leaving)
 
@@ -279,6 +287,7 @@
     def submit(self, name: str, spec: JobSpec, timeout_ms: int = 3_000) -> int:
         """Submit a job at a host and return the ticket."""
         ticket = next(self._tickets)
+        self.specs[spec.job] = spec
         self.hosts[name].host.jobs.submit(ticket, spec, timeout_ms)
         self._effects.run(name)
         return ticket
--- a/tests/proofs/machine.py
+++ b/tests/proofs/machine.py
@@ -6,12 +6,8 @@
 from tests.common import PRESET, FakeCluster, make_spec
 
 from .faults import FAULTS
-from .outcomes import (
-    CallerRecord,
-    find_request_violations,
-    find_running_violations,
-    heal_and_settle,
-)
+from .lasting import CalmLog, settle_and_check
+from .outcomes import CallerRecord, find_request_violations, find_running_violations
 
 HOSTS = st.sampled_from(["host-0", "host-1", "host-2"])
 SHORT_MS = st.sampled_from([100, 300, 700, 1_500])
@@ -27,6 +23,7 @@
         super().__init__()
         self.callers = CallerRecord()
         self.cluster = FakeCluster()
+        self.calm_log = CalmLog(0)
         self.switches: dict[str, int] = {}
 
     @initialize(seed=st.integers(0, 2**16))
@@ -35,6 +32,7 @@
         self.cluster.run(6_000)
         self.cluster.publish("host-0", "ordinary", PRESET, "ana")
         self.cluster.run(1_000)
+        self.calm_log = CalmLog(self.cluster.clock.now())
         self.switches = {}
 
     # Work
@@ -47,7 +45,7 @@
         wait_ms=SHORT_MS,
     )
     def submit(self, host: str, tasks: int, run_ms: int, cpu_milli: int, wait_ms: int) -> None:
-        host = self._find_reachable(host)
+        host = self.find_reachable(host)
         if not host:
             return
         self._submit(host, tasks, run_ms, cpu_milli)
@@ -61,7 +59,7 @@
 
     @rule(host=HOSTS, data=st.data(), wait_ms=SHORT_MS)
     def cancel(self, host: str, data: st.DataObject, wait_ms: int) -> None:
-        host = self._find_reachable(host)
+        host = self.find_reachable(host)
         if not self.callers.jobs or not host:
             return
         self._cancel(host, data.draw(st.sampled_from(sorted(self.callers.jobs))))
@@ -73,7 +71,7 @@
 
     @rule(host=HOSTS, count=st.integers(1, 30), idempotent=st.booleans(), wait_ms=SHORT_MS)
     def request(self, host: str, count: int, idempotent: bool, wait_ms: int) -> None:
-        host = self._find_reachable(host)
+        host = self.find_reachable(host)
         if not host:
             return
         self._request(host, count, idempotent)
@@ -87,7 +85,7 @@
 
     @rule(host=HOSTS, back=st.integers(0, 9))
     def repeat_request(self, host: str, back: int) -> None:
-        host = self._find_reachable(host)
+        host = self.find_reachable(host)
         if host:
             self._repeat(host, back)
             self.cluster.run(300)
@@ -102,12 +100,12 @@
 
     @rule(host=HOSTS, wait_ms=SHORT_MS)
     def use_preset(self, host: str, wait_ms: int) -> None:
-        host = self._find_reachable(host)
+        host = self.find_reachable(host)
         if host:
             self.cluster.use(host, "ordinary", "bea")
             self.cluster.run(wait_ms)
 
-    def _find_reachable(self, host: str) -> str:
+    def find_reachable(self, host: str) -> str:
         """Return `host` or another host that accepts requests, or an empty string."""
         for name in (host, *sorted(self.cluster.hosts)):
             fake = self.cluster.hosts.get(name)
@@ -124,20 +122,20 @@
         self, first: str, second: str, aim: int, other_aim: int, offset_ms: int, lasts: int
     ) -> None:
         self._work(aim)
-        FAULTS.get(first).begin(self.cluster, aim)
+        self._begin(first, aim)
         self._work(other_aim)
         self.cluster.run(offset_ms)
-        FAULTS.get(second).begin(self.cluster, other_aim)
+        self._begin(second, other_aim)
         self._work(aim + 1)
         self.cluster.run(lasts)
-        FAULTS.get(first).end(self.cluster, aim)
+        self._end(first, aim)
         self._work(aim)
         self.cluster.run(offset_ms)
-        FAULTS.get(second).end(self.cluster, other_aim)
+        self._end(second, other_aim)
 
     def _work(self, aim: int) -> None:
         """Submit a job, cancel one, make requests, repeat one and switch the preset."""
-        host = self._find_reachable(f"host-{aim % 3}")
+        host = self.find_reachable(f"host-{aim % 3}")
         if not host:
             return
         self._submit(host, 1 + aim % 5, 800 * (1 + aim), 1_000 + 2_000 * (aim % 2))
@@ -149,17 +147,26 @@
 
     @rule(name=NAMES, aim=TARGETS, wait_ms=SHORT_MS)
     def begin(self, name: str, aim: int, wait_ms: int) -> None:
-        FAULTS.get(name).begin(self.cluster, aim)
+        self._begin(name, aim)
         self.cluster.run(wait_ms)
 
     @rule(name=NAMES, aim=TARGETS, wait_ms=SHORT_MS)
     def end(self, name: str, aim: int, wait_ms: int) -> None:
-        FAULTS.get(name).end(self.cluster, aim)
+        self._end(name, aim)
         self.cluster.run(wait_ms)
 
+    def _begin(self, name: str, aim: int) -> None:
+        self.calm_log.begin(name, self.cluster.clock.now())
+        FAULTS.get(name).begin(self.cluster, aim)
+
+    def _end(self, name: str, aim: int) -> None:
+        FAULTS.get(name).end(self.cluster, aim)
+        self.calm_log.end(name, self.cluster.clock.now())
+
     @rule(ms=LONG_MS)
     def heal(self, ms: int) -> None:
         self.cluster.heal()
+        self.calm_log.heal(self.cluster.clock.now())
         self.cluster.run(ms)
 
     @invariant()
@@ -175,5 +182,9 @@
             assert switched_at >= self.switches.get(incarnation, -1)
             self.switches[incarnation] = switched_at
 
+    def settle_and_check(self) -> list[str]:
+        """End all faults, let the work finish, and return all violations."""
+        return settle_and_check(self.cluster, self.callers, self.calm_log)
+
     def teardown(self) -> None:
-        assert not heal_and_settle(self.cluster, self.callers)
+        assert not self.settle_and_check()
--- a/tests/proofs/outcomes.py
+++ b/tests/proofs/outcomes.py
@@ -24,12 +24,14 @@
     Attributes:
         jobs: Host and ticket of each submission, by job.
         sizes: Number of tasks, by job.
+        lasting: Host and ticket of the submission of each job of long-running tasks.
         cancelled: Jobs for which a cancellation was requested.
         requests: Host, ticket, key and whether it is idempotent, of each request.
     """
 
     jobs: dict[str, list[tuple[str, int]]] = field(default_factory=dict)
     sizes: dict[str, int] = field(default_factory=dict)
+    lasting: dict[str, tuple[str, int]] = field(default_factory=dict)
     cancelled: set[str] = field(default_factory=set)
     requests: list[tuple[str, int, str, bool]] = field(default_factory=list)
 
