Let smaller workers replace leaving ones in the soak, and leave in turn

In half of the courses with planned work each leaving worker is replaced by four of a quarter of its size, half of which leave again. The incident had a task that fitted into the free total but into no single worker; four equal workers of 16 cores hardly leave such room. Workers that are too small for a task do not count as capacity for it.

--- a/tests/soak/capacity.py
+++ b/tests/soak/capacity.py
@@ -12,7 +12,7 @@
 
 @dataclass(frozen=True, slots=True)
 class FreeCapacity:
-    """Free processor of the workers that are ready, in thousandths of a core.
+    """Free processor of ready workers that are large enough, in thousandths of a core.
 
     Attributes:
         total: Of all of them together.
@@ -23,6 +23,12 @@
     largest: int
 
 
+@dataclass(frozen=True, slots=True)
+class _ReadyWorker:
+    offered: int
+    free: int
+
+
 class CapacityTimeline:
     """Free capacity at each time of a record; runs that are being stopped count as well."""
 
@@ -33,7 +39,7 @@
             record: The record: `starts`, `ends`, `worker_states` and `task_cpu`.
         """
         self._times: list[float] = []
-        self._free: list[FreeCapacity] = []
+        self._workers: list[list[_ReadyWorker]] = []
         self._offered: dict[str, int] = {}
         self._used: Counter[str] = Counter()
         task_cpu = record["task_cpu"]
@@ -47,7 +53,7 @@
         for at, worker, state, cpu in sorted(changes):
             self._apply(worker, state, cpu)
             self._times.append(at)
-            self._free.append(self._compute())
+            self._workers.append(self._list_ready())
 
     def _apply(self, worker: str, state: str, cpu: int) -> None:
         if not state:
@@ -57,16 +63,27 @@
         else:
             self._offered.pop(worker, None)
 
-    def _compute(self) -> FreeCapacity:
-        free = [max(0, cpu - self._used[worker]) for worker, cpu in self._offered.items()]
-        return FreeCapacity(sum(free), max(free, default=0))
+    def _list_ready(self) -> list["_ReadyWorker"]:
+        return [
+            _ReadyWorker(cpu, max(0, cpu - self._used[worker]))
+            for worker, cpu in self._offered.items()
+        ]
 
-    def list_between(self, begin: float, end: float) -> Iterator[tuple[Span, FreeCapacity]]:
-        """Yield the spans between two times in which the free capacity is the same, in order."""
+    def list_between(
+        self, begin: float, end: float, cpu: int = 0
+    ) -> Iterator[tuple[Span, FreeCapacity]]:
+        """Yield the spans between two times in which nothing changes, in order.
+
+        Args:
+            begin: The first time.
+            end: The last time.
+            cpu: Smaller workers do not count.
+        """
         index = max(0, bisect_right(self._times, begin) - 1)
         while index < len(self._times) and self._times[index] < end:
             until = self._times[index + 1] if index + 1 < len(self._times) else end
             span = (max(begin, self._times[index]), min(end, until))
             if span[0] < span[1]:
-                yield span, self._free[index]
+                free = [worker.free for worker in self._workers[index] if worker.offered >= cpu]
+                yield span, FreeCapacity(sum(free), max(free, default=0))
             index += 1
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -88,9 +88,9 @@
         self.worker_proxies[worker] = proxy
         await self.call_standin("advertise", worker, proxy.address)
 
-    async def add_worker(self, worker: str) -> None:
-        """Start another worker."""
-        await self.call_standin("add", worker)
+    async def add_worker(self, worker: str, cpu: int) -> None:
+        """Start another worker with a processor of `cpu` thousandths of a core."""
+        await self.call_standin("add", worker, str(cpu))
         answer = await self.call_standin("listen", worker)
         await self._advertise(worker, answer["address"])
 
--- a/tests/soak/lasting_checks.py
+++ b/tests/soak/lasting_checks.py
@@ -84,7 +84,7 @@
     """Yield a finding if there is room for the task for `ABSENCE_MS` on end in a span."""
     since: float | None = None
     total = largest = 0
-    for (begin, end), free in timeline.list_between(*inside):
+    for (begin, end), free in timeline.list_between(*inside, gap.cpu):
         if free.total < ROOM_FACTOR * gap.cpu:
             since = None
             continue
--- a/tests/soak/planned_work.py
+++ b/tests/soak/planned_work.py
@@ -1,6 +1,7 @@
 """Planned work after the recovery: hosts restart and workers are replaced under a flood of jobs."""
 
 import signal
+from dataclasses import dataclass
 from random import Random
 from typing import Any, Final
 
@@ -18,7 +19,7 @@
 PLANNED_SHARE: Final = 0.5
 """Share of the other courses that have it."""
 FLOOD_CALLER_COUNT: Final = 3
-LASTING_CPU: Final = (1_000, 2_400, 2_800, 4_200)
+LASTING_CPU: Final = (1_000, 2_400, 2_800, 3_600)
 """Needs of the long-running tasks that are drawn, in thousandths of a core; mixed, so that the room
 that short tasks leave does not fit each of them."""
 TIMED_CPU: Final = (300, 600, 1_050)
@@ -29,6 +30,13 @@
 before, or their backlog would outlast the course."""
 DRAIN_MS: Final = 6_000
 """Time that a worker serves after it has announced that it leaves."""
+WORKER_CPU: Final = 16_000
+SPLIT_SHARE: Final = 0.5
+"""Share of the courses with planned work in which smaller workers replace the leaving ones."""
+SPLIT_COUNT: Final = 4
+SPLIT_GAP_MS: Final = 700
+SPLIT_MS: Final = 8_000
+"""Time for the smaller workers to leave in turn."""
 REPLACEMENT_DELAY_MS: Final = 400
 REPLACEMENT_GAPS_MS: Final = (700, 1_500, 3_000)
 """Times between the announcements of two workers that are drawn; all shorter than `DRAIN_MS`."""
@@ -87,8 +95,10 @@
         for number in range(FLOOD_CALLER_COUNT)
     ]
     works = [_restart_hosts(deployment, Random(rng.random()), log)]
-    works.append(_replace_workers(deployment, Random(rng.random()), log))
+    is_split = rng.random() < SPLIT_SHARE
+    works.append(_replace_workers(deployment, Random(rng.random()), log, is_split))
     until = now_ms() + FLOOD_MS + DRAIN_MS + RESTART_MS + ABSENCE_MS + CALM_MS
+    until += SPLIT_MS if is_split else 0
     tasks = [run_coroutine(caller.run(until)) for caller in callers]
     await sleep(deployment.reactor, FLOOD_MS // 2)
     tasks += [run_coroutine(work) for work in works]
@@ -120,25 +130,61 @@
     log.add(f"{host.name} has started")
 
 
-async def _replace_workers(deployment: SoakDeployment, rng: Random, log: FaultLog) -> None:
-    """Start a new worker for each of some, which leave `DRAIN_MS` after their announcement."""
+async def _replace_workers(
+    deployment: SoakDeployment, rng: Random, log: FaultLog, is_split: bool
+) -> None:
+    """Let some workers leave, each replaced by a new one or by smaller ones, some of which leave.
+
+    Small workers leave room that fits into none of them alone.
+    """
     workers = sorted(deployment.worker_proxies)
     leaving = rng.sample(workers, rng.randrange(len(workers) // 2, len(workers) + 1))
-    gap_ms = rng.choice(REPLACEMENT_GAPS_MS)
-    with log.record("replace_workers", f"{leaving} gap {gap_ms}"):
+    if not is_split:
+        gap_ms = rng.choice(REPLACEMENT_GAPS_MS)
+        await _replace_in_series(deployment, leaving, _Replacement(1, WORKER_CPU, gap_ms), log)
+        return
+    small_cpu = WORKER_CPU // SPLIT_COUNT
+    split = _Replacement(SPLIT_COUNT, small_cpu, SPLIT_GAP_MS)
+    added = await _replace_in_series(deployment, leaving, split, log)
+    leaving = rng.sample(added, len(added) // 2)
+    await _replace_in_series(deployment, leaving, _Replacement(1, small_cpu, SPLIT_GAP_MS), log)
+
+
+@dataclass(frozen=True, slots=True)
+class _Replacement:
+    """What replaces a worker: `count` workers with `cpu`, `gap_ms` after the one before."""
+
+    count: int
+    cpu: int
+    gap_ms: int
+
+
+async def _replace_in_series(
+    deployment: SoakDeployment, leaving: list[str], replacement: _Replacement, log: FaultLog
+) -> list[str]:
+    """Replace one worker after the other and return the new ones."""
+    added: list[str] = []
+    with log.record("replace_workers", f"{leaving} {replacement}"):
         tasks = []
         for worker in leaving:
-            tasks.append(run_coroutine(_replace_worker(deployment, worker, log)))
-            await sleep(deployment.reactor, gap_ms)
+            names = [f"{worker}-{number}" for number in range(replacement.count)]
+            added += names
+            work = _replace_worker(deployment, worker, names, replacement.cpu, log)
+            tasks.append(run_coroutine(work))
+            await sleep(deployment.reactor, replacement.gap_ms)
         await gatherResults(tasks, consumeErrors=True)
+    return added
 
 
-async def _replace_worker(deployment: SoakDeployment, worker: str, log: FaultLog) -> None:
+async def _replace_worker(
+    deployment: SoakDeployment, worker: str, names: list[str], cpu: int, log: FaultLog
+) -> None:
     await deployment.call_standin("drain", worker)
     log.add(f"{worker} drains")
     await sleep(deployment.reactor, REPLACEMENT_DELAY_MS)
-    await deployment.add_worker(f"{worker}-next")
-    log.add(f"{worker}-next has started")
+    for name in names:
+        await deployment.add_worker(name, cpu)
+        log.add(f"{name} has started")
     await sleep(deployment.reactor, DRAIN_MS - REPLACEMENT_DELAY_MS)
     await deployment.remove_worker(worker)
     log.add(f"{worker} has left")
--- a/tests/soak/test_lasting_checks.py
+++ b/tests/soak/test_lasting_checks.py
@@ -85,9 +85,10 @@
     assert len(find(again_at=freed_at + ABSENCE_MS, occupied=occupied)) == 1
 
 
-def test_room_of_several_workers_counts_together() -> None:
+def test_room_of_several_workers_that_are_large_enough_counts_together() -> None:
     states = ((0, "w0", "ready", CPU), (0, "w1", "ready", CPU))
     assert len(find(states=states)) == 1
+    assert find(states=((0, "w0", "ready", CPU), (0, "w1", "ready", CPU - 1))) == []
 
 
 def test_capacity_follows_states_starts_and_ends() -> None:
