Write down which long-running tasks have been started

After a crash of an owner, the next one took all long-running tasks of a started job for tasks that had run. Those that had never run passed the headroom and took the room of others whose workers had left or were about to; these stayed away to the end of the play, with their needs free twice over in total but no place left on any worker: LOST.

The progress of a job now says, for each long-running step, how many of its tasks, the first ones, may have been started. It is written when another one is. Progress of an earlier version says nothing: all count as before.

test_tasks_that_never_ran_do_not_count_as_displaced_after_an_owner_crash failed before.

--- a/packages/core/src/quetzallock_core/cells/job_records.py
+++ b/packages/core/src/quetzallock_core/cells/job_records.py
@@ -74,17 +74,18 @@
 
 
 def restore_has_run(
-    jobs: Mapping[str, Job], hand_over: HandOverRecord | LeasesRecord | None
+    jobs: Mapping[str, Job],
+    progress: Mapping[str, ProgressRecord],
+    hand_over: HandOverRecord | LeasesRecord | None,
 ) -> None:
     """Mark the long-running tasks that have run before.
 
-    Without a record of the runs, all such tasks of a started job count as having run.
+    Without a record of the runs, those count that the progress of a started job does not exclude.
     """
     if not isinstance(hand_over, HandOverRecord):
         for job in jobs.values():
             if job.has_started and not job.is_over:
-                for task in job.list_tasks():
-                    task.has_run |= task.spec.lasting
+                _restore_started(job, progress[job.id])
         return
     for name in (*(run[0] for run in hand_over.runs), *hand_over.interrupted):
         found = _find_task(jobs, name)
@@ -92,6 +93,15 @@
             found.has_run = True
 
 
+def _restore_started(job: Job, progress: ProgressRecord) -> None:
+    """Mark the long-running tasks of a started job that may have run."""
+    counts = {(occurrence, step): count for occurrence, step, count in progress.started}
+    for task in job.list_tasks():
+        step = task.step
+        count = counts.get((step.occurrence, step.number), len(step.tasks))
+        task.has_run |= task.spec.lasting and task.index < count
+
+
 def _find_task(jobs: Mapping[str, Job], name: str) -> Task | None:
     parts = parse_task_name(name)
     job = None if parts is None else jobs.get(parts[0])
--- a/packages/core/src/quetzallock_core/cells/jobs.py
+++ b/packages/core/src/quetzallock_core/cells/jobs.py
@@ -1,5 +1,6 @@
 """The jobs of a cell: their tasks, runs and progress."""
 
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from typing import Any, Final
 
@@ -371,7 +372,16 @@
         if self.is_over:
             return ProgressRecord(self.state, self.has_started, self.ended_ms, ())
         tasks = tuple(task.pack_record() for task in self.list_tasks() if task.has_history)
-        return ProgressRecord(self.state, self.has_started, self.ended_ms, tasks)
+        started = tuple(self._list_started())
+        return ProgressRecord(self.state, self.has_started, self.ended_ms, tasks, started)
+
+    def _list_started(self) -> Iterator[tuple[int, int, int]]:
+        """Yield each long-running step, and how many of its tasks, the first ones, may have run."""
+        for occurrence in self.occurrences.values():
+            for step in occurrence.steps:
+                if step.spec.lasting:
+                    count = max((task.index + 1 for task in step.tasks if task.has_run), default=0)
+                    yield step.occurrence, step.number, count
 
 
 def parse_task_name(name: str) -> tuple[str, int, int, int] | None:
--- a/packages/core/src/quetzallock_core/cells/records.py
+++ b/packages/core/src/quetzallock_core/cells/records.py
@@ -91,12 +91,15 @@
         has_started: A task of the job has started.
         ended_ms: Unix time of its end, or 0.
         tasks: The tasks that differ from tasks that have never run.
+        started: Occurrence, number and a count of tasks, the first ones, of each long-running step:
+            none of the others has been started.
     """
 
     state: str
     has_started: bool
     ended_ms: int
     tasks: tuple[TaskRecord, ...]
+    started: tuple[tuple[int, int, int], ...] = ()
 
 
 @message(219)
--- a/packages/core/src/quetzallock_core/cells/state.py
+++ b/packages/core/src/quetzallock_core/cells/state.py
@@ -145,7 +145,7 @@
             self.placing.add_job(job, now)
             self.open_job(job)
             self.exhausted.update(dict.fromkeys(list_exhausted(job)))
-        restore_has_run(self.jobs, contents.hand_over)
+        restore_has_run(self.jobs, contents.progress, contents.hand_over)
         self.early_cancels.restore(contents.early_cancels, self.jobs)
         self.crashes.restore(
             self.unverified.locations, self.unverified.unbegun, self.unverified.worked
@@ -311,7 +311,10 @@
         """Add a run to its worker and commit its resources."""
         self.reservations.handle_start(run)
         worker.add(run)
-        run.task.has_run = True
+        task = run.task
+        if task.spec.lasting and not task.has_run and not task.job.is_over:
+            self.dirty[task.job] = None
+        task.has_run = True
         self._record_best_effort_shares(worker, run)
 
     def _record_best_effort_shares(self, worker: Worker, run: Run) -> None:
--- a/tests/core/cells/test_displacement_review.py
+++ b/tests/core/cells/test_displacement_review.py
@@ -107,3 +107,17 @@
     submit_lasting(cluster, "c")
     cluster.run(500)
     assert "c.0.0.0" in cluster.ground_truth.list_running("c")
+
+
+def test_tasks_that_never_ran_do_not_count_as_displaced_after_an_owner_crash() -> None:
+    cluster = CellCluster(workers=2, capacity=SMALL_WORKER)
+    cluster.run(500)
+    step = make_step(4, lasting=True, needs=WIDE)
+    cluster.submit(make_spec("a", step), POLICY, {0: None})
+    cluster.run(1_000)
+    assert cluster.ground_truth.list_running("a") == ["a.0.0.0", "a.0.0.1"]
+    cluster.kill_owner()
+    cluster.take_over()
+    cluster.run(1_000)
+    tasks = cluster.cell.state.jobs["a"].list_tasks()
+    assert [task.has_run for task in tasks] == [True, True, False, False]
