Keep capacity for more displaced tasks at once, and wait for it for less long

A quarter of the workers at once was too few for some hundred tasks, and capacity was kept for up to 3 s before enough was expected. Now half of a pool's workers at most, and 2 s.

--- a/packages/core/src/quetzallock_core/cells/displacement.py
+++ b/packages/core/src/quetzallock_core/cells/displacement.py
@@ -19,13 +19,13 @@
 from .state import CellState
 from .workers import Worker, compute_commitment
 
-MAX_EXPECTED_WAIT_MS: Final = 3_000
+MAX_EXPECTED_WAIT_MS: Final = 2_000
 """Longest time until enough is expected to be free on a worker that keeps capacity."""
 
-KEPT_MS: Final = 5_000
+KEPT_MS: Final = 4_000
 """How long capacity is kept for a task: longer than the expected wait, as runs may end late."""
 
-MAX_RESERVED_SHARE: Final = 0.25
+MAX_RESERVED_SHARE: Final = 0.5
 """Largest share of a pool's workers that keep capacity for displaced tasks at once, so that other
 tasks still start."""
 
