Poll draining workers more often, so that their leases outlast a lost poll

Found by the review: a renewal answered after a wait of 1 s, a lost poll of 2.2 s, an unrenewed poll and the pauses take 3.8 to 4.1 s, and a lease of 3 s would lapse with all runs on the worker. Draining workers answer within 300 ms now, and any worker at once after an unanswered poll. test_lease_of_a_draining_ worker_outlasts_one_lost_poll failed before.

--- a/packages/core/src/quetzallock_core/cells/load.py
+++ b/packages/core/src/quetzallock_core/cells/load.py
@@ -17,6 +17,9 @@
 """How long a worker with both serving and best-effort tasks may keep a poll open on an idle host.
 Less than for other workers, so that the serving tasks' metrics arrive more often."""
 
+DRAINING_POLL_WAIT_MS: Final = 300
+"""The same for a worker that drains, so that its shorter lease outlasts one lost poll."""
+
 TOLERATED_LAG_MS: Final = 60
 """Lag that stretches nothing: timers of a host with some load are a little late."""
 
@@ -117,9 +120,14 @@
         return int(max(MIN_POLL_PAUSE_MS, min(pause_ms, urgent_end_ms)))
 
     def choose_wait_ms(self, worker: Worker) -> int:
-        """Return how long `worker` may keep a poll open while no run ends, in ms."""
-        if worker.contact_at < 0:
+        """Return how long `worker` may keep a poll open while no run ends, in ms.
+
+        A poll after an unanswered one does not renew the lease, so its answer is needed at once.
+        """
+        if worker.contact_at < 0 or worker.unanswered_since >= 0:
             return 0
+        if worker.entry.is_draining:
+            return DRAINING_POLL_WAIT_MS
         if not (worker.serving_count and worker.best_effort_count):
             return INVENTORY_POLL_WAIT_MS
         stretched_ms = COLOCATED_POLL_WAIT_MS + WAIT_PER_LAG * self._excess_lag_ms
--- a/tests/core/cells/test_load_control.py
+++ b/tests/core/cells/test_load_control.py
@@ -1,6 +1,8 @@
 """How an owner stretches the polls of its workers when its host is late."""
 
-from quetzallock_core.cells.const import INVENTORY_POLL_WAIT_MS, MAX_LEASE_MS
+from dataclasses import replace
+
+from quetzallock_core.cells.const import DRAINING_LEASE_MS, INVENTORY_POLL_WAIT_MS, MAX_LEASE_MS
 from quetzallock_core.cells.durations import DurationEstimates
 from quetzallock_core.cells.load import (
     COLOCATED_POLL_WAIT_MS,
@@ -14,6 +16,7 @@
 )
 from quetzallock_core.cells.models import Resources, WorkerEntry
 from quetzallock_core.cells.workers import Worker
+from quetzallock_daemon.cells.const import INVENTORY_POLL_RETRY_PAUSE_MS, INVENTORY_POLL_SLACK_MS
 from quetzallock_standins.emulator import CellCluster
 from quetzallock_standins.emulator.cluster import make_spec
 
@@ -91,6 +94,19 @@
     assert make_control(HEAVY_LAG_MS).choose_wait_ms(worker) == 0
 
 
+def test_lease_of_a_draining_worker_outlasts_one_lost_poll() -> None:
+    """Two waits and the time limit of the lost poll must fit into the lease."""
+    control = make_control(HEAVY_LAG_MS)
+    worker = make_worker()
+    worker.entry = replace(worker.entry, is_draining=True)
+    wait_ms = control.choose_wait_ms(worker)
+    worker.record_no_answer(0)
+    wait_after_loss_ms = control.choose_wait_ms(worker)
+    lost_poll_ms = wait_ms + INVENTORY_POLL_SLACK_MS + INVENTORY_POLL_RETRY_PAUSE_MS
+    pauses_ms = 2 * MAX_POLL_PAUSE_MS
+    assert wait_ms + lost_poll_ms + wait_after_loss_ms + pauses_ms < DRAINING_LEASE_MS
+
+
 def test_host_that_is_late_with_everything_rejects_new_jobs() -> None:
     assert make_control(2 * OVERLOAD_LAG_MS).is_overloaded
     assert not make_control(OVERLOAD_LAG_MS / 2).is_overloaded
