Hold new gangs off like single tasks, and search again sooner after an expiry

Found by the review, by reading: a gang of new long-running tasks could take the place of a displaced task, and after capacity was kept in vain no search was made for as long again, which could add up to more than nine seconds.

--- a/packages/core/src/quetzallock_core/cells/displacement.py
+++ b/packages/core/src/quetzallock_core/cells/displacement.py
@@ -25,6 +25,9 @@
 KEPT_MS: Final = 4_000
 """How long capacity is kept for a task: longer than the expected wait, as runs may end late."""
 
+EXPIRED_PAUSE_MS: Final = 1_000
+"""How long no capacity is kept for a task that has not used what was kept for it."""
+
 MAX_RESERVED_SHARE: Final = 0.5
 """Largest share of a pool's workers that keep capacity for displaced tasks at once, so that other
 tasks still start."""
@@ -82,7 +85,7 @@
 
     def handle_expired(self, tasks: Iterable[Task]) -> None:
         """Keep nothing for tasks that have not used their capacity, until others could."""
-        search_at = self._state.clock.now() + KEPT_MS
+        search_at = self._state.clock.now() + EXPIRED_PAUSE_MS
         self._search_after.update(dict.fromkeys(tasks, search_at))
 
     def update(self) -> None:
--- a/packages/core/src/quetzallock_core/cells/scheduler.py
+++ b/packages/core/src/quetzallock_core/cells/scheduler.py
@@ -169,7 +169,10 @@
         if not self._state.headroom.may_start_all(step.tasks):
             return
         chosen = placement.choose_for_gang(step)
-        if chosen is None:
+        if chosen is None or any(
+            takes_room_of_displaced(self._state, task, worker, now)
+            for task, worker in chosen.items()
+        ):
             return
         number = self._state.next_run_number()
         placed: defaultdict[str, list[int]] = defaultdict(list)
