Give capacity kept for a larger displaced task to one that fits at once

A displaced task without a run now takes capacity that is kept for a larger one which still waits for more.

--- a/packages/core/src/quetzallock_core/cells/displacement.py
+++ b/packages/core/src/quetzallock_core/cells/displacement.py
@@ -28,7 +28,7 @@
 EXPIRED_PAUSE_MS: Final = 1_000
 """How long no capacity is kept for a task that has not used what was kept for it."""
 
-MAX_RESERVED_SHARE: Final = 0.5
+MAX_RESERVED_SHARE: Final = 0.25
 """Largest share of a pool's workers that keep capacity for displaced tasks at once, so that other
 tasks still start."""
 
@@ -65,11 +65,13 @@
         at: Local ms at which the last of them is expected to end.
         worker: The worker.
         awaited: These runs.
+        kept_for: The larger task that capacity is kept for until then, if any.
     """
 
     at: float
     worker: Worker
     awaited: tuple[Run, ...]
+    kept_for: Task | None = None
 
 
 class Displacement:
@@ -123,6 +125,8 @@
 
     def _reserve_vacancy(self, task: Task, vacancy: Vacancy, now: int) -> None:
         state = self._state
+        if vacancy.kept_for is not None:
+            state.reservations.release(vacancy.kept_for)
         expires_at = now + KEPT_MS
         state.reservations.reserve_for_waiting(task, vacancy.worker, vacancy.awaited, expires_at)
         state.log_decision(
@@ -289,11 +293,13 @@
         spec = task.spec
         pool = (task.job.policy.service, spec.required_label)
         if self._left.get(pool[0], 0) <= 0:
-            return None
+            return self._find_partly_kept(task)
         if any(too_large.fits_in(spec.needs) for too_large in self._too_large[pool]):
             return None
         self.count += 1
         best = self._find_first(task)
+        if best is None or best.awaited:
+            best = self._find_partly_kept(task) or best
         if best is None and not task.avoid and not spec.max_per_worker:
             self._too_large[pool].append(spec.needs)
         return best
@@ -312,9 +318,28 @@
                 best = vacancy
         return best
 
+    def _find_partly_kept(self, task: Task) -> Vacancy | None:
+        """Return capacity that is kept for a larger task, which waits for more, or None.
+
+        Only a task without a run gets it, as it can start there at once.
+        """
+        if task.runs:
+            return None
+        for worker in self._workers:
+            if len(worker.reservations) != 1 or worker.id in task.avoid:
+                continue
+            kept = next(iter(worker.reservations.values()))
+            if kept.moved_run is not None or not kept.awaited or not kept.task.spec.lasting:
+                continue
+            is_enough = task.spec.needs.fits_in(worker.free + kept.held)
+            if is_enough and find_constraint(task, worker, self._now) is None:
+                return Vacancy(self._now, worker, (), kept.task)
+        return None
+
     def take(self, vacancy: Vacancy) -> None:
         """Record that capacity is kept on the worker of `vacancy`."""
-        self._left[vacancy.worker.entry.service] -= 1
+        if vacancy.kept_for is None:
+            self._left[vacancy.worker.entry.service] -= 1
 
     def _find_on(self, worker: Worker, needs: Resources, latest: float) -> Vacancy | None:
         """Return the vacancy on `worker` if it is expected before `latest`."""
--- a/tests/core/cells/test_displaced_tasks.py
+++ b/tests/core/cells/test_displaced_tasks.py
@@ -117,3 +117,25 @@
     cluster.run(DRAIN_MS)
     assert cluster.ground_truth.list_running("a") == ["a.0.0.0"]
     assert cluster.cell.state.counters["task.reserved"]
+
+
+def test_capacity_that_is_too_small_for_a_large_task_yet_is_given_to_a_smaller_one() -> None:
+    cluster = CellCluster(workers=1, capacity=SMALL_WORKER)
+    cluster.run(500)
+    short = make_step(1, needs=Resources(2_000, 1_000, 0))
+    cluster.submit(make_spec("short", short), POLICY, {0: 20_000})
+    cluster.run(200)
+    state = cluster.cell.state
+    worker = state.workers["w0"]
+    (run,) = worker.runs.values()
+    for job, cpu in (("large", 3_800), ("small", 1_500)):
+        step = make_step(1, lasting=True, needs=Resources(cpu, 4_000, 0))
+        cluster.submit(make_spec(job, step), POLICY, {0: None})
+        (task,) = state.jobs[job].open_occurrence(0).steps[0].tasks
+        task.has_run = state.jobs[job].has_started = True
+        if job == "large":
+            expires_at = cluster.clock.now() + DRAIN_MS
+            state.reservations.reserve_for_waiting(task, worker, (run,), expires_at)
+    cluster.run(500)
+    assert cluster.ground_truth.list_running("small")
+    assert not cluster.ground_truth.violations
