Revive no emulated worker twice after one crash

Traced: a task crashes its worker, the test revives the worker at its end, and the revival that was scheduled with the crash comes 3 s later on the running worker: a new boot that goes on with the runs of the last one.

The longest lease at a first inventory moves to a function of its own.

--- a/packages/core/src/quetzallock_core/cells/inventory.py
+++ b/packages/core/src/quetzallock_core/cells/inventory.py
@@ -51,9 +51,7 @@
         worker.inventory_asked_at = max(worker.inventory_asked_at, asked_at)
         worker.is_poll_unanswered = False
         if is_first:
-            left_ms = state.unverified.compute_longest_lease(boot, asked_at, state.bounds.lease_ms)
-            known_end = worker.lease_end_clock_ms
-            worker.lease_end_clock_ms = max(known_end, inventory.clock_ms + left_ms)
+            self._assume_longest_lease(worker, inventory, asked_at)
         changed = is_first
         for row in inventory.ended:
             if row.number > worker.cursor:
@@ -75,6 +73,14 @@
         self._update_paces(worker, now)
         return changed
 
+    def _assume_longest_lease(self, worker: Worker, inventory: Inventory, asked_at: int) -> None:
+        """Assume that earlier owners have extended the lease as far as they can have."""
+        state = self._state
+        boot, lease_ms = worker.boot, state.bounds.lease_ms
+        left_ms = state.unverified.compute_longest_lease(boot, asked_at, lease_ms)
+        known_end = worker.lease_end_clock_ms
+        worker.lease_end_clock_ms = max(known_end, inventory.clock_ms + left_ms)
+
     def _update_paces(self, worker: Worker, now: int) -> None:
         """Learn from the metrics, and order the pace changes that are due."""
         state = self._state
--- a/packages/standins/src/quetzallock_standins/emulator/cluster.py
+++ b/packages/standins/src/quetzallock_standins/emulator/cluster.py
@@ -169,7 +169,7 @@
         worker.advance(STEP_MS)
         if was_up and worker.is_crashed_by_task:
             self._break_gangs(tasks)
-            self.schedule(REVIVE_DELAY_MS, lambda: self.revive(worker.id))
+            self.schedule(REVIVE_DELAY_MS, lambda: self._revive_if_down(worker))
 
     def _break_gangs(self, lost_tasks: list[str]) -> None:
         """End the other members of the gangs to which lost tasks belong."""
@@ -406,6 +406,11 @@
         resized.resize(capacity)
         self.schedule(entry_delay_ms, resized.publish_capacity)
 
+    def _revive_if_down(self, worker: EmulatedWorker) -> None:
+        """Start a crashed worker again, unless that has happened meanwhile."""
+        if not worker.is_up:
+            self.revive(worker.id)
+
     def revive(self, worker: str) -> None:
         """Start a crashed worker again, as a new boot."""
         old = self.workers[worker]
--- a/tests/core/cells/test_crashing_tasks.py
+++ b/tests/core/cells/test_crashing_tasks.py
@@ -8,7 +8,7 @@
 
 from quetzallock_core.cells.models import QueuePolicy, Resources, StepSpec
 from quetzallock_standins.emulator import CellCluster
-from quetzallock_standins.emulator.cluster import make_spec
+from quetzallock_standins.emulator.cluster import REVIVE_DELAY_MS, make_spec
 
 from .common import POLICY, make_step, submit_plain
 
@@ -359,3 +359,16 @@
     cluster.run(SETTLE_MS)
     assert cluster.cell.find_state("a") == "failed"
     assert sum(end[3] == "crashed" for end in cluster.ground_truth.ends) == 1
+
+
+def test_emulated_worker_that_was_revived_early_is_not_revived_again_under_its_runs() -> None:
+    cluster = CellCluster(workers=1)
+    cluster.run(500)
+    cluster.submit(make_spec("a", make_step(1)), POLICY, {0: 100}, crashes_worker=True)
+    while cluster.workers["w0"].is_up:
+        cluster.run(5)
+    cluster.revive("w0")
+    boot_ms = cluster.workers["w0"].entry.boot_ms
+    cluster.cancel("a")
+    cluster.run(REVIVE_DELAY_MS + 500)
+    assert cluster.workers["w0"].entry.boot_ms == boot_ms
