--- a/tests/platform/processes.py
+++ b/tests/platform/processes.py
@@ -101,7 +101,7 @@
         for host in self.hosts:
             wait_until(lambda host=host: host.fetch(host.ready, "/readyz")[0] == 200)
 
-    def send_command(self, *command: str) -> dict[str, list[str]]:
+    def send_command(self, *command: str) -> dict[str, Any]:
         """Send a command to the stand-in; return its record of what ran."""
         url = f"http://{self.store}/standin/{'/'.join(command)}"
         with urllib.request.urlopen(url, timeout=3) as response:
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -2,8 +2,9 @@
 
 import signal
 import time
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from concurrent.futures import ThreadPoolExecutor
+from itertools import product
 from pathlib import Path
 
 import pytest
@@ -145,6 +146,24 @@
     wait_until(lambda: all(h.count("configuration is in force") >= 3 for h in platform.hosts))
 
 
+def test_hosts_serve_the_routes_of_the_newest_version(platform: LocalPlatform) -> None:
+    first = platform.send_command("configuration", "next")["configuration"]
+    assert_served(platform, first["prefixes"])
+    newest = first
+    while set(first["prefixes"]) <= set(newest["prefixes"]):
+        newest = platform.send_command("configuration", "next")["configuration"]
+    assert_served(platform, newest["prefixes"], set(first["prefixes"]) - set(newest["prefixes"]))
+    assert platform.send_command("record")["configurations"][-1] == newest
+
+
+def assert_served(
+    platform: LocalPlatform, prefixes: Iterable[str], removed: Iterable[str] = ()
+) -> None:
+    for prefixes_of_status, status in ((prefixes, 200), (removed, 404)):
+        for prefix, host in product(prefixes_of_status, platform.hosts):
+            wait_until(lambda h=host, p=prefix, s=status: h.call("GET", p)[0] == s)
+
+
 def test_reload_is_logged_and_submissions_still_succeed(platform: LocalPlatform) -> None:
     host = platform.hosts[0]
     assert host.process is not None
