Tell which connection carried an answer or timed out

Cause: a time-out of a call named only the address, so a log could not tell a silent store from connections of the pool that had gone silent.

Change: HttpClient numbers its connections. An answer refers to the record of its connection, and the errors of calls that were sent name it: number, new or reused, calls before, time open and idle. The counter http.timeouts.reused counts time-outs on reused connections. The tests of the client compare answers with the record too, so they now also check which connection carried them.

--- a/packages/daemon/src/quetzallock_daemon/transport/client.py
+++ b/packages/daemon/src/quetzallock_daemon/transport/client.py
@@ -18,6 +18,8 @@
 
 from quetzallock_core.exceptions import QuetzallockError
 
+from .channel import ChannelRecord
+
 CONNECT_TIMEOUT_MS: Final = 1_000
 MAX_IDLE_PER_ADDRESS: Final = 8
 
@@ -38,10 +40,16 @@
     """A complete answer.
 
     A tuple, since a busy owner reads thousands of answers in a second.
+
+    Attributes:
+        status: Status code.
+        body: Body.
+        channel: Record of the connection that carried it; None if no `HttpClient` received it.
     """
 
     status: int
     body: bytes
+    channel: ChannelRecord | None = None
 
 
 @dataclass(slots=True)
@@ -126,16 +134,18 @@
         self._parser: Any = None
         self._body: list[bytes] = []
         self._call: _Call | None = None
+        self.channel = client.make_channel_record()
 
     def connectionMade(self) -> None:  # noqa: N802
         """Disable Nagle's algorithm, so that small writes are sent at once."""
         transport: Any = self.transport
         transport.setTcpNoDelay(True)
 
-    def send(self, call: _Call) -> None:
+    def send(self, call: _Call, is_reused: bool = False) -> None:
         """Send `call`, whose deferred fires with the answer."""
         transport: Any = self.transport
         self._call = call
+        self.channel.start_call(self._client.read_seconds(), is_reused)
         self._body = []
         self._parser = httptools.HttpResponseParser(self)
         call.connection = self
@@ -168,7 +178,8 @@
         call, self._call = self._call, None
         if call is None:
             return
-        reply = Reply(self._parser.get_status_code(), b"".join(self._body))
+        self.channel.end_call(self._client.read_seconds())
+        reply = Reply(self._parser.get_status_code(), b"".join(self._body), self.channel)
         self._client.release_connection(self._address, self, self._parser.should_keep_alive())
         self._client.finish_call(call, reply)
 
@@ -180,7 +191,8 @@
     def _fail_call(self, cause: str) -> None:
         call, self._call = self._call, None
         if call is not None:
-            self._client.fail_call(call, CallFailedError(f"{self._address}: {cause}"))
+            error = CallFailedError(f"{self._address}: {cause} on {self.channel.describe()}")
+            self._client.fail_call(call, error)
 
 
 class _ConnectionFactory(ClientFactory):
@@ -221,9 +233,16 @@
     def __init__(self, reactor: Any, counters: Counter[str]) -> None:
         self._reactor = reactor
         self._counters = counters
+        self._last_channel = 0
+        self.read_seconds: Callable[[], float] = reactor.seconds
         self._idle: defaultdict[str, list[Connection]] = defaultdict(list)
         self._time_limits = _TimeLimits(reactor, self._handle_timeout)
 
+    def make_channel_record(self) -> ChannelRecord:
+        """Return the record of a connection that is established now."""
+        self._last_channel += 1
+        return ChannelRecord(self._last_channel, self.read_seconds())
+
     def call(self, address: str, request: bytes, timeout_ms: int) -> "Deferred[Reply]":
         """Send `request` to `ip:port` and return a deferred of the `Reply`.
 
@@ -235,7 +254,7 @@
         self._counters["http.calls"] += 1
         idle = self._idle.get(address)
         if idle:
-            idle.pop().send(call)
+            idle.pop().send(call, is_reused=True)
         else:
             self._connect(address, call, timeout_ms)
         return call.result
@@ -257,7 +276,11 @@
             )
         else:
             call.connection.abort()
-            error = CallFailedError(f"{call.address}: timed out while waiting for the answer")
+            channel = call.connection.channel.describe()
+            error = CallFailedError(
+                f"{call.address}: timed out while waiting for the answer on {channel}"
+            )
+            self._counters["http.timeouts.reused"] += channel.is_reused
         self._counters["http.timeouts"] += 1
         self.fail_call(call, error)
 
--- a/tests/daemon/test_transport.py
+++ b/tests/daemon/test_transport.py
@@ -56,7 +56,7 @@
     clock.turn(2 * TIMEOUT_MS / 1_000)
     connection.dataReceived(ANSWER)
     clock.turn(0)
-    assert results == [Reply(200, b"{}")]
+    assert results == [Reply(200, b"{}", connection.channel)]
 
 
 def test_call_without_an_answer_times_out() -> None:
@@ -105,7 +105,7 @@
     assert [type(result.value) for result in results] == [CallFailedError]
     second.dataReceived(ANSWER)
     clock.turn(0)
-    assert results[1:] == [Reply(200, b"{}")]
+    assert results[1:] == [Reply(200, b"{}", second.channel)]
 
 
 def test_answered_call_leaves_no_timer_of_its_own() -> None:
@@ -118,7 +118,7 @@
     assert len(clock.calls) == 1
     clock.turn(TIMEOUT_MS / 1_000)
     clock.turn(0)
-    assert results == [Reply(200, b"{}")]
+    assert results == [Reply(200, b"{}", connection.channel)]
     assert not clock.calls
 
 
