Show which configuration a host applies and how old its view is

Cause: logs and metrics of a host did not tell since when it has applied a version, how long its reads took, on which connection, and which of them timed out, came back behind or brought an invalid version.

Change: the follower keeps a ConfigurationView: version, in force since, confirmed as of, and the channel of the last confirming read. Reads of the configuration carry their channel, and whether they are behind or invalid. Three gauges and the counters config.applied, config.rejected and config.behind are on the metrics page. No decision changes; what evacuations count as confirmed is as before.

--- a/packages/daemon/src/quetzallock_daemon/cells/const.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/const.py
@@ -59,6 +59,10 @@
 CONFIG_WAIT_MS: Final = 1_000
 """How long a read of the configuration stays open while nothing changes."""
 
+LATE_READ_MS: Final = 300
+"""Time beyond its wait from which on a read of a followed topic is logged as late. While the store
+answers, a read takes a few ms."""
+
 EVACUATION_READS_PER_BOUND: Final = 5
 """Minimum number of such reads within the bound of evacuations. A read confirms only what the store
 held when it was sent, so the view is up to twice as old as a read stays open."""
--- a/packages/daemon/src/quetzallock_daemon/cells/followers.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/followers.py
@@ -1,17 +1,21 @@
 """Follow the configuration and the workers' entries in the store."""
 
 import logging
+from collections import Counter
 from collections.abc import Callable
+from dataclasses import asdict
 from typing import Any
 
 from quetzallock_core.cells.models import Bounds, WorkerEntry
 
 from ..helpers import run_in_background, sleep
 from .clocks import BootClock
+from .configuration_view import ConfigurationView
 from .const import (
     CONFIG_WAIT_MS,
     ENTRIES_READ_INTERVAL_MS,
     EVACUATION_READS_PER_BOUND,
+    LATE_READ_MS,
     STORE_RETRY_PAUSE_MS,
 )
 from .ports import ConfigPage, Configuration, HistoryGoneError, Store, StoreUnavailableError
@@ -28,7 +32,9 @@
     def __init__(self, reactor: Any, store: Store) -> None:
         self._reactor = reactor
         self._store = store
+        self._clock = BootClock()
         self._offset: int | None = None
+        self._read_sent_at = 0
         self._is_failing = False
         self._is_running = False
         self._has_loop = False
@@ -48,6 +54,7 @@
 
     async def _run(self) -> None:
         while self._is_running:
+            self._read_sent_at = self._clock.now()
             try:
                 await self._read_once()
             except HistoryGoneError:
@@ -87,9 +94,12 @@
         self._offset = None
 
     def _record_failure(self, error: str) -> None:
-        if not self._is_failing:
+        """Log the first failure, and each that took long, with the channel that it hung on."""
+        took_ms = self._clock.now() - self._read_sent_at
+        if not self._is_failing or took_ms > LATE_READ_MS:
             _LOGGER.warning(
-                "reading from the store fails", extra={"dependency": self.name, "error": error}
+                "reading from the store fails",
+                extra={"dependency": self.name, "error": error, "took_ms": took_ms},
             )
         self._is_failing = True
 
@@ -114,6 +124,9 @@
     An older version of the configuration never replaces a newer one. After each read, all evacuated
     data centres are passed on with the local time at which the last read that reached the end of
     the topic was sent.
+
+    Attributes:
+        view: What is known of the configuration, for logs and metrics.
     """
 
     name = "configuration"
@@ -126,29 +139,71 @@
         on_change: Callable[[Configuration], None],
         on_evacuations: Callable[[frozenset[str], int], None] = _ignore_evacuations,
         wait_ms: int = CONFIG_WAIT_MS,
+        counters: Counter[str] | None = None,
     ) -> None:
         super().__init__(reactor, store)
         self._on_change = on_change
         self._on_evacuations = on_evacuations
         self._wait_ms = wait_ms
-        self._clock = BootClock()
-        self._version: int | None = None
+        self._counters = Counter() if counters is None else counters
         self._evacuated: frozenset[str] = frozenset()
         self._confirmed_at = 0
+        self._is_late = False
+        self.view = ConfigurationView()
 
     async def _read_once(self) -> None:
-        sent_at = self._clock.now()
-        if self._offset is None:
+        offset = self._offset
+        wait_ms = 0
+        if offset is None:
             page = await self._store.read_configuration()
             evacuated: set[str] = set()
         else:
             # A read that does not wait confirms the view soonest after failed reads.
             wait_ms = 0 if self._is_failing else self._wait_ms
-            page = await self._store.read_configuration_changes(self._offset, wait_ms)
+            page = await self._store.read_configuration_changes(offset, wait_ms)
             evacuated = set(self._evacuated)
         self._offset = page.next_offset
-        self._apply_evacuations(page, evacuated, sent_at)
-        self._apply_configuration(page.configuration)
+        read = self._describe_read(page)
+        self._record_lateness(read, wait_ms)
+        self._count_faults(page)
+        self._confirm_view(page, page.next_offset == offset, wait_ms)
+        self._apply_evacuations(page, evacuated, self._read_sent_at)
+        self._apply_configuration(page.configuration, read)
+
+    def _describe_read(self, page: ConfigPage) -> dict[str, Any]:
+        """Return the log fields of the read that was just answered."""
+        now = self._clock.now()
+        return {
+            "offset": page.next_offset,
+            "read_ms": now - self._read_sent_at,
+            "view_age_ms": self.view.compute_age_ms(now),
+            "channel": None if page.channel is None else asdict(page.channel),
+        }
+
+    def _record_lateness(self, read: dict[str, Any], wait_ms: int) -> None:
+        """Log a read that took longer than its wait allows, once until one is in time again."""
+        is_late = read["read_ms"] > wait_ms + LATE_READ_MS
+        if is_late and not self._is_late:
+            _LOGGER.warning(
+                "configuration is read late",
+                extra={"version": self.view.version, "wait_ms": wait_ms, **read},
+            )
+        self._is_late = is_late
+
+    def _count_faults(self, page: ConfigPage) -> None:
+        self._counters["config.behind"] += page.is_behind
+        self._counters["config.rejected"] += page.has_invalid_configuration
+
+    def _confirm_view(self, page: ConfigPage, is_unchanged: bool, wait_ms: int) -> None:
+        """Confirm the view as of the time at which the store has looked at the topic.
+
+        A read without records that stayed open for its whole wait was looked at again at its end.
+        """
+        if not page.is_complete:
+            return
+        has_waited = self._clock.now() - self._read_sent_at >= wait_ms
+        looked_after_ms = wait_ms if is_unchanged and has_waited else 0
+        self.view = self.view.confirm(self._read_sent_at + looked_after_ms, page.channel)
 
     def _apply_evacuations(self, page: ConfigPage, evacuated: set[str], sent_at: int) -> None:
         """Apply the changes to `evacuated`, the data centres that were evacuated before them."""
@@ -162,20 +217,18 @@
             self._confirmed_at = sent_at
         self._on_evacuations(self._evacuated, self._confirmed_at)
 
-    def _apply_configuration(self, configuration: Configuration | None) -> None:
-        if configuration is None or (
-            self._version is not None and configuration.version <= self._version
-        ):
+    def _apply_configuration(
+        self, configuration: Configuration | None, read: dict[str, Any]
+    ) -> None:
+        before = self.view.version
+        if configuration is None or (before is not None and configuration.version <= before):
             return
         _LOGGER.info(
             "configuration is in force",
-            extra={
-                "version": configuration.version,
-                "before": self._version,
-                "offset": self._offset,
-            },
+            extra={"version": configuration.version, "before": before, **read},
         )
-        self._version = configuration.version
+        self._counters["config.applied"] += 1
+        self.view = self.view.apply(configuration.version, self._clock.now())
         self._on_change(configuration)
 
 
--- a/packages/daemon/src/quetzallock_daemon/cells/ports.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/ports.py
@@ -7,6 +7,8 @@
 from quetzallock_core.cells.orders import PaceRun, StartRun, StopRun
 from quetzallock_core.exceptions import QuetzallockError
 
+from ..transport import Channel
+
 MAX_KEY_BYTES: Final = 255
 """Maximum size of a record's key in the store."""
 
@@ -114,12 +116,18 @@
         next_offset: Offset of the next read.
         evacuations: Changes of evacuations among them; all requests if the newest records are read.
         is_complete: They reached the end of the topic when the read was answered.
+        is_behind: The end of the topic lay before the offset that was asked for.
+        has_invalid_configuration: The newest configuration among them is invalid.
+        channel: Connection that carried the last read, if it is known.
     """
 
     configuration: Configuration | None
     next_offset: int
     evacuations: tuple[EvacuationChange, ...] = ()
     is_complete: bool = True
+    is_behind: bool = False
+    has_invalid_configuration: bool = False
+    channel: Channel | None = None
 
 
 class Store(Protocol):
--- a/packages/daemon/src/quetzallock_daemon/cells/service.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/service.py
@@ -122,6 +122,10 @@
             self._handle_configuration,
             self._handle_evacuations,
             choose_config_wait_ms(settings.bounds),
+            counters,
+        )
+        self._metrics_page.show_configuration(
+            lambda: self._configuration_follower.view, self._clock.now
         )
         self._entries_follower = EntriesFollower(reactor, store, self._handle_entries)
         self._peers = Peers(reactor, counters)
