Close the idle connections that are silent for as long as a call that timed out

What callers saw: after a short trouble with the store's connections, a host answered by an older version of the configuration for up to 17 s after its successor was acknowledged, while hosts beside it had the new one.

Cause: a time-out closed the connection of that call only. The repeated call took the next idle connection to the same address, which had gone silent at the same moment, and so on: one time limit for each idle connection. The shorter the trouble, the more of them are left in the pool.

Why it works: a connection on which nothing has arrived since the timed-out call was sent is not known to be better than the one that timed out; one that has answered since then is kept. So one time-out is met, whatever the pool holds. It holds for all calls over this client, those to workers included.

--- a/packages/daemon/src/quetzallock_daemon/transport/client.py
+++ b/packages/daemon/src/quetzallock_daemon/transport/client.py
@@ -1,6 +1,7 @@
 """A keep-alive HTTP/1.1 client; each connection carries one call at a time.
 
-A connection is closed when a call on it times out, since it may never answer again.
+A connection is closed when a call on it times out, since it may never answer again. So are the idle
+ones to the same address that have been silent for as long, since they may have broken with it.
 """
 
 from collections import Counter, defaultdict
@@ -281,6 +282,7 @@
                 f"{call.address}: timed out while waiting for the answer on {channel}"
             )
             self._counters["http.timeouts.reused"] += channel.is_reused
+            self._close_silent(call.address, call.connection.channel)
         self._counters["http.timeouts"] += 1
         self.fail_call(call, error)
 
@@ -298,6 +300,19 @@
         if idle and connection in idle:
             idle.remove(connection)
 
+    def _close_silent(self, address: str, unanswered: ChannelRecord) -> None:
+        """Close the idle connections without an answer since the call that timed out was sent."""
+        idle = self._idle.get(address, [])
+        silent = [
+            connection
+            for connection in idle
+            if not connection.channel.has_answered_since(unanswered)
+        ]
+        for connection in silent:
+            idle.remove(connection)
+            connection.abort()
+        self._counters["http.closed_silent"] += len(silent)
+
     def close_idle(self, address: str) -> None:
         """Close the idle connections to an address that is no longer in use."""
         for connection in self._idle.pop(address, []):
