Derive the time limits of the configuration's reads from its bound

What callers saw: after a short trouble with the store's connections, or a store that took calls and did not answer for a moment, a host answered by an older version for 2.1 to 3.3 s after its successor was acknowledged, where 2 s are allowed.

Cause: a read that waits for changes stayed open for 1,000 ms and then 2,000 ms more before it counted as lost; 150 ms later the next one was sent. So one lost answer was over the bound by itself.

Why it works: the wait, the time for an answer, the pause and the answer of a second read add up to less than configApplyMs of the deployment, by choose_read_limits and its test: 1,000, 500 and 150 of 2,000 ms, no read more than before in calm. A store that is slower than that raises the limit: it is twice the last answer's time, doubled by each missing answer, at most 2,000 ms as before, so that even a read under the longest limit that is lost as the trouble ends is followed by another within contactMs.

--- a/packages/core/src/quetzallock_core/cells/models.py
+++ b/packages/core/src/quetzallock_core/cells/models.py
@@ -226,6 +226,8 @@
         evacuation_ms: Time after which no task starts in a data centre whose evacuation was
             requested; 0 where evacuations are not in use.
         max_granted_lease_ms: Longest lease that a worker grants, however long an order asks for.
+        config_apply_ms: Time after which no request is handled by an older version of the
+            configuration than the newest confirmed one.
     """
 
     lease_ms: int = 6_000
@@ -236,3 +238,4 @@
     remote_factor: float = 1.5
     evacuation_ms: int = 0
     max_granted_lease_ms: int = MAX_LEASE_MS
+    config_apply_ms: int = 2_000
--- a/packages/daemon/src/quetzallock_daemon/cells/followers.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/followers.py
@@ -12,13 +12,19 @@
 from .clocks import BootClock
 from .configuration_view import ConfigurationView
 from .const import (
-    CONFIG_WAIT_MS,
     ENTRIES_READ_INTERVAL_MS,
-    EVACUATION_READS_PER_BOUND,
     LATE_READ_MS,
     STORE_RETRY_PAUSE_MS,
 )
-from .ports import ConfigPage, Configuration, HistoryGoneError, Store, StoreUnavailableError
+from .ports import (
+    ConfigPage,
+    Configuration,
+    HistoryGoneError,
+    Store,
+    StoreRefusedError,
+    StoreUnavailableError,
+)
+from .read_limits import AnswerTimeLimit, ReadLimits, choose_read_limits
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -107,13 +113,6 @@
         raise NotImplementedError
 
 
-def choose_config_wait_ms(bounds: Bounds) -> int:
-    """Return how long a read of the configuration stays open while nothing changes."""
-    if not bounds.evacuation_ms:
-        return CONFIG_WAIT_MS
-    return min(CONFIG_WAIT_MS, bounds.evacuation_ms // EVACUATION_READS_PER_BOUND)
-
-
 def _ignore_evacuations(_data_centres: frozenset[str], _confirmed_at: int) -> None:
     """Ignore evacuations."""
 
@@ -138,13 +137,14 @@
         store: Store,
         on_change: Callable[[Configuration], None],
         on_evacuations: Callable[[frozenset[str], int], None] = _ignore_evacuations,
-        wait_ms: int = CONFIG_WAIT_MS,
+        limits: ReadLimits | None = None,
         counters: Counter[str] | None = None,
     ) -> None:
         super().__init__(reactor, store)
         self._on_change = on_change
         self._on_evacuations = on_evacuations
-        self._wait_ms = wait_ms
+        self._limits = limits or choose_read_limits(Bounds())
+        self._answer_limit = AnswerTimeLimit(self._limits.answer_ms)
         self._counters = Counter() if counters is None else counters
         self._evacuated: frozenset[str] = frozenset()
         self._confirmed_at = 0
@@ -153,15 +153,10 @@
 
     async def _read_once(self) -> None:
         offset = self._offset
-        wait_ms = 0
-        if offset is None:
-            page = await self._store.read_configuration()
-            evacuated: set[str] = set()
-        else:
-            # A read that does not wait confirms the view soonest after failed reads.
-            wait_ms = 0 if self._is_failing else self._wait_ms
-            page = await self._store.read_configuration_changes(offset, wait_ms)
-            evacuated = set(self._evacuated)
+        # A read that does not wait confirms the view soonest after failed reads.
+        wait_ms = 0 if self._is_failing or offset is None else self._limits.wait_ms
+        page = await self._read_page(offset, wait_ms)
+        evacuated = set() if offset is None else set(self._evacuated)
         self._offset = page.next_offset
         read = self._describe_read(page)
         self._record_lateness(read, wait_ms)
@@ -170,6 +165,23 @@
         self._apply_evacuations(page, evacuated, self._read_sent_at)
         self._apply_configuration(page.configuration, read)
 
+    async def _read_page(self, offset: int | None, wait_ms: int) -> ConfigPage:
+        """Read the newest records, or those from `offset` on, and adapt the time limit."""
+        limit = self._answer_limit
+        try:
+            if offset is None:
+                page = await self._store.read_configuration(limit.current_ms)
+            else:
+                page = await self._store.read_configuration_changes(
+                    offset, wait_ms, wait_ms + limit.current_ms
+                )
+        except StoreUnavailableError as error:
+            if not isinstance(error, StoreRefusedError):
+                limit.handle_no_answer()
+            raise
+        limit.handle_answer(self._clock.now() - self._read_sent_at - wait_ms)
+        return page
+
     def _describe_read(self, page: ConfigPage) -> dict[str, Any]:
         """Return the log fields of the read that was just answered."""
         now = self._clock.now()
--- a/packages/daemon/src/quetzallock_daemon/cells/ports.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/ports.py
@@ -166,11 +166,16 @@
     async def read_entry_changes(self, offset: int) -> EntryPage:
         """Return the changes from `offset` on; raises `HistoryGoneError` if they have expired."""
 
-    async def read_configuration(self) -> ConfigPage:
+    async def read_configuration(self, timeout_ms: int) -> ConfigPage:
         """Return the newest configuration, and all requests of evacuations."""
 
-    async def read_configuration_changes(self, offset: int, wait_ms: int) -> ConfigPage:
-        """Wait for changes from `offset` on; raises `HistoryGoneError` if they have expired."""
+    async def read_configuration_changes(
+        self, offset: int, wait_ms: int, timeout_ms: int
+    ) -> ConfigPage:
+        """Wait for changes from `offset` on; raises `HistoryGoneError` if they have expired.
+
+        The time limit `timeout_ms` includes `wait_ms`.
+        """
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/quetzallock_daemon/cells/service.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/service.py
@@ -19,7 +19,7 @@
 from .candidacy import CandidacyTask
 from .clocks import BootClock
 from .const import INCARNATION_BITS
-from .followers import ConfigurationFollower, EntriesFollower, choose_config_wait_ms
+from .followers import ConfigurationFollower, EntriesFollower
 from .front import FrontState, ReadRequest, make_caller_factory, make_page_factory
 from .membership import Member, MembershipTask, OwnersTask, StoreContact
 from .messages import AssignmentNotice, OwnerAnswer, OwnerRequest, PeerRequest, ProcessProbe
@@ -27,6 +27,7 @@
 from .peers import Peers, make_request_factory
 from .ports import Configuration, Membership, RequestLimits, Store, Workers
 from .previous_owner import PreviousOwnerSearch, make_owner_record
+from .read_limits import choose_read_limits
 from .router import CallerAnswer, DecodeJob, Router
 
 _LOGGER = logging.getLogger(__name__)
@@ -121,7 +122,7 @@
             store,
             self._handle_configuration,
             self._handle_evacuations,
-            choose_config_wait_ms(settings.bounds),
+            choose_read_limits(settings.bounds),
             counters,
         )
         self._metrics_page.show_configuration(
--- a/tests/daemon/emulated_hosts.py
+++ b/tests/daemon/emulated_hosts.py
@@ -123,11 +123,13 @@
         await self._pause()
         return EntryPage((), offset)
 
-    async def read_configuration(self) -> ConfigPage:
+    async def read_configuration(self, timeout_ms: int) -> ConfigPage:
         await self._pause()
         return ConfigPage(None, 0)
 
-    async def read_configuration_changes(self, offset: int, wait_ms: int) -> ConfigPage:
+    async def read_configuration_changes(
+        self, offset: int, wait_ms: int, timeout_ms: int
+    ) -> ConfigPage:
         await sleep(self._reactor, wait_ms)
         return ConfigPage(None, offset)
 
--- a/tests/daemon/test_configuration_view.py
+++ b/tests/daemon/test_configuration_view.py
@@ -15,6 +15,7 @@
     RequestLimits,
     StoreUnavailableError,
 )
+from quetzallock_daemon.cells.read_limits import ReadLimits
 from quetzallock_daemon.helpers import sleep
 from quetzallock_daemon.telemetry.metrics_page import MetricsPage
 from quetzallock_daemon.transport import Channel
@@ -38,10 +39,12 @@
         self._reactor = reactor
         self._answers = answers
 
-    async def read_configuration(self) -> ConfigPage:
-        return await self.read_configuration_changes(0, 0)
+    async def read_configuration(self, timeout_ms: int) -> ConfigPage:
+        return await self.read_configuration_changes(0, 0, timeout_ms)
 
-    async def read_configuration_changes(self, _offset: int, _wait_ms: int) -> ConfigPage:
+    async def read_configuration_changes(
+        self, _offset: int, _wait_ms: int, _timeout_ms: int
+    ) -> ConfigPage:
         after_ms, answer = self._answers.pop(0) if self._answers else (1_000_000, make_page(0))
         await sleep(self._reactor, after_ms)
         if isinstance(answer, Exception):
@@ -65,7 +68,7 @@
         store: Any = TimedStore(reactor, list(answers))
         self.counters: Counter[str] = Counter()
         follower = ConfigurationFollower(
-            reactor, store, lambda _: None, wait_ms=WAIT_MS, counters=self.counters
+            reactor, store, lambda _: None, limits=ReadLimits(WAIT_MS, 600), counters=self.counters
         )
         follower.start()
         self.views: list[ConfigurationView] = []
--- a/tests/daemon/test_evacuations.py
+++ b/tests/daemon/test_evacuations.py
@@ -11,7 +11,7 @@
 from quetzallock_core.cells.models import Bounds, Resources, WorkerEntry
 from quetzallock_core.cells.orders import StartRun
 from quetzallock_daemon.cells.clocks import BootClock
-from quetzallock_daemon.cells.followers import ConfigurationFollower, choose_config_wait_ms
+from quetzallock_daemon.cells.followers import ConfigurationFollower
 from quetzallock_daemon.cells.owner import CellOwner
 from quetzallock_daemon.cells.ports import (
     ConfigPage,
@@ -19,6 +19,7 @@
     HistoryGoneError,
     StoreUnavailableError,
 )
+from quetzallock_daemon.cells.read_limits import choose_config_wait_ms
 from quetzallock_daemon.helpers import sleep
 
 from .emulated_hosts import EmulatedHosts, EmulatedStore
@@ -36,11 +37,13 @@
         self.newest_reads = 0
         self.waits: list[int] = []
 
-    async def read_configuration(self) -> ConfigPage:
+    async def read_configuration(self, _timeout_ms: int) -> ConfigPage:
         self.newest_reads += 1
         return await self._answer()
 
-    async def read_configuration_changes(self, _offset: int, wait_ms: int) -> ConfigPage:
+    async def read_configuration_changes(
+        self, _offset: int, wait_ms: int, _timeout_ms: int
+    ) -> ConfigPage:
         self.waits.append(wait_ms)
         return await self._answer()
 
@@ -156,7 +159,7 @@
 def test_host_that_takes_over_knows_the_requests_before_it_loads_the_cell(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    async def read_configuration(_store: EmulatedStore) -> ConfigPage:
+    async def read_configuration(_store: EmulatedStore, _timeout_ms: int) -> ConfigPage:
         return make_page(1, ("a", True))
 
     views: list[frozenset[str]] = []
--- a/tests/platform/test_evacuations.py
+++ b/tests/platform/test_evacuations.py
@@ -22,6 +22,7 @@
 from .test_settings import SETTINGS
 
 LISTED = frozenset({"a", "b"})
+TIMEOUT_MS = 600
 
 
 class StandinClient:
@@ -58,8 +59,8 @@
 def read(store: PlatformStore, offset: int | None = None) -> ConfigPage:
     """Return the newest records, or the changes from `offset` on."""
     if offset is None:
-        return asyncio.run(store.read_configuration())
-    return asyncio.run(store.read_configuration_changes(offset, 0))
+        return asyncio.run(store.read_configuration(TIMEOUT_MS))
+    return asyncio.run(store.read_configuration_changes(offset, 0, TIMEOUT_MS))
 
 
 def test_requests_are_decoded_with_the_configuration() -> None:
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -57,3 +57,13 @@
 def test_missing_file_is_a_finding(tmp_path: Path) -> None:
     with pytest.raises(InvalidInputError, match="No such file"):
         load_settings(str(tmp_path / "none.toml"), cells=1)
+
+
+@pytest.mark.parametrize("value", ["999", "0", '"2 s"', "1500.5"])
+def test_bound_of_the_configuration_that_cannot_be_kept_is_a_finding(
+    tmp_path: Path, value: str
+) -> None:
+    path = tmp_path / "node.toml"
+    path.write_text(SETTINGS.replace("graceS = 6", f"graceS = 6\nconfigApplyMs = {value}"))
+    with pytest.raises(InvalidInputError, match="configApplyMs"):
+        load_settings(str(path), cells=1)
