Limit the silence of the configuration's reads rather than their whole answer

And the connections that answered while a lost read was still waiting were kept, though they can have broken at the same time.

Change: a call may have a limit for the time in which nothing arrives, after the wait that the server was asked for; each piece of the answer renews it, up to the limit of the whole (2,000 ms and the wait, as before). Idle connections are kept if they answered after the lost answer was due. Only an answer without records raises the limit of the next read, since a long one tells of the link.

--- a/packages/daemon/src/quetzallock_daemon/cells/followers.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/followers.py
@@ -173,13 +173,15 @@
                 page = await self._store.read_configuration(limit.current_ms)
             else:
                 page = await self._store.read_configuration_changes(
-                    offset, wait_ms, wait_ms + limit.current_ms
+                    offset, wait_ms, limit.current_ms
                 )
         except StoreUnavailableError as error:
             if not isinstance(error, StoreRefusedError):
                 limit.handle_no_answer()
             raise
-        limit.handle_answer(self._clock.now() - self._read_sent_at - wait_ms)
+        if page.next_offset == offset:
+            # Only an answer without records tells how slow the store is rather than the link.
+            limit.handle_answer(self._clock.now() - self._read_sent_at - wait_ms)
         return page
 
     def _describe_read(self, page: ConfigPage) -> dict[str, Any]:
--- a/packages/daemon/src/quetzallock_daemon/cells/ports.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/ports.py
@@ -166,15 +166,19 @@
     async def read_entry_changes(self, offset: int) -> EntryPage:
         """Return the changes from `offset` on; raises `HistoryGoneError` if they have expired."""
 
-    async def read_configuration(self, timeout_ms: int) -> ConfigPage:
-        """Return the newest configuration, and all requests of evacuations."""
+    async def read_configuration(self, silence_ms: int) -> ConfigPage:
+        """Return the newest configuration, and all requests of evacuations.
+
+        Fails if nothing arrives for `silence_ms`; an answer that arrives slowly may take longer.
+        """
 
     async def read_configuration_changes(
-        self, offset: int, wait_ms: int, timeout_ms: int
+        self, offset: int, wait_ms: int, silence_ms: int
     ) -> ConfigPage:
-        """Wait for changes from `offset` on; raises `HistoryGoneError` if they have expired.
+        """Wait up to `wait_ms` for changes from `offset` on.
 
-        The time limit `timeout_ms` includes `wait_ms`.
+        Fails if nothing arrives for `silence_ms` after that, and raises `HistoryGoneError` if the
+        records have expired.
         """
 
 
--- a/packages/daemon/src/quetzallock_daemon/transport/channel.py
+++ b/packages/daemon/src/quetzallock_daemon/transport/channel.py
@@ -62,9 +62,9 @@
         """Record that the call is answered."""
         self._answered_s = now_s
 
-    def has_answered_since(self, other: "ChannelRecord") -> bool:
-        """Return whether an answer came since the last call of `other` was sent."""
-        return self._answered_s > other._sent_s
+    def has_answered_since(self, since_s: float) -> bool:
+        """Return whether an answer came, or it was established, after `since_s`."""
+        return self._answered_s > since_s
 
     def describe(self) -> Channel:
         """Return the state at the time at which the last call was sent."""
--- a/packages/daemon/src/quetzallock_daemon/transport/client.py
+++ b/packages/daemon/src/quetzallock_daemon/transport/client.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from heapq import heappop, heappush
-from math import inf
+from math import ceil, inf
 from typing import Any, Final, NamedTuple
 
 import httptools
@@ -23,6 +23,7 @@
 
 CONNECT_TIMEOUT_MS: Final = 1_000
 MAX_IDLE_PER_ADDRESS: Final = 8
+_MS_PER_S: Final = 1_000
 
 
 class CallFailedError(QuetzallockError):
@@ -61,13 +62,23 @@
         address: `ip:port` that it is sent to.
         request: Its bytes; empty once they were sent, as the call is kept until its time limit.
         result: Fires with the answer.
+        wait_s: How long the server may keep it open before it answers.
+        silence_s: How long nothing may arrive once its answer is due; None without such a limit.
+        ends_s: When it times out, however much has arrived.
         connection: The connection that carries it; None before it was sent.
+        due_s: When its answer is due.
+        heard_s: When a part of its answer last arrived; only recorded for `silence_s`.
     """
 
     address: str
     request: bytes
     result: "Deferred[Reply]"
+    wait_s: float
+    silence_s: float | None
+    ends_s: float
     connection: "Connection | None" = None
+    due_s: float = 0.0
+    heard_s: float = -inf
 
 
 class _TimeLimits:
@@ -145,8 +156,10 @@
     def send(self, call: _Call, is_reused: bool = False) -> None:
         """Send `call`, whose deferred fires with the answer."""
         transport: Any = self.transport
+        now_s = self._client.read_seconds()
         self._call = call
-        self.channel.start_call(self._client.read_seconds(), is_reused)
+        call.due_s = now_s + call.wait_s
+        self.channel.start_call(now_s, is_reused)
         self._body = []
         self._parser = httptools.HttpResponseParser(self)
         call.connection = self
@@ -164,6 +177,8 @@
         if self._call is None:
             self.abort()
             return
+        if self._call.silence_s is not None:
+            self._call.heard_s = self._client.read_seconds()
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
@@ -244,14 +259,38 @@
         self._last_channel += 1
         return ChannelRecord(self._last_channel, self.read_seconds())
 
-    def call(self, address: str, request: bytes, timeout_ms: int) -> "Deferred[Reply]":
+    def call(
+        self,
+        address: str,
+        request: bytes,
+        timeout_ms: int,
+        *,
+        wait_ms: int = 0,
+        silence_ms: int | None = None,
+    ) -> "Deferred[Reply]":
         """Send `request` to `ip:port` and return a deferred of the `Reply`.
 
         The deferred fails with `NotConnectedError` if the request was never sent, else with
         `CallFailedError`.
+
+        Args:
+            address: `ip:port`.
+            request: The bytes of the request.
+            timeout_ms: Time limit for the whole answer.
+            wait_ms: How long the server may keep the call open before it answers.
+            silence_ms: How long nothing may arrive after that wait; a long answer may take
+                longer. None for no limit but `timeout_ms`.
         """
-        call = _Call(address, request, Deferred())
-        self._time_limits.add(call, timeout_ms)
+        limit_ms = timeout_ms if silence_ms is None else min(timeout_ms, wait_ms + silence_ms)
+        call = _Call(
+            address,
+            request,
+            Deferred(),
+            wait_ms / _MS_PER_S,
+            None if silence_ms is None else silence_ms / _MS_PER_S,
+            self.read_seconds() + timeout_ms / _MS_PER_S,
+        )
+        self._time_limits.add(call, limit_ms)
         self._counters["http.calls"] += 1
         idle = self._idle.get(address)
         if idle:
@@ -271,6 +310,10 @@
             self.fail_call(call, NotConnectedError(f"{address}: {error}"))
 
     def _handle_timeout(self, call: _Call) -> None:
+        left_s = self._compute_time_left(call)
+        if left_s > 0:
+            self._time_limits.add(call, ceil(left_s * _MS_PER_S))
+            return
         if call.connection is None:
             error: CallFailedError = NotConnectedError(
                 f"{call.address}: timed out while connecting"
@@ -282,7 +325,7 @@
                 f"{call.address}: timed out while waiting for the answer on {channel}"
             )
             self._counters["http.timeouts.reused"] += channel.is_reused
-            self._close_silent(call.address, call.connection.channel)
+            self._close_silent(call.address, call.due_s)
         self._counters["http.timeouts"] += 1
         self.fail_call(call, error)
 
@@ -300,13 +343,17 @@
         if idle and connection in idle:
             idle.remove(connection)
 
-    def _close_silent(self, address: str, unanswered: ChannelRecord) -> None:
-        """Close the idle connections without an answer since the call that timed out was sent."""
+    def _compute_time_left(self, call: _Call) -> float:
+        """Return for how many seconds a call may go on, as its answer is arriving."""
+        if call.silence_s is None:
+            return 0.0
+        return min(call.heard_s + call.silence_s, call.ends_s) - self.read_seconds()
+
+    def _close_silent(self, address: str, since_s: float) -> None:
+        """Close the idle connections without an answer since that of a lost call was due."""
         idle = self._idle.get(address, [])
         silent = [
-            connection
-            for connection in idle
-            if not connection.channel.has_answered_since(unanswered)
+            connection for connection in idle if not connection.channel.has_answered_since(since_s)
         ]
         for connection in silent:
             idle.remove(connection)
--- a/tests/daemon/test_transport.py
+++ b/tests/daemon/test_transport.py
@@ -147,3 +147,79 @@
     clock.turn(TIMEOUT_MS / 1_000)
     clock.turn(0)
     assert [type(result.value) for result in results] == [NotConnectedError]
+
+
+def send_with_silence_limit(wait_ms: int) -> tuple[TurnClock, Connection, list[Any]]:
+    """Return a connection on which a call with a limit of 500 ms of silence was sent."""
+    clock = TurnClock()
+    client = HttpClient(clock, Counter())
+    connection = Connection(client, ADDRESS)
+    connection.makeConnection(SocketTransport())
+    client._idle[ADDRESS].append(connection)
+    results: list[Any] = []
+    call = client.call(ADDRESS, b"GET", 2_000 + wait_ms, wait_ms=wait_ms, silence_ms=500)
+    call.addBoth(results.append)
+    return clock, connection, results
+
+
+def let_pass(clock: TurnClock, ms: int) -> None:
+    for _ in range(ms // 100):
+        clock.turn(0.1)
+        clock.turn(0)
+
+
+def test_long_answer_that_keeps_arriving_does_not_time_out() -> None:
+    """Guards against a large configuration that a slow link never carries within the limit."""
+    clock, connection, results = send_with_silence_limit(0)
+    connection.dataReceived(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n")
+    for piece in (b"a", b"b", b"c"):
+        let_pass(clock, 400)
+        connection.dataReceived(piece)
+    assert results == []
+    connection.dataReceived(b"d")
+    assert results == [Reply(200, b"abcd", connection.channel)]
+
+
+def test_long_answer_that_stops_arriving_times_out() -> None:
+    clock, connection, results = send_with_silence_limit(0)
+    connection.dataReceived(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\na")
+    let_pass(clock, 400)
+    connection.dataReceived(b"b")
+    let_pass(clock, 400)
+    assert results == []
+    let_pass(clock, 200)
+    assert [type(result.value) for result in results] == [CallFailedError]
+
+
+def test_answer_that_arrives_too_slowly_times_out_at_the_limit_for_the_whole() -> None:
+    clock, connection, results = send_with_silence_limit(0)
+    connection.dataReceived(b"HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n")
+    for _ in range(5):
+        let_pass(clock, 400)
+        connection.dataReceived(b"a")
+    let_pass(clock, 100)
+    assert [type(result.value) for result in results] == [CallFailedError]
+
+
+def test_silence_counts_from_the_end_of_the_wait() -> None:
+    clock, _, results = send_with_silence_limit(1_000)
+    let_pass(clock, 1_400)
+    assert results == []
+    let_pass(clock, 200)
+    assert [type(result.value) for result in results] == [CallFailedError]
+
+
+def test_connection_that_answered_before_a_lost_answer_was_due_is_closed() -> None:
+    """It may have broken with the other one while that was kept waiting."""
+    clock, waiting, results = send_with_silence_limit(1_000)
+    client = waiting._client
+    early, late = Connection(client, ADDRESS), Connection(client, ADDRESS)
+    for connection, at_ms in ((early, 800), (late, 1_200)):
+        connection.makeConnection(SocketTransport())
+        let_pass(clock, at_ms - round(clock.seconds() * 1_000))
+        client._idle[ADDRESS].append(connection)
+        client.call(ADDRESS, b"GET", TIMEOUT_MS)
+        connection.dataReceived(ANSWER)
+    let_pass(clock, 500)
+    assert len(results) == 1
+    assert client._idle[ADDRESS] == [late]
