--- a/tests/platform/test_configuration_reads.py
+++ b/tests/platform/test_configuration_reads.py
@@ -115,6 +115,23 @@
     assert followed.network.calls_by_path.total() <= 2 * 10_000 / STORE_RETRY_PAUSE_MS
 
 
+def test_record_that_a_read_cuts_off_is_read_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The rest of it was never read, and the part that was is no valid version."""
+    followed = FollowedConfiguration(monkeypatch)
+    read_all = followed.network.store.read
+
+    def read_half(query: dict[str, str]) -> tuple[int, bytes | dict[str, object]]:
+        status, data = read_all(query)
+        assert isinstance(data, bytes)
+        followed.network.store.read = read_all  # type: ignore[method-assign]
+        return status, data[: len(data) // 2]
+
+    followed.network.store.read = read_half  # type: ignore[method-assign,assignment]
+    followed.network.put(CONFIG_TOPIC, "config", make_version(2))
+    followed.network.run(APPLY_MS)
+    assert 2 in followed.in_force_at
+
+
 def test_error_of_an_owner_does_not_keep_a_version_out_of_force(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
