--- a/packages/daemon/src/quetzallock_daemon/cells/const.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/const.py
@@ -48,7 +48,7 @@
 """Time limit for reads of any length from the store, and for those of a store that is slow."""
 
 SHORT_READ_TIMEOUT_MS: Final = 600
-"""Time limit for reads of a few records, by the rule of `JOIN_TIMEOUT_MS`."""
+"""How long a read of owners or changes may be silent, by the rule of `JOIN_TIMEOUT_MS`."""
 
 OWNERS_READ_INTERVAL_MS: Final = 1_000
 """How often a host reads which member owns which cell."""
--- a/packages/daemon/src/quetzallock_daemon/cells/membership.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/membership.py
@@ -16,9 +16,10 @@
     LEAVE_POLL_INTERVAL_MS,
     MIN_OWNERS_READ_INTERVAL_MS,
     OWNERS_READ_INTERVAL_MS,
+    STORE_RETRY_PAUSE_MS,
     STORE_UNAVAILABLE_AFTER_MS,
 )
-from .ports import Membership, Store, StoreUnavailableError
+from .ports import Membership, Store, StoreRefusedError, StoreUnavailableError
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -196,6 +197,8 @@
         except StoreUnavailableError as error:
             _LOGGER.debug("cannot read the owners: %s", error)
             self._contact.record_failure(str(error))
+            if not isinstance(error, StoreRefusedError):
+                self._reactor.callLater(STORE_RETRY_PAUSE_MS / 1_000, self.refresh)
             return
         finally:
             self._is_reading = False
--- a/tests/platform/test_silent_connections.py
+++ b/tests/platform/test_silent_connections.py
@@ -11,6 +11,7 @@
 from twisted.internet.defer import Deferred
 
 from quetzallock_core.cells.models import Bounds, Resources, WorkerEntry
+from quetzallock_daemon.cells.const import DEFAULT_DEADLINE_MS
 from quetzallock_daemon.cells.followers import EntriesFollower
 from quetzallock_daemon.cells.membership import MembershipTask, OwnersTask, StoreContact
 from quetzallock_daemon.cells.owner import CellOwner
@@ -24,6 +25,7 @@
 
 CONTACT_MS: Final = 3_000
 ACK_MS: Final = 4_000
+DRAIN_MS: Final = 2_000
 MEMBER: Final = "h|10.0.0.9:1|1|1000"
 WORKER_ADDRESS: Final = "10.0.0.2:1"
 START_MS: Final = 3_000
@@ -114,6 +116,22 @@
     assert max(delays) <= CONTACT_MS + ACK_MS
 
 
+@pytest.mark.parametrize("idle", [0, 7])
+def test_new_owner_is_known_within_the_deadline_of_a_request(
+    idle: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    delays = [measure_owners_delay(monkeypatch, idle, phase) for phase in range(0, 1_000, 100)]
+    assert max(delays) <= DEFAULT_DEADLINE_MS
+
+
+@pytest.mark.parametrize("idle", [0, 7])
+def test_draining_worker_is_known_within_the_bound_of_draining(
+    idle: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    delays = [measure_entries_delay(monkeypatch, idle, phase) for phase in range(0, 320, 40)]
+    assert max(delays) <= DRAIN_MS
+
+
 @pytest.mark.parametrize("idle", [1, 7])
 def test_append_is_durable_when_the_host_is_in_touch_again(
     idle: int, monkeypatch: pytest.MonkeyPatch
