Apply a version before the owners are told of the evacuations

What callers would see: while telling a cell of the evacuations raises an error, no version of the configuration comes into force on the host that owns it, as the evacuations came first and the error ended the processing of each read.

Why it works: the version is applied first; the error is logged as before, and the next read takes the newest records.

--- a/packages/daemon/src/quetzallock_daemon/cells/followers.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/followers.py
@@ -162,8 +162,8 @@
         self._record_lateness(read, wait_ms)
         self._count_faults(page)
         self._confirm_view(page, page.next_offset == offset, wait_ms)
-        self._apply_evacuations(page, evacuated, self._read_sent_at)
         self._apply_configuration(page.configuration, read)
+        self._apply_evacuations(page, evacuated, self._read_sent_at)
 
     async def _read_page(self, offset: int | None, wait_ms: int) -> ConfigPage:
         """Read the newest records, or those from `offset` on, and adapt the time limit."""
