Apply the newest valid version of a read if a newer one is invalid

What callers would see: a confirmed version is never in force on a host whose read returns it together with an invalid one after it. The store is said to accept valid versions only; another writer, or a field that this program reads more strictly, would show it.

Cause: of the records of a read only the last one of the key was decoded, and the offset moved past all.

--- a/packages/daemon/src/quetzallock_daemon/cells/ports.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/ports.py
@@ -112,12 +112,12 @@
     """Records of the topic of the configuration.
 
     Attributes:
-        configuration: The newest configuration among them, if any.
+        configuration: The newest valid configuration among them, if any.
         next_offset: Offset of the next read.
         evacuations: Changes of evacuations among them; all requests if the newest records are read.
         is_complete: They reached the end of the topic when the read was answered.
         is_behind: The end of the topic lay before the offset that was asked for.
-        has_invalid_configuration: The newest configuration among them is invalid.
+        has_invalid_configuration: There is a newer configuration among them that is invalid.
         channel: Connection that carried the last read, if it is known.
     """
 
