Read the newest records where a log ends before the offset of a reader

Cause: such a read returned nothing, at once, and the offset stayed. Why it works: it is an error now, after which the reader pauses as after others and reads the newest records; an older version still never replaces a newer one.

--- a/packages/daemon/src/quetzallock_daemon/cells/followers.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/followers.py
@@ -20,6 +20,7 @@
     ConfigPage,
     Configuration,
     HistoryGoneError,
+    LogBehindError,
     Store,
     StoreRefusedError,
     StoreUnavailableError,
@@ -71,7 +72,7 @@
                 self._offset = None
                 continue
             except StoreUnavailableError as error:
-                self._record_failure(str(error))
+                self._record_failure(error)
                 await sleep(self._reactor, STORE_RETRY_PAUSE_MS)
                 continue
             except Exception as error:
@@ -99,13 +100,19 @@
         self._is_failing = True
         self._offset = None
 
-    def _record_failure(self, error: str) -> None:
-        """Log the first failure, and each that took long, with the channel that it hung on."""
+    def _record_failure(self, error: StoreUnavailableError) -> None:
+        """Log the first failure, and each that took long, with the channel that it hung on.
+
+        After a log that ends before the offset, the newest records are read: those below the offset
+        are not what they were.
+        """
+        if isinstance(error, LogBehindError):
+            self._offset = None
         took_ms = self._clock.now() - self._read_sent_at
         if not self._is_failing or took_ms > LATE_READ_MS:
             _LOGGER.warning(
                 "reading from the store fails",
-                extra={"dependency": self.name, "error": error, "took_ms": took_ms},
+                extra={"dependency": self.name, "error": str(error), "took_ms": took_ms},
             )
         self._is_failing = True
 
@@ -175,6 +182,9 @@
                 page = await self._store.read_configuration_changes(
                     offset, wait_ms, limit.current_ms
                 )
+        except LogBehindError:
+            self._counters["config.behind"] += 1
+            raise
         except StoreUnavailableError as error:
             if not isinstance(error, StoreRefusedError):
                 limit.handle_no_answer()
@@ -205,7 +215,6 @@
         self._is_late = is_late
 
     def _count_faults(self, page: ConfigPage) -> None:
-        self._counters["config.behind"] += page.is_behind
         self._counters["config.rejected"] += page.has_invalid_configuration
 
     def _confirm_view(self, page: ConfigPage, is_unchanged: bool, wait_ms: int) -> None:
--- a/packages/daemon/src/quetzallock_daemon/cells/ports.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/ports.py
@@ -37,6 +37,12 @@
     code = "history_gone"
 
 
+class LogBehindError(StoreUnavailableError):
+    """The end of a log lies before the offset that was asked for."""
+
+    code = "log_behind"
+
+
 @dataclass(frozen=True, slots=True)
 class Membership:
     """Answer of the store to a join: the group's generation and the cells assigned to this host."""
@@ -116,7 +122,6 @@
         next_offset: Offset of the next read.
         evacuations: Changes of evacuations among them; all requests if the newest records are read.
         is_complete: They reached the end of the topic when the read was answered.
-        is_behind: The end of the topic lay before the offset that was asked for.
         has_invalid_configuration: There is a newer configuration among them that is invalid.
         channel: Connection that carried the last read, if it is known.
     """
@@ -125,7 +130,6 @@
     next_offset: int
     evacuations: tuple[EvacuationChange, ...] = ()
     is_complete: bool = True
-    is_behind: bool = False
     has_invalid_configuration: bool = False
     channel: Channel | None = None
 
--- a/tests/daemon/test_configuration_view.py
+++ b/tests/daemon/test_configuration_view.py
@@ -12,6 +12,7 @@
 from quetzallock_daemon.cells.ports import (
     ConfigPage,
     Configuration,
+    LogBehindError,
     RequestLimits,
     StoreUnavailableError,
 )
@@ -159,7 +160,7 @@
     followed = Followed(
         monkeypatch,
         (10, make_page(1, 1)),
-        (1, make_page(1, is_complete=False, is_behind=True)),
+        (1, LogBehindError("behind")),
         (1, make_page(2, has_invalid_configuration=True)),
     )
     assert followed.counters["config.behind"] == 1
--- a/tests/platform/test_configuration_pages.py
+++ b/tests/platform/test_configuration_pages.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from quetzallock_daemon.cells.ports import LogBehindError
 from quetzallock_daemon.transport import Channel, Reply
 from quetzallock_daemon.transport.channel import ChannelRecord
 from quetzallock_platform.store import CONFIG_TOPIC, PlatformStore
@@ -32,13 +33,13 @@
     assert read(store, 0).channel == Channel(3, True, 1, 1_000, 1_000)
 
 
-def test_read_whose_end_lies_before_the_offset_is_behind_and_keeps_the_offset() -> None:
+def test_read_whose_end_lies_before_the_offset_is_an_error() -> None:
     """Guards against a stale read that looks like one without changes."""
     standin, store = make_store()
     standin.put(CONFIG_TOPIC, "config", b'{"version": 3, "routes": []}')
-    page = read(store, 5)
-    assert (page.is_behind, page.is_complete, page.next_offset) == (True, False, 5)
-    assert not read(store, 1).is_behind
+    with pytest.raises(LogBehindError, match="it ends at 1, before offset 5"):
+        read(store, 5)
+    assert read(store, 1).is_complete
 
 
 @pytest.mark.parametrize(
