--- a/packages/daemon/src/quetzallock_daemon/cells/service.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/service.py
@@ -18,8 +18,9 @@
 from ..telemetry.metrics_page import MetricsPage
 from .candidacy import CandidacyTask
 from .clocks import BootClock
+from .configuration_follower import ConfigurationFollower
 from .const import INCARNATION_BITS
-from .followers import ConfigurationFollower, EntriesFollower
+from .followers import EntriesFollower
 from .front import FrontState, ReadRequest, make_caller_factory, make_page_factory
 from .membership import Member, MembershipTask, OwnersTask, StoreContact
 from .messages import AssignmentNotice, OwnerAnswer, OwnerRequest, PeerRequest, ProcessProbe
--- a/tests/daemon/test_configuration_view.py
+++ b/tests/daemon/test_configuration_view.py
@@ -7,8 +7,8 @@
 from twisted.internet.task import Clock
 
 from quetzallock_daemon.cells.clocks import BootClock
+from quetzallock_daemon.cells.configuration_follower import ConfigurationFollower
 from quetzallock_daemon.cells.configuration_view import ConfigurationView
-from quetzallock_daemon.cells.followers import ConfigurationFollower
 from quetzallock_daemon.cells.ports import (
     ConfigPage,
     Configuration,
--- a/tests/daemon/test_evacuations.py
+++ b/tests/daemon/test_evacuations.py
@@ -11,7 +11,7 @@
 from quetzallock_core.cells.models import Bounds, Resources, WorkerEntry
 from quetzallock_core.cells.orders import StartRun
 from quetzallock_daemon.cells.clocks import BootClock
-from quetzallock_daemon.cells.followers import ConfigurationFollower
+from quetzallock_daemon.cells.configuration_follower import ConfigurationFollower
 from quetzallock_daemon.cells.owner import CellOwner
 from quetzallock_daemon.cells.ports import (
     ConfigPage,
--- a/tests/platform/test_configuration_reads.py
+++ b/tests/platform/test_configuration_reads.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from quetzallock_daemon.cells.followers import ConfigurationFollower
+from quetzallock_daemon.cells.configuration_follower import ConfigurationFollower
 from quetzallock_daemon.helpers import run_in_background
 from quetzallock_daemon.transport import HttpClient
 from quetzallock_platform.store import CELLS_TOPIC, CONFIG_KEY, CONFIG_TOPIC, PlatformStore
--- a/tests/platform/test_configuration_records.py
+++ b/tests/platform/test_configuration_records.py
@@ -5,8 +5,8 @@
 
 import pytest
 
+from quetzallock_daemon.cells.configuration_follower import ConfigurationFollower
 from quetzallock_daemon.cells.const import STORE_RETRY_PAUSE_MS
-from quetzallock_daemon.cells.followers import ConfigurationFollower
 from quetzallock_daemon.cells.ports import Configuration
 from quetzallock_platform.store import CONFIG_TOPIC
 from quetzallock_platform_standin.store import Partition
