Let an owner accept no job under another version than it answers by

What callers saw, or may have: a version whose effect a worker had seen, and after which the same host answered by an older one, which looks like a version that came back; and a job accepted for a route that the owner's own configuration had dropped, from a router that was behind.

Cause: the router's version alone decided. An owner whose reads hang starts tasks of jobs that another host accepted under a newer version, up to seconds before it applies that version itself.

Evidence: tests with emulated hosts; both fail without the change (the owner still applied version 1 when the job of version 2 was accepted; status 200 for the dropped route).

Why it works: the submission carries its version already. An owner that applies an older one reads the configuration at once, on top of the read that waits, and holds the job back until it applies it: the router repeats it after 150 ms. After half of configApplyMs it accepts it all the same, as it may be unable to use that version. One that applies a newer version without the queue answers that the queue is gone. A job that is known stays accepted whatever the version.

--- a/packages/daemon/src/quetzallock_daemon/cells/configuration_follower.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/configuration_follower.py
@@ -8,6 +8,7 @@
 
 from quetzallock_core.cells.models import Bounds
 
+from ..helpers import run_in_background
 from .configuration_view import ConfigurationView
 from .const import LATE_READ_MS
 from .followers import Follower
@@ -60,8 +61,26 @@
         self._evacuated: frozenset[str] = frozenset()
         self._confirmed_at = 0
         self._is_late = False
+        self._is_refreshing = False
         self.view = ConfigurationView()
 
+    def refresh(self) -> None:
+        """Read the newest version now, beside the read that waits for changes."""
+        if not self._is_refreshing:
+            self._is_refreshing = True
+            run_in_background(self._refresh())
+
+    async def _refresh(self) -> None:
+        sent_at = self._clock.now()
+        try:
+            page = await self._store.read_configuration(self._limits.answer_ms)
+        except StoreUnavailableError as error:
+            _LOGGER.warning("newer configuration cannot be read", extra={"error": str(error)})
+            return
+        finally:
+            self._is_refreshing = False
+        self._apply_configuration(page.configuration, self._describe_read(page, sent_at))
+
     async def _read_once(self) -> None:
         offset = self._offset
         # A read that does not wait confirms the view soonest after failed reads.
@@ -69,7 +88,7 @@
         page = await self._read_page(offset, wait_ms)
         evacuated = set() if offset is None else set(self._evacuated)
         self._offset = page.next_offset
-        read = self._describe_read(page)
+        read = self._describe_read(page, self._read_sent_at)
         self._record_lateness(read, wait_ms)
         self._count_faults(page)
         self._confirm_view(page, page.next_offset == offset, wait_ms)
@@ -98,12 +117,12 @@
             limit.handle_answer(self._clock.now() - self._read_sent_at - wait_ms)
         return page
 
-    def _describe_read(self, page: ConfigPage) -> dict[str, Any]:
-        """Return the log fields of the read that was just answered."""
+    def _describe_read(self, page: ConfigPage, sent_at: int) -> dict[str, Any]:
+        """Return the log fields of a read that was just answered."""
         now = self._clock.now()
         return {
             "offset": page.next_offset,
-            "read_ms": now - self._read_sent_at,
+            "read_ms": now - sent_at,
             "view_age_ms": self.view.compute_age_ms(now),
             "channel": None if page.channel is None else asdict(page.channel),
         }
--- a/packages/daemon/src/quetzallock_daemon/cells/messages.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/messages.py
@@ -81,8 +81,10 @@
         outcome: `accepted`, a job's state, `counted`, `alive`, `noted` or `unknown`. `not_owner`:
             the request was not processed. `refused`: no job can be accepted, as the store is
             unavailable. `overloaded`: no job can be accepted, as the owner is late with all work.
+            `removed`: the job's queue is no longer there.
             `unsettled`: the request may have been processed or not. `unproved`: the owner cannot
-            answer now, as its ownership was not confirmed recently or the job is not durable yet.
+            answer now, as its ownership was not confirmed recently, the job is not durable yet or
+            it does not apply the configuration of the submission yet.
             `process`: answer to `ProcessProbe`.
         count: Number of pending jobs, in the answer to `CountPendingRequest`; ms since the start of
             the process, in the answer `process`.
--- a/packages/daemon/src/quetzallock_daemon/cells/owner.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/owner.py
@@ -169,6 +169,10 @@
         self.cell.restore(contents)
         self.run_effects()
 
+    def has_job(self, job: str) -> bool:
+        """Return whether a job of this id is known."""
+        return job in self.cell.state.jobs
+
     def pause(self, ms: int) -> "Deferred[None]":
         """Return a deferred that fires after `ms` milliseconds."""
         return sleep(self._reactor, ms)
--- a/packages/daemon/src/quetzallock_daemon/cells/ports.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/ports.py
@@ -88,6 +88,10 @@
         )
         return max(matching, key=lambda queue: len(queue.path_prefix), default=None)
 
+    def has_queue(self, name: str) -> bool:
+        """Return whether there is a queue of that name."""
+        return any(queue.policy.queue == name for queue in self.queues)
+
 
 @dataclass(frozen=True, slots=True)
 class EntryChange:
--- a/packages/daemon/src/quetzallock_daemon/cells/router.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/router.py
@@ -191,6 +191,8 @@
             return CallerAnswer(200, state=answer.state or "queued")
         if may_have_run:
             return CallerAnswer(504, code="outcome_unknown")
+        if answer.outcome == "removed":
+            return CallerAnswer(404, code="no_such_queue")
         if answer.outcome == "refused":
             return make_refusal("store_away", STORE_RETRY_AFTER_S)
         if answer.outcome == "overloaded":
--- a/packages/daemon/src/quetzallock_daemon/cells/service.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/service.py
@@ -23,13 +23,21 @@
 from .followers import EntriesFollower
 from .front import FrontState, ReadRequest, make_caller_factory, make_page_factory
 from .membership import Member, MembershipTask, OwnersTask, StoreContact
-from .messages import AssignmentNotice, OwnerAnswer, OwnerRequest, PeerRequest, ProcessProbe
+from .messages import (
+    AssignmentNotice,
+    OwnerAnswer,
+    OwnerRequest,
+    PeerRequest,
+    ProcessProbe,
+    SubmitJobRequest,
+)
 from .owner import CellOwner
 from .peers import Peers, make_request_factory
 from .ports import Configuration, Membership, RequestLimits, Store, Workers
 from .previous_owner import PreviousOwnerSearch, make_owner_record
 from .read_limits import choose_read_limits
 from .router import CallerAnswer, DecodeJob, Router
+from .submission_gate import SubmissionGate
 
 _LOGGER = logging.getLogger(__name__)
 _MIN_DRAIN_MS: Final = 3_000
@@ -129,6 +137,11 @@
         self._metrics_page.show_configuration(
             lambda: self._configuration_follower.view, self._clock.now
         )
+        self._submission_gate = SubmissionGate(
+            self._clock,
+            self._configuration_follower.refresh,
+            settings.bounds.config_apply_ms // 2,
+        )
         self._entries_follower = EntriesFollower(reactor, store, self._handle_entries)
         self._peers = Peers(reactor, counters)
         self.router = Router(
@@ -192,6 +205,7 @@
 
     def _handle_configuration(self, configuration: Configuration) -> None:
         self.router.configuration = configuration
+        self._submission_gate.handle_applied(configuration)
         self._front.limits = configuration.limits
 
     def _handle_evacuations(self, data_centres: frozenset[str], confirmed_at: int) -> None:
@@ -325,8 +339,24 @@
         if owner is None or owner.is_handing_over:
             reply(OwnerAnswer(request.ticket, "not_owner"))
             return
+        refusal = self._find_refusal(owner, request)
+        if refusal:
+            self._counters[f"submissions.{refusal}"] += 1
+            reply(OwnerAnswer(request.ticket, refusal))
+            return
         owner.handle_request(request, reply)
 
+    def _find_refusal(self, owner: CellOwner, request: OwnerRequest) -> str:
+        """Return why the version of a submission forbids to accept it, or an empty string.
+
+        A job that is known stays accepted.
+        """
+        if not isinstance(request, SubmitJobRequest) or not owner.is_active:
+            return ""
+        if owner.has_job(request.spec.job):
+            return ""
+        return self._submission_gate.find_refusal(request.policy)
+
     def drain(self) -> "Deferred[None]":
         """Report as not ready, hand over the cells and leave the group.
 
