Do not deny a route while the configuration is not confirmed in time

What callers saw: a route that had been added was answered with 404 by a host that could not read the configuration, and callers take that for final, though other hosts served the route.

Cause: a host answered by whatever version it had, however long ago that was confirmed.

Why it works: where no route matches and the view is older than configApplyMs, the answer is 503 with Retry-After and the code configuration_unconfirmed; the request has not run. In calm the view is at most a read's wait old, so that an unknown route is still denied at once.

--- a/packages/daemon/src/quetzallock_daemon/cells/router.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/router.py
@@ -105,9 +105,11 @@
         counters: Counter[str],
         observe: Callable[[str, float], None],
         is_store_lost: Callable[[], bool],
+        is_configuration_current: Callable[[], bool],
     ) -> None:
         self._observe = observe
         self._is_store_lost = is_store_lost
+        self._is_configuration_current = is_configuration_current
         self._reactor = reactor
         self._cells = cells
         self._own_address = own_address
@@ -156,7 +158,7 @@
     ) -> CallerAnswer:
         queue = configuration.find_queue(request.host, request.path)
         if queue is None:
-            return CallerAnswer(404, code="no_such_queue")
+            return self._make_unknown_queue_answer()
         job = request.path[len(queue.path_prefix) :]
         until = started_at + max(0, request.deadline_ms - ANSWER_MARGIN_MS)
         if not job:
@@ -176,6 +178,15 @@
             return _make_state_answer((await self._call_owner(owner_request, until))[0])
         return CallerAnswer(405, code="method_not_allowed")
 
+    def _make_unknown_queue_answer(self) -> CallerAnswer:
+        """Return the answer to a request that no queue matches.
+
+        While the configuration is not confirmed in time, the queue may have been added since.
+        """
+        if self._is_configuration_current():
+            return CallerAnswer(404, code="no_such_queue")
+        return make_refusal("configuration_unconfirmed")
+
     async def _submit(
         self, request: CallerRequest, queue: Queue, job: str, until: int
     ) -> CallerAnswer:
--- a/packages/daemon/src/quetzallock_daemon/cells/service.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/service.py
@@ -155,6 +155,7 @@
             counters,
             self._metrics_page.observe,
             contact.is_lost,
+            self._is_configuration_current,
         )
         self._candidacy = CandidacyTask(
             reactor,
@@ -203,6 +204,11 @@
         is_ready = self.router.configuration is not None and not self._is_draining
         return (200, b"ready\n") if is_ready else (503, b"not ready\n")
 
+    def _is_configuration_current(self) -> bool:
+        """Return whether the configuration was confirmed within its bound."""
+        age_ms = self._configuration_follower.view.compute_age_ms(self._clock.now())
+        return age_ms is not None and age_ms <= self._settings.bounds.config_apply_ms
+
     def _handle_configuration(self, configuration: Configuration) -> None:
         self.router.configuration = configuration
         self._submission_gate.handle_applied(configuration)
--- a/tests/daemon/test_overload.py
+++ b/tests/daemon/test_overload.py
@@ -83,6 +83,7 @@
         Counter(),
         lambda *_: None,
         lambda: False,
+        lambda: True,
     )
     queue = Queue("host", "/queue/", 0, POLICY)
     router.configuration = Configuration(1, (queue,), RequestLimits())
