Judge in the soak by which version of the configuration hosts answer

The soak published versions, but all had the same route and no caller asked by which version a host serves, so that a late or older version went unseen.

A prober per host asks for routes just added, just removed and never there, on kept connections, and a publisher writes versions at random times and where faults begin and end. The checks hold both sentences of the rule: a version is in force 2,000 ms after its acknowledgement on a host in touch, and none returns to an older one in a boot, in touch or not. Disturbances are recorded by host; faults elsewhere excuse nothing. Short silences of the links to the store, with a version at their end, come during the faults and, under load, after them. All of it draws from generators of its own, so recorded seeds keep their draws.

--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -16,8 +16,11 @@
 from ..platform.processes import EntryHost
 from .proxy import Proxy
 
+Span = tuple[float, float]
+
 READY_TIMEOUT_MS: Final = 20_000
 CALL_TIMEOUT_MS: Final = 3_000
+DISTURBING_SIGNALS: Final = (signal.SIGKILL, signal.SIGTERM, signal.SIGSTOP)
 _POLL_INTERVAL_MS: Final = 100
 
 
@@ -26,10 +29,33 @@
     return time.monotonic() * 1_000
 
 
+class Disturbances:
+    """Begin and end of each time that one thing is disturbed; infinity until it has ended."""
+
+    def __init__(self) -> None:
+        self.spans: list[Span] = []
+
+    def begin(self) -> None:
+        """Record that a disturbance begins, unless one lasts."""
+        if not self._is_open():
+            self.spans.append((now_ms(), float("inf")))
+
+    def end(self) -> None:
+        """Record that the disturbance ends, if one lasts."""
+        if self._is_open():
+            self.spans[-1] = (self.spans[-1][0], now_ms())
+
+    def _is_open(self) -> bool:
+        return bool(self.spans) and self.spans[-1][1] == float("inf")
+
+
 class Host(EntryHost):
     """An entry host that reaches the store through its own proxy.
 
     Attributes:
+        boot: How many times its process was started.
+        process_disturbances: When its process was stopped, suspended or killed until it ran again.
+        link_disturbances: When its connections to the store had a faulty mode.
         has_fault: A fault is being injected into its process; no other may be.
         was_stopped: The test ended the process, or asked it to stop.
     """
@@ -38,18 +64,36 @@
         self.store_proxy = proxy
         self.has_fault = False
         self.was_stopped = True
+        self.boot = 0
+        self.process_disturbances = Disturbances()
+        self.link_disturbances = Disturbances()
         super().__init__(name, folder, proxy.address)
 
     def start(self) -> None:
         """Start the process, which must not end by itself."""
         super().start()
         self.was_stopped = False
+        self.boot += 1
+        self.process_disturbances.begin()
+        self.process_disturbances.end()
 
     def send_signal(self, signal_number: signal.Signals) -> None:
         """Send a signal to the process if it runs."""
         if self.process is not None and self.process.poll() is None:
             self.was_stopped = self.was_stopped or signal_number in (signal.SIGKILL, signal.SIGTERM)
+            if signal_number in DISTURBING_SIGNALS:
+                self.process_disturbances.begin()
             self.process.send_signal(signal_number)
+            if signal_number == signal.SIGCONT:
+                self.process_disturbances.end()
+
+    def set_store_link(self, mode: str, delay_ms: int = 0) -> None:
+        """Set the mode of its connections to the store."""
+        if mode != "open":
+            self.link_disturbances.begin()
+        self.store_proxy.set_mode(mode, delay_ms)
+        if mode == "open":
+            self.link_disturbances.end()
 
     @property
     def is_running(self) -> bool:
@@ -58,12 +102,20 @@
 
 
 class SoakDeployment:
-    """The processes, proxies and HTTP client of one seed; `close` ends the processes."""
+    """The processes, proxies and HTTP client of one seed; `close` ends the processes.
+
+    Attributes:
+        store_disturbances: When the store did not serve all hosts as usual.
+        prefixes: Path prefixes of each version of the configuration that was published by
+            `publish_configuration`, oldest first.
+    """
 
     def __init__(self, reactor: Any, folder: Path, hosts: int, workers: int) -> None:
         self.reactor = reactor
         self.client = HttpClient(reactor, Counter())
         self.findings: list[str] = []
+        self.store_disturbances = Disturbances()
+        self.prefixes: list[tuple[str, ...]] = []
         command = [sys.executable, "-m", "quetzallock_platform_standin.server"]
         self._standin = subprocess.Popen(
             [*command, f"--workers={workers}"], stdout=subprocess.PIPE, cwd=folder
@@ -132,6 +184,34 @@
         answer: dict[str, Any] = json.loads(reply.body)
         return answer
 
+    async def set_store_mode(self, mode: str) -> None:
+        """Set the mode of the store."""
+        if mode != "up":
+            self.store_disturbances.begin()
+        await self.call_standin("mode", mode)
+        if mode == "up":
+            self.store_disturbances.end()
+
+    async def publish_configuration(self) -> int:
+        """Publish the next version of the configuration and return it."""
+        answer = await self.call_standin("configuration", "next")
+        self.prefixes.append(tuple(answer["configuration"]["prefixes"]))
+        return int(answer["configuration"]["version"])
+
+    def list_disturbances(self) -> dict[str, list[Span]]:
+        """Return, by host, when its process, its connections to the store or the store had trouble.
+
+        Changes of the settings, compactions and rebalances are none: a host serves on through them.
+        """
+        return {
+            host.name: [
+                *host.process_disturbances.spans,
+                *host.link_disturbances.spans,
+                *self.store_disturbances.spans,
+            ]
+            for host in self.hosts
+        }
+
     def check_processes(self) -> None:
         """Add a finding for each host that exited by itself or logged an error."""
         for host in self.hosts:
--- a/tests/soak/fault_log.py
+++ b/tests/soak/fault_log.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from .deployment import now_ms
+from .deployment import Span, now_ms
 
 CONTACT_MS: Final = 3_000
 """How long after the last fault has ended hosts and workers may still be out of touch."""
@@ -21,8 +21,6 @@
 )
 """Faults that are planned work: they do not end a calm period."""
 
-Span = tuple[float, float]
-
 
 @dataclass(slots=True)
 class FaultLog:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -101,10 +101,10 @@
 @register
 async def trouble_store_link(deployment: SoakDeployment, rng: Random) -> None:
     """Set a faulty mode on the connections of one host to the store."""
-    proxy = rng.choice(deployment.hosts).store_proxy
-    proxy.set_mode(rng.choice(MODES[1:]), rng.randrange(50, 800))
+    host = rng.choice(deployment.hosts)
+    host.set_store_link(rng.choice(MODES[1:]), rng.randrange(50, 800))
     await sleep(deployment.reactor, draw_duration_ms(rng))
-    proxy.set_mode("open")
+    host.set_store_link("open")
 
 
 @register
@@ -122,9 +122,9 @@
 @register
 async def trouble_store(deployment: SoakDeployment, rng: Random) -> None:
     """Make the store refuse calls, not answer, answer slowly or lose answers."""
-    await deployment.call_standin("mode", rng.choice(("down", "mute", "slow", "lossy")))
+    await deployment.set_store_mode(rng.choice(("down", "mute", "slow", "lossy")))
     await sleep(deployment.reactor, draw_duration_ms(rng))
-    await deployment.call_standin("mode", "up")
+    await deployment.set_store_mode("up")
 
 
 @register
@@ -151,7 +151,7 @@
 @register
 async def change_configuration(deployment: SoakDeployment, rng: Random) -> None:
     """Publish the next version of the configuration."""
-    await deployment.call_standin("configuration", "next")
+    await deployment.publish_configuration()
 
 
 async def inject_faults(
@@ -175,13 +175,12 @@
 
 async def heal(deployment: SoakDeployment) -> None:
     """Remove all faults and wait until all hosts are ready."""
-    await deployment.call_standin("mode", "up")
+    await deployment.set_store_mode("up")
     await deployment.call_standin("orders", "0")
-    for proxy in [
-        *deployment.worker_proxies.values(),
-        *(host.store_proxy for host in deployment.hosts),
-    ]:
+    for proxy in deployment.worker_proxies.values():
         proxy.set_mode("open")
+    for host in deployment.hosts:
+        host.set_store_link("open")
     for host in deployment.hosts:
         if not host.is_running:
             host.start()
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -19,6 +19,9 @@
 from .cancel_checks import list_cancel_findings
 from .cancellers import Canceller
 from .checks import list_accepted_findings, list_findings
+from .config_checks import list_config_findings
+from .config_faults import inject_silences, silence_in_calm
+from .config_probers import ConfigProbing
 from .deployment import SoakDeployment, now_ms
 from .fault_log import FaultLog
 from .faults import heal, inject_faults
@@ -45,21 +48,29 @@
     Faults are injected for `seconds` s and removed; after the recovery some courses have planned
     work, and callers cancel jobs.
     """
-    rng = Random(seed)
+    rng, silence_rng = Random(seed), Random(f"silences {seed}")
     with log.record("start of the processes"):
         await deployment.prepare()
     await sleep(reactor, SETTLE_PAUSE_MS)
-    callers, cancellers = await _inject_faults(deployment, rng, seconds, log)
+    probing = ConfigProbing(deployment, seed, log)
+    probing.start()
+    callers, cancellers = await _inject_faults(deployment, rng, silence_rng, seconds, log)
     end_rng, restart_rng = Random(rng.random()), Random(rng.random())
     restart_cancellers = _make_cancellers(deployment, restart_rng, len(callers) + len(cancellers))
     with log.record("removal of all faults"):
         await heal(deployment)
+    everyone = [*callers, *cancellers, *restart_cancellers]
+    everyone += await silence_in_calm(deployment, silence_rng, len(everyone), log)
     healed_at = now_ms()
     await acknowledge_cancellations([*callers, *cancellers])
-    everyone = [*callers, *cancellers, *restart_cancellers]
     await wait_for_final_states(deployment, everyone, healed_at)
     jobs = [job for caller in everyone for job in caller.jobs]
-    findings = list_accepted_findings(jobs, await deployment.call_standin("record"))
+    probes = await probing.stop()
+    record = await deployment.call_standin("record")
+    findings = list_accepted_findings(jobs, record)
+    findings += list_config_findings(
+        probes, record["configurations"], deployment.list_disturbances()
+    )
     flood = await do_planned_work(deployment, seed, seconds, len(everyone), log)
     if flood:
         everyone += flood
@@ -70,7 +81,7 @@
 
 
 async def _inject_faults(
-    deployment: SoakDeployment, rng: Random, seconds: float, log: FaultLog
+    deployment: SoakDeployment, rng: Random, silence_rng: Random, seconds: float, log: FaultLog
 ) -> tuple[list[Caller], list[Canceller]]:
     """Let callers work under faults, and return them."""
     began_at = now_ms()
@@ -87,6 +98,7 @@
     order_rng = Random(rng.random())
     tasks.append(run_coroutine(inject_order_faults(deployment, order_rng, until, log, quiet)))
     tasks.append(run_coroutine(cancel_lasting_jobs(deployment, callers, quiet)))
+    tasks.append(run_coroutine(inject_silences(deployment, silence_rng, until, log, quiet)))
     await gatherResults(tasks, consumeErrors=True)
     return callers, cancellers
 
