Let the soak mute the store for a moment, with a version at the end

A store that takes calls and answers none for a short time leaves a waiting read that ends by its time limit, longer than the hosts may be late.

--- a/tests/soak/config_faults.py
+++ b/tests/soak/config_faults.py
@@ -18,7 +18,7 @@
 from .faults import wait_for_end
 
 SILENCE_MS: Final = (100, 800)
-MAX_GAP_MS: Final = 8_000
+MAX_GAP_MS: Final = 6_000
 ALL_HOSTS_SHARE: Final = 0.5
 CALM_MS: Final = CONTACT_MS + CONFIG_APPLY_MS + 1_000
 """Time after a silence in which a version that comes too late is seen."""
@@ -41,8 +41,21 @@
         await sleep(deployment.reactor, rng.randrange(*SILENCE_MS))
         for host in hosts:
             host.set_store_link("open")
-        version = await deployment.publish_configuration()
-        log.add(f"version {version} is published")
+        await _publish(deployment, log)
+
+
+async def mute_store(deployment: SoakDeployment, rng: Random, log: FaultLog) -> None:
+    """Let the store take calls and answer none, and publish a version."""
+    with log.record("mute_store"):
+        await deployment.set_store_mode("mute")
+        await sleep(deployment.reactor, rng.randrange(*SILENCE_MS))
+        await deployment.set_store_mode("up")
+        await _publish(deployment, log)
+
+
+async def _publish(deployment: SoakDeployment, log: FaultLog) -> None:
+    version = await deployment.publish_configuration()
+    log.add(f"version {version} is published")
 
 
 async def inject_silences(
@@ -52,7 +65,8 @@
     while now_ms() < until:
         await sleep(deployment.reactor, rng.randrange(MAX_GAP_MS))
         await wait_for_end(deployment, quiet)
-        await silence_store_links(deployment, rng, log)
+        if now_ms() < until:
+            await silence_store_links(deployment, rng, log)
 
 
 class Submitter(Caller):
@@ -70,7 +84,7 @@
 async def silence_in_calm(
     deployment: SoakDeployment, rng: Random, first_caller: int, log: FaultLog
 ) -> list[Caller]:
-    """Silence links some times under load, and leave the hosts in touch after each.
+    """Silence links or the store some times under load, and leave the hosts in touch after each.
 
     Returns:
         The callers, numbered from `first_caller`.
@@ -83,6 +97,7 @@
         until = now_ms() + LOAD_MS + SILENCE_MS[1] + CALM_MS
         tasks = [run_coroutine(caller.run(until)) for caller in callers]
         await sleep(deployment.reactor, LOAD_MS)
-        await silence_store_links(deployment, rng, log)
+        fault = rng.choice((silence_store_links, silence_store_links, mute_store))
+        await fault(deployment, rng, log)
         await gatherResults(tasks, consumeErrors=True)
     return list(callers)
