--- a/tests/platform/test_configuration_records.py
+++ b/tests/platform/test_configuration_records.py
@@ -11,7 +11,7 @@
 from quetzallock_platform.store import CONFIG_TOPIC
 from quetzallock_platform_standin.store import Partition
 
-from .emulated_network import EmulatedNetwork
+from ..emulated_network import EmulatedNetwork
 from .test_records import ROUTE
 
 APPLY_MS: Final = 2_000
--- a/tests/platform/test_silent_connections.py
+++ b/tests/platform/test_silent_connections.py
@@ -20,7 +20,7 @@
 from quetzallock_platform.store import CELLS_TOPIC, ENTRIES_TOPIC, GROUP
 from quetzallock_platform.workers import PlatformWorkers
 
-from .emulated_network import CALL_MS, EmulatedNetwork, EmulatedTransport
+from ..emulated_network import CALL_MS, EmulatedNetwork, EmulatedTransport
 from .test_records import ENTRY
 
 CONTACT_MS: Final = 3_000
