Let an answer with records end the time limit of an outage too

Callers saw a confirmed version late where a short trouble followed on an outage: only an answer without records lowered the time limit of the configuration's reads again. Where the first read after the outage brought a version, the next one kept the limit of 2 s beside its wait of 1 s, 3.15 s up to the repeat.

An answer with records now lowers the limit to twice its time. It never raises it, as its time includes the wait and the slowness of the link.

Emulated, silent for 6 s, then for a moment as the next read has been sent: the version was not in force 2 s after its ack before the change, and is with it (test_configuration_reads).

--- a/packages/daemon/src/quetzallock_daemon/cells/configuration_follower.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/configuration_follower.py
@@ -112,9 +112,12 @@
             if not isinstance(error, StoreRefusedError):
                 limit.handle_no_answer()
             raise
+        took_ms = self._clock.now() - self._read_sent_at
         if page.next_offset == offset:
             # Only an answer without records tells how slow the store is rather than the link.
-            limit.handle_answer(self._clock.now() - self._read_sent_at - wait_ms)
+            limit.handle_answer(took_ms - wait_ms)
+        else:
+            limit.handle_records(took_ms)
         return page
 
     def _describe_read(self, page: ConfigPage, sent_at: int) -> dict[str, Any]:
--- a/packages/daemon/src/quetzallock_daemon/cells/read_limits.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/read_limits.py
@@ -57,6 +57,13 @@
         """Record how long an answer took, without the wait for changes."""
         self.current_ms = min(max(2 * took_ms, self._min_ms), READ_TIMEOUT_MS)
 
+    def handle_records(self, took_ms: int) -> None:
+        """Record how long an answer with records took, with the wait for them.
+
+        It never raises the limit, since both the wait and a slow link add to the time.
+        """
+        self.current_ms = min(self.current_ms, max(2 * took_ms, self._min_ms))
+
     def handle_no_answer(self) -> None:
         """Record a call without an answer."""
         self.current_ms = min(2 * self.current_ms, READ_TIMEOUT_MS)
--- a/tests/daemon/test_read_limits.py
+++ b/tests/daemon/test_read_limits.py
@@ -32,3 +32,18 @@
     assert limit.current_ms == READ_TIMEOUT_MS
     limit.handle_answer(4)
     assert limit.current_ms == 500
+
+
+def test_fast_answers_with_records_lower_the_limit_too() -> None:
+    """Guards against the limit of an outage in which one silent read after it is over the bound."""
+    limit = AnswerTimeLimit(500)
+    for _ in range(3):
+        limit.handle_no_answer()
+    limit.handle_records(4)
+    assert limit.current_ms == 500
+
+
+def test_answers_that_bring_many_records_do_not_raise_the_limit() -> None:
+    limit = AnswerTimeLimit(500)
+    limit.handle_records(1_100)
+    assert limit.current_ms == 500
--- a/tests/platform/test_configuration_reads.py
+++ b/tests/platform/test_configuration_reads.py
@@ -64,3 +64,22 @@
     host.publish(2)
     host.network.run(CONFIG_APPLY_MS)
     assert host.versions == [1, 2]
+
+
+def test_version_is_in_force_in_time_after_a_short_trouble_that_follows_on_an_outage(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a read with the time limit of the outage, after a read that had records."""
+    host = FollowingHost(monkeypatch, 0)
+    for _ in range(2 * CONTACT_MS):
+        host.network.silence_open_connections()
+        host.network.run(1)
+    host.publish(2)
+    while host.versions == [1]:
+        host.network.run(1)
+    host.wait_for_next_read()
+    host.network.silence_open_connections()
+    host.network.run(CONTACT_MS - CONFIG_APPLY_MS)
+    host.publish(3)
+    host.network.run(CONFIG_APPLY_MS)
+    assert host.versions == [1, 2, 3]
