Hold jobs of a newer version back until the owner has read the configuration

Callers saw an older version after a newer one: an owner without reads of the configuration for a second accepted jobs of routes that a router had submitted under a newer version, started their tasks, and went on answering its own callers by the older one until its next read was answered. The time limit stands for a version that the owner cannot use, but also ran while the owner could not read it; and once it was over, it held back no later version either.

The limit now ends only once the host has read the configuration up to a time after it first knew of that version, since then it would apply it if it could; and each version has a limit of its own.

--- a/packages/daemon/src/quetzallock_daemon/cells/service.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/service.py
@@ -141,6 +141,7 @@
             self._clock,
             self._configuration_follower.refresh,
             settings.bounds.config_apply_ms // 2,
+            self._is_configuration_confirmed_since,
         )
         self._entries_follower = EntriesFollower(reactor, store, self._handle_entries)
         self._peers = Peers(reactor, counters)
@@ -209,6 +210,11 @@
         age_ms = self._configuration_follower.view.compute_age_ms(self._clock.now())
         return age_ms is not None and age_ms <= self._settings.bounds.config_apply_ms
 
+    def _is_configuration_confirmed_since(self, at: int) -> bool:
+        """Return whether all versions that were in the store at `at` are known."""
+        confirmed_at = self._configuration_follower.view.confirmed_at
+        return confirmed_at is not None and confirmed_at >= at
+
     def _handle_configuration(self, configuration: Configuration) -> None:
         self.router.configuration = configuration
         self._submission_gate.handle_applied(configuration)
--- a/packages/daemon/src/quetzallock_daemon/cells/submission_gate.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/submission_gate.py
@@ -22,22 +22,35 @@
     Args:
         clock: Local clock.
         refresh: Reads the configuration now.
-        max_hold_ms: How long jobs of a newer version are held back at most, as the owner may be
-            unable to use that version.
+        max_hold_ms: How long jobs of a newer version are held back while the configuration can be
+            read, as the owner may be unable to use that version.
+        is_confirmed_since: Tells whether this host knows all versions that were in the store at a
+            time. Until then it may just not have read that version.
     """
 
-    def __init__(self, clock: Clock, refresh: Callable[[], None], max_hold_ms: int) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        refresh: Callable[[], None],
+        max_hold_ms: int,
+        is_confirmed_since: Callable[[int], bool],
+    ) -> None:
         self._clock = clock
         self._refresh = refresh
         self._max_hold_ms = max_hold_ms
+        self._is_confirmed_since = is_confirmed_since
         self._configuration: Configuration | None = None
-        self._behind_since: int | None = None
+        self._known_since: dict[int, int] = {}
         self._refreshed_at = 0
 
     def handle_applied(self, configuration: Configuration) -> None:
         """Record the configuration that this host applies from now on."""
         self._configuration = configuration
-        self._behind_since = None
+        self._known_since = {
+            version: since
+            for version, since in self._known_since.items()
+            if version > configuration.version
+        }
 
     def find_refusal(self, policy: QueuePolicy) -> str:
         """Return why a new job may not be accepted, or an empty string.
@@ -59,8 +72,8 @@
 
     def _holds_back(self, version: int, applied_version: int) -> bool:
         now = self._clock.now()
-        if self._behind_since is None:
-            self._behind_since = now
+        if version not in self._known_since:
+            self._known_since[version] = now
             _LOGGER.info(
                 "newer configuration is known from a router",
                 extra={"version": version, "applied": applied_version},
@@ -68,4 +81,5 @@
         if now - self._refreshed_at >= STORE_RETRY_PAUSE_MS:
             self._refreshed_at = now
             self._refresh()
-        return now - self._behind_since < self._max_hold_ms
+        since = self._known_since[version]
+        return now - since < self._max_hold_ms or not self._is_confirmed_since(since)
--- a/tests/daemon/test_submission_gate.py
+++ b/tests/daemon/test_submission_gate.py
@@ -18,12 +18,17 @@
 
 
 class CountedGate:
-    """A gate whose host applies version 5 with the queue `kept`; counts the reads it asks for."""
+    """A gate whose host applies version 5 with the queue `kept`; counts the reads it asks for.
+
+    Attributes:
+        is_read: The host reads the configuration up to its newest version all the time.
+    """
 
     def __init__(self) -> None:
         self.clock = ManualClock(10_000)
         self.reads = 0
-        self.gate = SubmissionGate(self.clock, self._read, MAX_HOLD_MS)
+        self.is_read = True
+        self.gate = SubmissionGate(self.clock, self._read, MAX_HOLD_MS, lambda _: self.is_read)
         self.gate.handle_applied(make_configuration(5, ("/kept/",)))
 
     def _read(self) -> None:
@@ -58,6 +63,26 @@
     assert refusals == ["unproved"] * 10 + ["", ""]
 
 
+def test_submission_is_held_back_for_as_long_as_the_configuration_is_not_read() -> None:
+    """Guards against a host without reads that starts jobs of a version which it cannot know."""
+    host = CountedGate()
+    host.is_read = False
+    host.submit("added", 6)
+    host.clock.advance(2 * MAX_HOLD_MS)
+    assert host.submit("added", 6) == "unproved"
+    host.is_read = True
+    assert host.submit("added", 6) == ""
+
+
+def test_each_version_that_the_owner_does_not_know_is_held_back() -> None:
+    """Guards against jobs of a version that is accepted since an earlier one was unusable."""
+    host = CountedGate()
+    host.submit("added", 6)
+    host.clock.advance(2 * MAX_HOLD_MS)
+    assert host.submit("more", 7) == "unproved"
+    assert host.submit("added", 6) == ""
+
+
 def test_submission_is_accepted_as_soon_as_its_version_is_applied() -> None:
     host = CountedGate()
     host.submit("added", 6)
