--- a/tests/daemon/emulated_hosts.py
+++ b/tests/daemon/emulated_hosts.py
@@ -171,9 +171,9 @@
 
     def add_host(self, name: str, power: int) -> None:
         """Start a host."""
-        reactor = self.reactors[name] = HostReactor(self, name)
+        reactor = self.reactors[name] = self._make_reactor(name)
         reactor.advance(self.now / 1_000)
-        store: Any = EmulatedStore(self, name)
+        store = self._make_store(name)
         unused: Any = SimpleNamespace()
         settings = HostSettings(
             host=name,
@@ -198,6 +198,12 @@
         service = self.services[name] = HostService(reactor, settings, adapters, Counter(), unused)
         service.start()
 
+    def _make_reactor(self, name: str) -> HostReactor:
+        return HostReactor(self, name)
+
+    def _make_store(self, name: str) -> Any:
+        return EmulatedStore(self, name)
+
     @property
     def owner(self) -> str:
         """Name of the host to which the store has assigned the cell."""
@@ -221,13 +227,17 @@
         self._busy_until[name] = max(self._busy_until.get(name, 0), self.now + ms)
 
     def run(self, ms: int) -> None:
-        """Let time pass; each host takes a turn whenever it is not busy."""
+        """Let time pass in steps."""
         until = self.now + ms
         while self.now < until:
             self.now += STEP_MS
-            for name, reactor in self.reactors.items():
-                if self._busy_until.get(name, 0) > self.now:
-                    continue
-                if name == self.last_owner:
-                    self.keep_busy(name, self.owner_turn_ms)
-                reactor.advance(self.now / 1_000 - reactor.seconds())
+            self._step()
+
+    def _step(self) -> None:
+        """Let each host take a turn unless it is busy."""
+        for name, reactor in self.reactors.items():
+            if self._busy_until.get(name, 0) > self.now:
+                continue
+            if name == self.last_owner:
+                self.keep_busy(name, self.owner_turn_ms)
+            reactor.advance(self.now / 1_000 - reactor.seconds())
