--- a/packages/daemon/src/quetzallock_daemon/transport/__init__.py
+++ b/packages/daemon/src/quetzallock_daemon/transport/__init__.py
@@ -1,7 +1,9 @@
 """Keep-alive HTTP/1.1 client with few event-loop wake-ups, built on the httptools parser."""
 
+from .calls import Reply
 from .channel import Channel
-from .client import CallFailedError, HttpClient, NotConnectedError, Reply, build_request
+from .client import HttpClient, build_request
+from .errors import CallFailedError, NotConnectedError
 
 __all__ = [
     "CallFailedError",
--- a/packages/daemon/src/quetzallock_daemon/transport/client.py
+++ b/packages/daemon/src/quetzallock_daemon/transport/client.py
@@ -6,10 +6,8 @@
 
 from collections import Counter, defaultdict
 from collections.abc import Callable
-from dataclasses import dataclass
-from heapq import heappop, heappush
-from math import ceil, inf
-from typing import Any, Final, NamedTuple
+from math import ceil
+from typing import Any, Final
 
 import httptools
 from twisted.internet.defer import Deferred
@@ -17,126 +15,15 @@
 from twisted.internet.protocol import ClientFactory, Protocol, connectionDone
 from twisted.python.failure import Failure
 
-from quetzallock_core.exceptions import QuetzallockError
-
+from .calls import Call, Reply, TimeLimits
 from .channel import ChannelRecord
+from .errors import CallFailedError, NotConnectedError
 
 CONNECT_TIMEOUT_MS: Final = 1_000
 MAX_IDLE_PER_ADDRESS: Final = 8
 _MS_PER_S: Final = 1_000
 
 
-class CallFailedError(QuetzallockError):
-    """A call got no complete answer; it may have been executed."""
-
-    code = "call_failed"
-
-
-class NotConnectedError(CallFailedError):
-    """No connection could be established; the call was never sent."""
-
-    code = "not_connected"
-
-
-class Reply(NamedTuple):
-    """A complete answer.
-
-    A tuple, since a busy owner reads thousands of answers in a second.
-
-    Attributes:
-        status: Status code.
-        body: Body.
-        channel: Record of the connection that carried it; None if no `HttpClient` received it.
-    """
-
-    status: int
-    body: bytes
-    channel: ChannelRecord | None = None
-
-
-@dataclass(slots=True)
-class _Call:
-    """A call in flight.
-
-    Attributes:
-        address: `ip:port` that it is sent to.
-        request: Its bytes; empty once they were sent, as the call is kept until its time limit.
-        result: Fires with the answer.
-        wait_s: How long the server may keep it open before it answers.
-        silence_s: How long nothing may arrive once its answer is due; None without such a limit.
-        ends_s: When it times out, however much has arrived.
-        connection: The connection that carries it; None before it was sent.
-        due_s: When its answer is due.
-        heard_s: When a part of its answer last arrived; only recorded for `silence_s`.
-    """
-
-    address: str
-    request: bytes
-    result: "Deferred[Reply]"
-    wait_s: float
-    silence_s: float | None
-    ends_s: float
-    connection: "Connection | None" = None
-    due_s: float = 0.0
-    heard_s: float = -inf
-
-
-class _TimeLimits:
-    """Times out calls, with one timer of the reactor for all of them.
-
-    The reactor keeps cancelled timers until they are due or outnumber the others, and compares its
-    timers in Python. At hundreds of calls a second, a timer for each would take more of the
-    processor than their heap here, which drops answered calls when they are due.
-    """
-
-    def __init__(self, reactor: Any, time_out: Callable[[_Call], None]) -> None:
-        self._reactor = reactor
-        self._time_out = time_out
-        self._calls: list[tuple[float, int, _Call]] = []
-        self._last_number = 0
-        self._timer: Any = None
-        self._timer_due_s = inf
-
-    def add(self, call: _Call, timeout_ms: int) -> None:
-        """Let `call` time out after `timeout_ms` milliseconds, unless it is over by then."""
-        due_s = self._reactor.seconds() + timeout_ms / 1_000
-        self._last_number += 1
-        heappush(self._calls, (due_s, self._last_number, call))
-        if due_s < self._timer_due_s:
-            self._set_timer(due_s)
-
-    def _set_timer(self, due_s: float) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-        self._timer_due_s = due_s
-        delay_s = max(0.0, due_s - self._reactor.seconds())
-        self._timer = self._reactor.callLater(delay_s, self._wait_for_input)
-
-    def _wait_for_input(self) -> None:
-        """Time out the calls that are due, after the input that has arrived by now.
-
-        On a busy host the timer fires while answers that came in time are still unread. One turn of
-        the reactor later they are read.
-        """
-        now_s = max(self._timer_due_s, self._reactor.seconds())
-        due = []
-        while self._calls and (self._calls[0][0] <= now_s or self._calls[0][2].result.called):
-            call = heappop(self._calls)[2]
-            if not call.result.called:
-                due.append(call)
-        if due:
-            self._reactor.callLater(0, self._time_out_unanswered, due)
-        self._timer = None
-        self._timer_due_s = inf
-        if self._calls:
-            self._set_timer(self._calls[0][0])
-
-    def _time_out_unanswered(self, calls: list[_Call]) -> None:
-        for call in calls:
-            if not call.result.called:
-                self._time_out(call)
-
-
 class Connection(Protocol):
     """A connection; it returns itself to the pool of its client after each answer."""
 
@@ -145,7 +32,7 @@
         self._address = address
         self._parser: Any = None
         self._body: list[bytes] = []
-        self._call: _Call | None = None
+        self._call: Call | None = None
         self.channel = client.make_channel_record()
 
     def connectionMade(self) -> None:  # noqa: N802
@@ -153,7 +40,7 @@
         transport: Any = self.transport
         transport.setTcpNoDelay(True)
 
-    def send(self, call: _Call, is_reused: bool = False) -> None:
+    def send(self, call: Call, is_reused: bool = False) -> None:
         """Send `call`, whose deferred fires with the answer."""
         transport: Any = self.transport
         now_s = self._client.read_seconds()
@@ -214,7 +101,7 @@
 class _ConnectionFactory(ClientFactory):
     noisy = False
 
-    def __init__(self, client: "HttpClient", address: str, call: _Call) -> None:
+    def __init__(self, client: "HttpClient", address: str, call: Call) -> None:
         self._client = client
         self._address = address
         self._call = call
@@ -230,7 +117,7 @@
 class _NewConnection(Connection):
     """A connection that sends its first call as soon as it is established."""
 
-    def __init__(self, client: "HttpClient", address: str, call: _Call) -> None:
+    def __init__(self, client: "HttpClient", address: str, call: Call) -> None:
         super().__init__(client, address)
         self._first_call = call
 
@@ -252,7 +139,7 @@
         self._last_channel = 0
         self.read_seconds: Callable[[], float] = reactor.seconds
         self._idle: defaultdict[str, list[Connection]] = defaultdict(list)
-        self._time_limits = _TimeLimits(reactor, self._handle_timeout)
+        self._time_limits = TimeLimits(reactor, self._handle_timeout)
 
     def make_channel_record(self) -> ChannelRecord:
         """Return the record of a connection that is established now."""
@@ -282,7 +169,7 @@
                 longer. None for no limit but `timeout_ms`.
         """
         limit_ms = timeout_ms if silence_ms is None else min(timeout_ms, wait_ms + silence_ms)
-        call = _Call(
+        call = Call(
             address,
             request,
             Deferred(),
@@ -299,7 +186,7 @@
             self._connect(address, call, timeout_ms)
         return call.result
 
-    def _connect(self, address: str, call: _Call, timeout_ms: int) -> None:
+    def _connect(self, address: str, call: Call, timeout_ms: int) -> None:
         ip, _, port = address.rpartition(":")
         factory = _ConnectionFactory(self, address, call)
         timeout = min(timeout_ms, CONNECT_TIMEOUT_MS) / 1_000
@@ -309,7 +196,7 @@
         except (ConnectError, ValueError, OverflowError) as error:
             self.fail_call(call, NotConnectedError(f"{address}: {error}"))
 
-    def _handle_timeout(self, call: _Call) -> None:
+    def _handle_timeout(self, call: Call) -> None:
         left_s = self._compute_time_left(call)
         if left_s > 0:
             self._time_limits.add(call, ceil(left_s * _MS_PER_S))
@@ -343,7 +230,7 @@
         if idle and connection in idle:
             idle.remove(connection)
 
-    def _compute_time_left(self, call: _Call) -> float:
+    def _compute_time_left(self, call: Call) -> float:
         """Return for how many seconds a call may go on, as its answer is arriving."""
         if call.silence_s is None:
             return 0.0
@@ -365,12 +252,12 @@
         for connection in self._idle.pop(address, []):
             connection.abort()
 
-    def finish_call(self, call: _Call, reply: Reply) -> None:
+    def finish_call(self, call: Call, reply: Reply) -> None:
         """Fire the deferred of a call with its answer."""
         if not call.result.called:
             call.result.callback(reply)
 
-    def fail_call(self, call: _Call, error: CallFailedError) -> None:
+    def fail_call(self, call: Call, error: CallFailedError) -> None:
         """Fail the deferred of a call with an error."""
         if not call.result.called:
             call.result.errback(error)
