Let a new owner read the configuration if it takes over jobs of a newer version

What callers would see: a host that takes a cell over while its read of the configuration hangs starts tasks of jobs that were accepted under a newer version than it answers its own callers by, for up to the time limit of that read.

Evidence: test_next_owner_soon_applies_the_version_of_the_jobs_that_it_takes_over, by the reviewer; it fails without the change (version 1 still in force 250 ms after the takeover).

--- a/packages/daemon/src/quetzallock_daemon/cells/owner.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/owner.py
@@ -169,6 +169,10 @@
         self.cell.restore(contents)
         self.run_effects()
 
+    def find_newest_version(self) -> int:
+        """Return the newest version of the configuration that a job was accepted under, or 0."""
+        return max((job.policy.version for job in self.cell.state.jobs.values()), default=0)
+
     def has_job(self, job: str) -> bool:
         """Return whether a job of this id is known."""
         return job in self.cell.state.jobs
--- a/packages/daemon/src/quetzallock_daemon/cells/service.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/service.py
@@ -282,6 +282,7 @@
         finally:
             self._membership.handle_loaded(self._clock.now() - started_at)
         run_in_background(self._membership.join())
+        self._catch_up(owner.find_newest_version())
         owner.handle_entries(self._select_entries(owner.number))
         if owner.is_active:
             search = PreviousOwnerSearch(
@@ -289,6 +290,11 @@
             )
             run_in_background(search.run(owner))
 
+    def _catch_up(self, version: int) -> None:
+        """Read the configuration now if this host applies an older version than `version`."""
+        if version > (self._configuration_follower.view.version or 0):
+            self._configuration_follower.refresh()
+
     async def _hand_over(self, owner: CellOwner, reason: str) -> None:
         """Write the last records of a cell, then give it up."""
         if owner.is_handing_over:
