Do not blame a host for a version while it waits for a processor

No fault was near: the machine had not run the process for 3.1 s, which is a freeze, and hosts that froze are not in touch.

The kernel counts the time that a process could have run and did not. The soak samples it for each host, the stand-in and itself (the proxies); a wait of 500 ms or more is a disturbance and a line in the course. Time in which a host blocks itself does not count as a wait, so that is not excused. The bounds are unchanged.

--- a/tests/soak/config_probers.py
+++ b/tests/soak/config_probers.py
@@ -14,6 +14,7 @@
 from .config_checks import Probe
 from .deployment import Host, SoakDeployment, now_ms
 from .fault_log import FaultLog
+from .starvation import SAMPLE_PAUSE_MS, StarvationWatch
 
 PROBE_PAUSE_MS: Final = 120
 PROBE_TIMEOUT_MS: Final = 700
@@ -41,11 +42,12 @@
         self.probes: list[Probe] = []
 
     def start(self) -> None:
-        """Start a prober of each host and the publisher."""
+        """Start a prober of each host, the publisher and the watch over waiting processes."""
         for host in self._deployment.hosts:
             rng = Random(self._rng.random())
             self._tasks.append(run_coroutine(self._probe_host(host, rng)))
         self._tasks.append(run_coroutine(self._publish(Random(self._rng.random()))))
+        self._tasks.append(run_coroutine(self._watch_starvation()))
 
     async def stop(self) -> list[Probe]:
         """Stop, and return the probes."""
@@ -67,6 +69,13 @@
         status = reply.status if reply and boot == host.boot else 0
         self.probes.append(Probe(host.name, boot, prefix, sent_at, status, now_ms()))
 
+    async def _watch_starvation(self) -> None:
+        watch = StarvationWatch(self._deployment, self._log)
+        while self._is_running:
+            watch.sample()
+            await sleep(self._deployment.reactor, SAMPLE_PAUSE_MS)
+        watch.sample()
+
     async def _publish(self, rng: Random) -> None:
         """Publish versions at random times, and when faults begin or end."""
         due_at, seen = 0.0, 0
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -45,6 +45,10 @@
         if self._is_open():
             self.spans[-1] = (self.spans[-1][0], now_ms())
 
+    def add(self, began_at: float) -> None:
+        """Record a disturbance that ends now, beside one that may last."""
+        self.spans.insert(0, (began_at, now_ms()))
+
     def _is_open(self) -> bool:
         return bool(self.spans) and self.spans[-1][1] == float("inf")
 
@@ -128,6 +132,11 @@
             for number in range(hosts)
         ]
 
+    @property
+    def standin_pid(self) -> int:
+        """Process id of the platform stand-in."""
+        return self._standin.pid
+
     async def prepare(self) -> None:
         """Advertise a proxy for each worker and wait until all hosts are ready."""
         for worker, address in (await self.call_standin("workers"))["workers"].items():
--- a/tests/soak/test_config_checks.py
+++ b/tests/soak/test_config_checks.py
@@ -1,5 +1,6 @@
 """Tests of the checks of the configuration: each allowed case beside one that breaks the rule."""
 
+from pathlib import Path
 from random import Random
 
 import pytest
@@ -13,6 +14,7 @@
 from .config_probers import choose_prefixes
 from .deployment import Disturbances
 from .fault_log import CONTACT_MS, Span
+from .starvation import read_wait_ms
 
 JOBS, OLD, NEW = "/jobs/", "/added-1/", "/added-2/"
 ADDED_AT, SWAPPED_AT = 10_000, 20_000
@@ -143,3 +145,21 @@
     disturbances.end()
     ((begin, end),) = disturbances.spans
     assert begin <= end < float("inf")
+
+
+def test_wait_for_a_processor_is_a_disturbance_beside_one_that_lasts() -> None:
+    disturbances = Disturbances()
+    disturbances.begin()
+    disturbances.add(0)
+    disturbances.end()
+    (wait, fault) = disturbances.spans
+    assert wait[0] == 0
+    assert wait[1] < float("inf")
+    assert fault[1] < float("inf")
+
+
+def test_wait_is_read_from_the_kernel_and_an_ended_process_has_none(tmp_path: Path) -> None:
+    (tmp_path / "7").mkdir()
+    (tmp_path / "7" / "schedstat").write_text("9000000 3126000000 12\n")
+    assert read_wait_ms(7, tmp_path) == 3_126
+    assert read_wait_ms(8, tmp_path) == 0
