Read the configuration when loaded jobs are of a newer version

Callers could see an older version after a newer one: a host that took a cell over while its own read was lost started tasks of jobs that its predecessor had accepted under a newer version, and answered its callers by the older one until that read timed out, up to 1.75 s later.

A new owner compares the newest version of the jobs that it loads with its own, and reads at once if it is behind, as it does for submissions. The log line no longer says that a router has told the version.

Emulated, the connection silent on which the next owner's read waits: still on version 1 250 ms after the cell was loaded with a job of version 2 before the change, on version 2 with it (test_held_back_submissions).

--- a/packages/daemon/src/quetzallock_daemon/cells/owner.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/owner.py
@@ -173,6 +173,10 @@
         """Return whether a job of this id is known."""
         return job in self.cell.state.jobs
 
+    def find_newest_version(self) -> int:
+        """Return the newest version of the configuration under which a known job was submitted."""
+        return max((job.policy.version for job in self.cell.state.jobs.values()), default=0)
+
     def pause(self, ms: int) -> "Deferred[None]":
         """Return a deferred that fires after `ms` milliseconds."""
         return sleep(self._reactor, ms)
--- a/packages/daemon/src/quetzallock_daemon/cells/service.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/service.py
@@ -282,6 +282,7 @@
         finally:
             self._membership.handle_loaded(self._clock.now() - started_at)
         run_in_background(self._membership.join())
+        self._submission_gate.handle_loaded(owner.find_newest_version())
         owner.handle_entries(self._select_entries(owner.number))
         if owner.is_active:
             search = PreviousOwnerSearch(
--- a/packages/daemon/src/quetzallock_daemon/cells/submission_gate.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/submission_gate.py
@@ -52,6 +52,12 @@
             if version > configuration.version
         }
 
+    def handle_loaded(self, version: int) -> None:
+        """Read the configuration now if jobs that were loaded are of a newer version."""
+        applied_version = 0 if self._configuration is None else self._configuration.version
+        if version > applied_version:
+            self._holds_back(version, applied_version)
+
     def find_refusal(self, policy: QueuePolicy) -> str:
         """Return why a new job may not be accepted, or an empty string.
 
@@ -75,7 +81,7 @@
         if version not in self._known_since:
             self._known_since[version] = now
             _LOGGER.info(
-                "newer configuration is known from a router",
+                "newer configuration is known from a job",
                 extra={"version": version, "applied": applied_version},
             )
         if now - self._refreshed_at >= STORE_RETRY_PAUSE_MS:
--- a/tests/daemon/store_links.py
+++ b/tests/daemon/store_links.py
@@ -303,6 +303,11 @@
         status, answer = store.read(query)
         channel.answer(status, answer if isinstance(answer, bytes) else encode_json(answer))
 
+    def silence_waiting_reads(self, link: StoreLink) -> None:
+        """Silence the connections of a host on which reads wait."""
+        for channel, _, _ in self._waiting:
+            channel.is_silent = channel.is_silent or channel.link is link
+
     def wake_reads(self) -> None:
         """Look at the waiting reads again."""
         waiting, self._waiting = self._waiting, []
--- a/tests/daemon/test_held_back_submissions.py
+++ b/tests/daemon/test_held_back_submissions.py
@@ -7,11 +7,14 @@
 from quetzallock_daemon.cells.router import CallerAnswer, CallerRequest
 from quetzallock_daemon.helpers import run_coroutine
 
+from .emulated_hosts import STEP_MS
 from .store_links import LinkedHosts
 
 HOST = "shop.example"
 SETTLING_MS = 6_000
 READING_MS = 100
+ROLLBACK_SLACK_MS = 250
+TAKEOVER_MS = 1_000
 SUBMISSIONS = 20
 SUBMISSION_INTERVAL_MS = 100
 
@@ -69,3 +72,33 @@
         versions += accept_after_silence(monkeypatch, silent_ms, phase_ms)
     assert versions
     assert set(versions) == {2}
+
+
+def test_next_owner_soon_applies_the_version_of_the_jobs_that_it_takes_over(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against tasks of a version that their owner's callers are not served by yet.
+
+    The connection is silent on which the next owner's read waits for a newer version.
+    """
+    hosts = LinkedHosts(monkeypatch, [2_000, 2_000])
+    publish(hosts, 1, "kept")
+    hosts.run(SETTLING_MS)
+    first = hosts.owner
+    (second,) = (host for host in hosts.services if host != first)
+    hosts.server.silence_waiting_reads(hosts.get_link(second))
+    publish(hosts, 2, "kept", "added")
+    hosts.run(READING_MS)
+    request = CallerRequest("POST", HOST, f"/added/{1:016x}", b"")
+    run_coroutine(hosts.services[first].router.answer(request))
+    hosts.run(READING_MS)
+    hosts.assign_cell(second)
+    owned = hosts.services[second]._owned
+    for _ in range(TAKEOVER_MS // STEP_MS):
+        if 0 not in owned or not owned[0].is_active:
+            hosts.run(STEP_MS)
+    assert owned[0].has_job(f"{1:016x}")
+    hosts.run(ROLLBACK_SLACK_MS)
+    configuration = hosts.services[second].router.configuration
+    assert configuration is not None
+    assert configuration.version == 2
