Deny no removed route while the owner's configuration is unconfirmed

Callers could get 404 for a route that a later version has added again under its name: an owner whose reads got no answer denied a job by its last version, while the router that asked did not know the removal yet. A router denies no route while its own configuration is not confirmed in time; the owner's denial went past it.

The owner now answers unproved in that case, so that the router asks again until it knows, and answers 503 in the end, after which callers come back.

--- a/packages/daemon/src/quetzallock_daemon/cells/messages.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/messages.py
@@ -83,8 +83,9 @@
             unavailable. `overloaded`: no job can be accepted, as the owner is late with all work.
             `removed`: the job's queue is no longer there.
             `unsettled`: the request may have been processed or not. `unproved`: the owner cannot
-            answer now, as its ownership was not confirmed recently, the job is not durable yet or
-            it does not apply the configuration of the submission yet.
+            answer now, as its ownership was not confirmed recently, the job is not durable yet, it
+            does not apply the configuration of the submission yet, or the queue is not there in a
+            configuration that was not confirmed in time.
             `process`: answer to `ProcessProbe`.
         count: Number of pending jobs, in the answer to `CountPendingRequest`; ms since the start of
             the process, in the answer `process`.
--- a/packages/daemon/src/quetzallock_daemon/cells/service.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/service.py
@@ -368,7 +368,10 @@
             return ""
         if owner.has_job(request.spec.job):
             return ""
-        return self._submission_gate.find_refusal(request.policy)
+        refusal = self._submission_gate.find_refusal(request.policy)
+        # The queue may have been added again since the last read.
+        is_unsure = refusal == "removed" and not self._is_configuration_current()
+        return "unproved" if is_unsure else refusal
 
     def drain(self) -> "Deferred[None]":
         """Report as not ready, hand over the cells and leave the group.
--- a/tests/daemon/test_outdated_routers.py
+++ b/tests/daemon/test_outdated_routers.py
@@ -6,6 +6,7 @@
 from quetzallock_core.cells.models import QueuePolicy
 from quetzallock_daemon.cells.ports import Configuration, Queue, RequestLimits
 from quetzallock_daemon.cells.router import CallerAnswer, CallerRequest
+from quetzallock_daemon.cells.service import HostService
 from quetzallock_daemon.helpers import run_coroutine
 
 from .emulated_hosts import EmulatedHosts
@@ -60,3 +61,11 @@
 ) -> None:
     """Guards against a rejection of what the router's newer configuration allows."""
     assert submit(monkeypatch, is_router_behind=False, prefix="/added/") == 200
+
+
+def test_owner_with_an_unconfirmed_configuration_denies_no_route(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against callers that give up on a route which was added again under its name."""
+    monkeypatch.setattr(HostService, "_is_configuration_current", lambda _: False)
+    assert submit(monkeypatch, is_router_behind=True, prefix="/dropped/") == 503
