--- a/tests/platform/test_silent_connections.py
+++ b/tests/platform/test_silent_connections.py
@@ -20,6 +20,7 @@
 from quetzallock_platform.store import CELLS_TOPIC, ENTRIES_TOPIC, GROUP
 from quetzallock_platform.workers import PlatformWorkers
 
+from .. import emulated_network
 from ..emulated_network import CALL_MS, EmulatedNetwork, EmulatedTransport
 from .test_records import ENTRY
 
@@ -116,6 +117,23 @@
     assert max(delays) <= CONTACT_MS + ACK_MS
 
 
+@pytest.mark.parametrize("call_ms", [650, 1_500])
+def test_owners_are_known_while_answers_of_the_store_are_slow(
+    call_ms: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a time limit for silent connections that no answer of a slow link keeps."""
+    monkeypatch.setattr(emulated_network, "CALL_MS", call_ms)
+    network = EmulatedNetwork(monkeypatch)
+    join = {"group": GROUP, "member": MEMBER, "topics": [CELLS_TOPIC]}
+    network.store.join(join | {"ttlMs": 60_000, "generation": 0})
+    contact = StoreContact()
+    owners = OwnersTask(network, network.make_platform_store(), contact)
+    owners.start()
+    network.run(10_000)
+    assert owners.find_address(0) is not None
+    assert not contact.is_lost()
+
+
 @pytest.mark.parametrize("idle", [0, 7])
 def test_new_owner_is_known_within_the_deadline_of_a_request(
     idle: int, monkeypatch: pytest.MonkeyPatch
