--- a/tests/daemon/test_load_meter.py
+++ b/tests/daemon/test_load_meter.py
@@ -2,6 +2,7 @@
 
 import logging
 from collections import Counter
+from time import perf_counter, process_time
 from typing import Any
 
 import pytest
@@ -121,6 +122,20 @@
     assert (second["lag_ms"], second["waiting"]) == (12, {"priority_0": 1})
 
 
+@pytest.mark.parametrize("measures", [True, False])
+def test_processor_time_is_not_reported_from_a_clock_that_runs_while_the_process_sleeps(
+    caplog: pytest.LogCaptureFixture, measures: bool
+) -> None:
+    """With such a figure an idle owner looks saturated."""
+    caplog.set_level(logging.INFO)
+    counters = Counter[str]()
+    read_processor_s = process_time if measures else perf_counter
+    meter = LoadMeter(0, counters, perf_counter, read_processor_s)
+    meter.report(0.0, {})
+    assert (list_reports(caplog)[0]["cpu_ms"] is not None) == measures
+    assert ("process.cpu_ms" in counters) == measures
+
+
 class AnsweringWorkers:
     """Workers that answer all calls at once."""
 
