Report the processor time of an owner only where its clock measures it

What readers of the logs saw: `cpu_ms` equal to `interval_ms` each second, with 36 workers as with 350, and also of an idle owner, which looks saturated. Why it works: a new meter sleeps for 1 ms and compares both clocks. Where that of the process ran on for over half of it, `cpu_ms` is null and the counter `process.cpu_ms` is missing; the busy time and the lag remain.

--- a/packages/daemon/src/quetzallock_daemon/cells/load_meter.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/load_meter.py
@@ -34,6 +34,12 @@
 _ELSEWHERE: Final = ""
 """What is measured outside of all kinds; never reported, as it includes idle time."""
 
+SLEEP_MS: Final = 1
+"""How long a new meter sleeps to see whether the clock of the processor time stands still."""
+
+MAX_SLEEP_SHARE: Final = 0.5
+"""Largest share of this sleep by which that clock may run on, as waking up takes some time."""
+
 _INVENTORIES: Final = "inventories"
 _STARTS: Final = "starts"
 _STOPS: Final = "stops"
@@ -45,6 +51,7 @@
 
     Busy time is time that passes, not processor time: reading the processor time takes a system
     call for each event. Time for which the process was ready but had no processor counts as busy.
+    Processor time is left out where its clock does not measure it, as on some emulated machines.
 
     Attributes:
         inventories: Number of inventories processed.
@@ -64,6 +71,7 @@
         self._counters = counters
         self._read_s = read_s
         self._read_processor_s = read_processor_s
+        self._measures_processor = _stands_still_in_sleep(read_s, read_processor_s)
         self._kind = _ELSEWHERE
         self._switched_s = read_s()
         self._busy_s = dict.fromkeys((_ELSEWHERE, *_KINDS), 0.0)
@@ -118,7 +126,7 @@
             extra={
                 "cell": self._cell,
                 "interval_ms": _to_ms(now_s - self._reported_s),
-                "cpu_ms": _to_ms(processor_s - self._reported_processor_s),
+                "cpu_ms": self._keep_measured(processor_s - self._reported_processor_s),
                 "busy_ms": self._read_new_busy_ms(),
                 "lag_ms": round(lag_ms),
                 "max_lag_ms": round(self._max_lag_ms),
@@ -152,7 +160,13 @@
         for name, count in self._read_counts().items():
             self._raise_counter(f"owner.{name}", count)
         # The processor time is that of the process: owners of several cells must not add it up.
-        self._counters["process.cpu_ms"] = _to_ms(self._read_processor_s())
+        processor_ms = self._keep_measured(self._read_processor_s())
+        if processor_ms is not None:
+            self._counters["process.cpu_ms"] = processor_ms
+
+    def _keep_measured(self, processor_s: float) -> int | None:
+        """Return processor time in ms, or None where it is not measured."""
+        return _to_ms(processor_s) if self._measures_processor else None
 
     def _raise_counter(self, name: str, total: int) -> None:
         """Add what `total` of this owner exceeds its last one; earlier owners count on."""
@@ -179,5 +193,18 @@
         self._meter.switch(self._before)
 
 
+def _stands_still_in_sleep(
+    read_s: Callable[[], float], read_processor_s: Callable[[], float]
+) -> bool:
+    """Return whether the clock of the processor time stands still while the process sleeps.
+
+    Elsewhere it shows passing time, by which an idle owner looks busy.
+    """
+    began_s, began_processor_s = read_s(), read_processor_s()
+    time.sleep(SLEEP_MS / 1_000)
+    passed_s = read_s() - began_s
+    return read_processor_s() - began_processor_s <= MAX_SLEEP_SHARE * passed_s
+
+
 def _to_ms(seconds: float) -> int:
     return round(seconds * 1_000)
