Add a failing test: each of many small jobs ranks all workers anew

In the emulated flood on 350 workers (tests/core/cells/measure_flood.py, 38 and 87 jobs) rounds take up to 381 ms, and 21 of 33 s of profiled placement rounds are spent ranking workers. The test fails on: 420 evaluations for 20 jobs on 20 workers, where 40 do.

--- a/tests/core/cells/test_decision_costs.py
+++ b/tests/core/cells/test_decision_costs.py
@@ -147,6 +147,22 @@
     assert len(evaluated) == 1
 
 
+def test_steps_of_one_kind_are_ranked_together(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against rounds that evaluate all workers for each of many small jobs."""
+    cluster = CellCluster(workers=WORKERS, capacity=CAPACITY)
+    cluster.run(500)
+    state = cluster.cell.state
+    for number in range(WORKERS):
+        cluster.submit(make_spec(f"small{number}", make_step(1)), POLICY, {0: 9_000})
+    for job in state.jobs.values():
+        job.is_stored = True
+        state.open_job(job)
+    evaluated = count_calls(monkeypatch, Placement, "_compute_total_cost")
+    cluster.cell.start_waiting_tasks()
+    assert all(task.runs for job in state.jobs.values() for task in job.list_tasks())
+    assert len(evaluated) <= 2 * WORKERS
+
+
 def test_paused_runs_without_another_worker_are_searched_for_at_an_interval(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
