Let long-running tasks take turns where a pool is too small for all of them

Cause: long-running tasks do not end by themselves. Reservations wait for short tasks to end, of which a full pool runs few, so nothing brings a displaced task back until a job is cancelled or a worker joins. The pool can't hold all of them: 2,100 cores of long-running tasks were at work on 176 workers, and 123 remain.

--- a/packages/core/src/quetzallock_core/cells/cell.py
+++ b/packages/core/src/quetzallock_core/cells/cell.py
@@ -22,6 +22,7 @@
 from .records import JobRecord
 from .scheduler import Scheduler
 from .state import CellState
+from .turns import Turns
 from .waiting import WaitReporter
 from .workers import Worker
 
@@ -56,6 +57,7 @@
         self.evacuations = Evacuations(self.state)
         self._evacuation_moves = EvacuationMoves(self.state)
         self._displacement = Displacement(self.state)
+        self._turns = Turns(self.state)
         self._preemption = Preemption(self.state)
         self._defragmentation = Defragmentation(self.state)
         self._wait_reporter = WaitReporter(self.state)
@@ -240,7 +242,9 @@
         state.interruptions.update(self._may_start_tasks())
         for worker in list(state.workers.values()):
             self._check_worker(worker, now)
-        self._displacement.handle_expired(state.reservations.release_unusable(now))
+        expired = state.reservations.release_unusable(now)
+        self._displacement.handle_expired(expired)
+        self._turns.handle_expired(expired)
         state.crashes.clear_or_give_up()
         state.fail_exhausted_jobs()
         state.cancellations.report_overdue()
@@ -254,6 +258,7 @@
                 self._migration.migrate_paused_runs()
                 self._migration.migrate_from_leaving_workers()
                 self._displacement.update()
+                self._turns.stop_runs_for_waiting_tasks()
                 self._evacuation_moves.move_from_evacuated_workers()
                 self._preemption.preempt_for_waiting_tasks()
                 self._defragmentation.move_for_waiting_task()
--- a/packages/core/src/quetzallock_core/cells/displacement.py
+++ b/packages/core/src/quetzallock_core/cells/displacement.py
@@ -99,22 +99,11 @@
         reserved = self._state.reservations.by_task
         return [
             task
-            for tasks in (self._list_waiting(now), self._list_on_lost_workers(now))
+            for tasks in (list_interrupted(self._state, now), self._list_on_lost_workers(now))
             for task in tasks
             if task not in reserved
         ]
 
-    def _list_waiting(self, now: int) -> Iterator[Task]:
-        """Yield the waiting tasks that have run before."""
-        for step in self._state.open_steps:
-            if not step.spec.lasting or step.spec.gang or step.has_no_waiting_task:
-                continue
-            if not step.job.has_started:
-                continue
-            for task in step.tasks:
-                if _is_interrupted(task) and may_start(self._state, task, now):
-                    yield task
-
     def _list_on_lost_workers(self, now: int) -> Iterator[Task]:
         """Yield the tasks with a run on a worker that drains, or whose lease is about to lapse."""
         left_by_step: Counter[object] = Counter()
@@ -190,6 +179,18 @@
                 state.drains.handle_search([run], allowed=1, moved=1)
 
 
+def list_interrupted(state: CellState, now: int) -> Iterator[Task]:
+    """Yield the waiting long-running tasks that have run before, but those of gangs."""
+    for step in state.open_steps:
+        if not step.spec.lasting or step.spec.gang or step.has_no_waiting_task:
+            continue
+        if not step.job.has_started:
+            continue
+        for task in step.tasks:
+            if _is_interrupted(task) and may_start(state, task, now):
+                yield task
+
+
 def find_kinds(tasks: Iterable[Task]) -> list[Task]:
     """Return one of `tasks` for each kind with the same needs, at most `MAX_KINDS`."""
     kinds: dict[object, Task] = {}
--- a/tests/core/cells/test_turns.py
+++ b/tests/core/cells/test_turns.py
@@ -64,3 +64,21 @@
             (step,) = job.open_occurrence(0).steps
             stopping = sum(run.state == "stopping" for t in step.tasks for run in t.runs.values())
             assert stopping <= 1
+
+
+def test_two_small_tasks_are_stopped_for_a_large_one() -> None:
+    cluster = CellCluster(workers=2, capacity=CAPACITY)
+    cluster.run(500)
+    large = make_step(1, lasting=True, needs=Resources(6_000, 1_000, 0))
+    cluster.submit(make_spec("large", large), POLICY, {0: None})
+    cluster.run(500)
+    for number in range(2):
+        step = make_step(1, lasting=True, needs=Resources(3_500, 1_000, 0))
+        cluster.submit(make_spec(f"small{number}", step), POLICY, {0: None})
+    cluster.run(10_000)
+    (worker,) = (one for one in cluster.workers.values() if "large.0.0.0" in one.runs)
+    worker.drain()
+    cluster.schedule(DRAIN_MS, worker.leave)
+    cluster.run(DRAIN_MS + 10_000)
+    starts = [task for _, task, _, _ in cluster.ground_truth.starts]
+    assert starts.count("large.0.0.0") > 1
