Log what polls of draining workers get, and when their entries go

An owner waits until the lease of a worker that has left as announced has lapsed, 3.2 s.

A failed poll now has a reason (PollFailure), which the HTTP client takes from typed errors: a connection that the peer has rejected, none for another reason, one that was lost after the call was sent, no answer in time, an answer of no use. `worker.poll_failed` reports the first one of each reason in a row for a draining worker, with the time since its last answer and since its entry was found removed; `worker.drain_report` has the same and the counts. No decision depends on it.

Two tests gave or expected None for a poll without an answer; they now name its reason.

--- a/packages/core/src/quetzallock_core/cells/cell.py
+++ b/packages/core/src/quetzallock_core/cells/cell.py
@@ -16,7 +16,7 @@
 from .inventory import InventoryReader
 from .jobs import JOB_CHART, Job
 from .migration import Migration
-from .models import Boot, Bounds, Inventory, WorkerEntry
+from .models import Boot, Bounds, Inventory, PollFailure, WorkerEntry
 from .orders import Effect, StartRun, StopRun, TicketOutcome
 from .preemption import Preemption
 from .records import JobRecord
@@ -138,6 +138,7 @@
             entry = entries.get(worker.id)
             if entry is None:
                 worker.is_listed = False
+                state.drains.handle_unlisted(worker)
             elif entry.boot_ms != worker.entry.boot_ms:
                 worker.is_listed = False
                 if worker.may_be_over(now):
@@ -193,10 +194,11 @@
         if self._reader.process(boot, inventory, asked_at):
             self.state.is_start_due = True
 
-    def handle_no_answer(self, boot: Boot) -> None:
-        """Record that an inventory poll of `boot` got no answer."""
+    def handle_no_answer(self, boot: Boot, failure: PollFailure = PollFailure.TIMED_OUT) -> None:
+        """Record that an inventory poll of `boot` got no answer, because of `failure`."""
         known = self.state.find_boot(boot)
         if known is not None:
+            self.state.drains.handle_no_answer(known, failure)
             known.record_no_answer(self.state.clock.now())
             self.state.crashes.expose_runs(known)
 
--- a/packages/core/src/quetzallock_core/cells/drains.py
+++ b/packages/core/src/quetzallock_core/cells/drains.py
@@ -10,11 +10,12 @@
 
 from ..clock import Clock
 from .jobs import Run
-from .models import WorkerEntry
+from .models import PollFailure, WorkerEntry
 from .unverified import UnverifiedWorkers
 from .workers import Worker
 
 DRAIN_EVENT: Final = "worker.drain_report"
+POLL_EVENT: Final = "worker.poll_failed"
 
 NO_ROOM: Final = "no_room"
 UNAVAILABLE_LIMIT: Final = "max_unavailable"
@@ -46,6 +47,9 @@
         failures: How often a run could not be moved, by reason.
         last_failure: The last of these reasons; empty if there was none.
         is_reported: It was reported.
+        poll_failures: Number of polls without an answer, by reason.
+        last_poll_failure: Reason and whether the worker was listed, of the last of them.
+        unlisted_at: Local ms at which its entry was found removed; -1 before.
     """
 
     began_at: int
@@ -55,6 +59,9 @@
     failures: Counter[str] = field(default_factory=Counter)
     last_failure: str = ""
     is_reported: bool = False
+    poll_failures: Counter[str] = field(default_factory=Counter)
+    last_poll_failure: tuple[PollFailure, bool] | None = None
+    unlisted_at: int = -1
 
     def add_failure(self, reason: str) -> None:
         """Count that a run could not be moved."""
@@ -79,6 +86,39 @@
         if entry.is_draining and worker not in self._by_worker:
             self._by_worker[worker] = Drain(self._state.clock.now(), self.limited_ticks)
 
+    def handle_unlisted(self, worker: Worker) -> None:
+        """Process that the platform's list has no entry of a worker."""
+        drain = self._by_worker.get(worker)
+        if drain is not None and drain.unlisted_at < 0:
+            drain.unlisted_at = self._state.clock.now()
+
+    def handle_no_answer(self, worker: Worker, failure: PollFailure) -> None:
+        """Count a poll without an answer; report the first one of each reason in a row."""
+        drain = self._by_worker.get(worker)
+        if drain is None:
+            return
+        drain.poll_failures[failure] += 1
+        current = failure, worker.is_listed
+        if drain.last_poll_failure == current:
+            return
+        drain.last_poll_failure = current
+        self._state.log_decision(
+            POLL_EVENT,
+            worker=worker.id,
+            reason=failure,
+            draining_ms=self._state.clock.now() - drain.began_at,
+            **self._describe_end(worker, drain),
+        )
+
+    def _describe_end(self, worker: Worker, drain: Drain) -> dict[str, Any]:
+        """Return what tells a worker that has left from one that is cut off."""
+        now = self._state.clock.now()
+        return {
+            "silent_ms": now - worker.contact_at if worker.contact_at >= 0 else -1,
+            "unlisted_ms": now - drain.unlisted_at if drain.unlisted_at >= 0 else -1,
+            "poll_failures": dict(drain.poll_failures),
+        }
+
     def measure_ms(self, worker: Worker) -> int:
         """Return for how long a worker has been known to be draining; -1 if it is not."""
         drain = self._by_worker.get(worker)
@@ -126,13 +166,13 @@
             DRAIN_EVENT,
             worker=worker.id,
             draining_ms=now - drain.began_at,
-            silent_ms=now - worker.contact_at if worker.contact_at >= 0 else -1,
             left=sum(run.task.spec.lasting for run in worker.runs.values()),
             searches=drain.searches,
             moves=drain.moves,
             limited_ticks=self.limited_ticks - drain.limited_ticks,
             failures=dict(drain.failures),
             last_failure=drain.last_failure,
+            **self._describe_end(worker, drain),
         )
 
     def handle_gone(self, worker: Worker) -> None:
--- a/packages/core/src/quetzallock_core/cells/models.py
+++ b/packages/core/src/quetzallock_core/cells/models.py
@@ -1,6 +1,7 @@
 """Jobs, workers and inventories of a cell."""
 
 from dataclasses import dataclass
+from enum import StrEnum
 from typing import NamedTuple
 
 from ..codec import message
@@ -214,6 +215,24 @@
     has_more_ends: bool = False
 
 
+class PollFailure(StrEnum):
+    """Why an inventory poll got no answer.
+
+    Attributes:
+        REJECTED: The machine at the address has answered that no process listens there.
+        NOT_CONNECTED: There was no connection, for another reason.
+        CONNECTION_LOST: The connection was closed or reset after the poll was sent.
+        TIMED_OUT: There was no answer in time.
+        UNUSABLE: The answer could not be used.
+    """
+
+    REJECTED = "rejected"
+    NOT_CONNECTED = "not_connected"
+    CONNECTION_LOST = "connection_lost"
+    TIMED_OUT = "timed_out"
+    UNUSABLE = "unusable"
+
+
 @dataclass(frozen=True, slots=True)
 class Bounds:
     """Bounds that the deployment sets, in ms unless named otherwise.
--- a/packages/daemon/src/quetzallock_daemon/cells/inventory.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/inventory.py
@@ -7,7 +7,7 @@
 
 from quetzallock_core.cells import Cell
 from quetzallock_core.cells.load import LoadControl
-from quetzallock_core.cells.models import Bounds, Inventory
+from quetzallock_core.cells.models import Bounds, Inventory, PollFailure
 from quetzallock_core.cells.workers import Worker
 from quetzallock_core.clock import Clock
 
@@ -72,7 +72,7 @@
                 pause_ms = await self._poll_once(worker)
             except Exception:
                 _LOGGER.exception("inventory could not be processed", extra={"worker": worker.id})
-                owner.cell.handle_no_answer(worker.boot)
+                owner.cell.handle_no_answer(worker.boot, PollFailure.UNUSABLE)
                 pause_ms = INVENTORY_POLL_RETRY_PAUSE_MS
             await owner.pause(pause_ms)
         self._polled.discard(key)
@@ -94,7 +94,7 @@
             return self._handle_answer(worker, answer, now)
 
     def _handle_answer(
-        self, worker: Worker, answer: Inventory | OrderAnswer | None, asked_at: int
+        self, worker: Worker, answer: Inventory | OrderAnswer | PollFailure, asked_at: int
     ) -> int:
         """Process the answer to a poll, and return the pause in ms before the next poll."""
         owner = self._owner
@@ -104,8 +104,10 @@
             owner.run_effects()
             durations = owner.cell.state.durations
             return owner.load_control.choose_pause_ms(worker, durations, owner.clock.now())
-        owner.cell.handle_no_answer(worker.boot)
         if isinstance(answer, OrderAnswer):
+            owner.cell.handle_no_answer(worker.boot, PollFailure.UNUSABLE)
             owner.cell.answers.handle_inventory_refusal(worker.boot, answer.outcome)
             owner.run_effects()
+        else:
+            owner.cell.handle_no_answer(worker.boot, answer)
         return INVENTORY_POLL_RETRY_PAUSE_MS
--- a/packages/daemon/src/quetzallock_daemon/cells/ports.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/ports.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from typing import Final, Protocol
 
-from quetzallock_core.cells.models import Inventory, QueuePolicy, WorkerEntry
+from quetzallock_core.cells.models import Inventory, PollFailure, QueuePolicy, WorkerEntry
 from quetzallock_core.cells.orders import PaceRun, StartRun, StopRun
 from quetzallock_core.exceptions import QuetzallockError
 
@@ -218,10 +218,10 @@
 
     async def poll_inventory(
         self, entry: WorkerEntry, epoch: int, acked: int, until_ms: int | None, wait_ms: int
-    ) -> Inventory | OrderAnswer | None:
+    ) -> Inventory | OrderAnswer | PollFailure:
         """Renew the lease, acknowledge ended runs and return the inventory.
 
         `until_ms` is the lease end on the worker's clock, or None to leave the lease as it is. The
         worker keeps the call open for up to `wait_ms` while no run ends. Returns an
-        `OrderAnswer` if the worker refused the call, and None if there was no answer.
+        `OrderAnswer` if the worker refused the call, and a `PollFailure` if there was no answer.
         """
--- a/packages/daemon/src/quetzallock_daemon/transport/__init__.py
+++ b/packages/daemon/src/quetzallock_daemon/transport/__init__.py
@@ -3,11 +3,18 @@
 from .calls import Reply
 from .channel import Channel
 from .client import HttpClient, build_request
-from .errors import CallFailedError, NotConnectedError
+from .errors import (
+    CallFailedError,
+    ConnectionLostError,
+    ConnectionRejectedError,
+    NotConnectedError,
+)
 
 __all__ = [
     "CallFailedError",
     "Channel",
+    "ConnectionLostError",
+    "ConnectionRejectedError",
     "HttpClient",
     "NotConnectedError",
     "Reply",
--- a/packages/daemon/src/quetzallock_daemon/transport/client.py
+++ b/packages/daemon/src/quetzallock_daemon/transport/client.py
@@ -11,13 +11,18 @@
 
 import httptools
 from twisted.internet.defer import Deferred
-from twisted.internet.error import ConnectError
+from twisted.internet.error import ConnectError, ConnectionRefusedError
 from twisted.internet.protocol import ClientFactory, Protocol, connectionDone
 from twisted.python.failure import Failure
 
 from .calls import Call, Reply, TimeLimits
 from .channel import ChannelRecord
-from .errors import CallFailedError, NotConnectedError
+from .errors import (
+    CallFailedError,
+    ConnectionLostError,
+    ConnectionRejectedError,
+    NotConnectedError,
+)
 
 CONNECT_TIMEOUT_MS: Final = 1_000
 MAX_IDLE_PER_ADDRESS: Final = 8
@@ -69,7 +74,7 @@
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
-            self._fail_call(f"cannot parse the answer: {error}")
+            self._fail_call(CallFailedError, f"cannot parse the answer: {error}")
             self.abort()
 
     def on_body(self, body: bytes) -> None:
@@ -89,12 +94,12 @@
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
         """Fail the call in flight."""
         self._client.remove_idle(self._address, self)
-        self._fail_call("connection lost")
+        self._fail_call(ConnectionLostError, "connection lost")
 
-    def _fail_call(self, cause: str) -> None:
+    def _fail_call(self, kind: type[CallFailedError], cause: str) -> None:
         call, self._call = self._call, None
         if call is not None:
-            error = CallFailedError(f"{self._address}: {cause} on {self.channel.describe()}")
+            error = kind(f"{self._address}: {cause} on {self.channel.describe()}")
             self._client.fail_call(call, error)
 
 
@@ -110,8 +115,13 @@
         return _NewConnection(self._client, self._address, self._call)
 
     def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:  # noqa: N802
-        error = NotConnectedError(f"{self._address}: {reason.getErrorMessage()}")
-        self._client.fail_call(self._call, error)
+        kind = ConnectionRejectedError if _is_rejected(reason) else NotConnectedError
+        self._client.fail_call(self._call, kind(f"{self._address}: {reason.getErrorMessage()}"))
+
+
+def _is_rejected(reason: Failure) -> bool:
+    """Return whether a connection was refused by its peer, not merely without an answer."""
+    return reason.check(ConnectionRefusedError) is not None
 
 
 class _NewConnection(Connection):
@@ -157,8 +167,8 @@
     ) -> "Deferred[Reply]":
         """Send `request` to `ip:port` and return a deferred of the `Reply`.
 
-        The deferred fails with `NotConnectedError` if the request was never sent, else with
-        `CallFailedError`.
+        The deferred fails with `NotConnectedError` if the request was never sent, of which
+        `ConnectionRejectedError` is a kind, else with `CallFailedError`.
 
         Args:
             address: `ip:port`.
--- a/packages/daemon/src/quetzallock_daemon/transport/errors.py
+++ b/packages/daemon/src/quetzallock_daemon/transport/errors.py
@@ -13,3 +13,15 @@
     """No connection could be established; the call was never sent."""
 
     code = "not_connected"
+
+
+class ConnectionRejectedError(NotConnectedError):
+    """The machine at the address has answered that no process listens there."""
+
+    code = "connection_rejected"
+
+
+class ConnectionLostError(CallFailedError):
+    """The connection was closed or reset after the call was sent."""
+
+    code = "connection_lost"
--- a/tests/daemon/test_late_poll_answers.py
+++ b/tests/daemon/test_late_poll_answers.py
@@ -10,7 +10,7 @@
 from twisted.internet.task import Clock
 
 from quetzallock_core.cells.const import UNREACHABLE_TIMEOUT_MS
-from quetzallock_core.cells.models import Bounds, Inventory, Resources, WorkerEntry
+from quetzallock_core.cells.models import Bounds, Inventory, PollFailure, Resources, WorkerEntry
 from quetzallock_daemon.cells.clocks import BootClock
 from quetzallock_daemon.cells.const import OWNER_REQUEST_TIMEOUT_MS
 from quetzallock_daemon.cells.owner import CellOwner
@@ -41,7 +41,12 @@
 
 @pytest.mark.parametrize(
     "late_answer",
-    [OrderAnswer("other boot", 9), None, Inventory(9, (), (), 1), OrderAnswer("busy", 9)],
+    [
+        OrderAnswer("other boot", 9),
+        PollFailure.TIMED_OUT,
+        Inventory(9, (), (), 1),
+        OrderAnswer("busy", 9),
+    ],
     ids=["other boot", "none", "inventory", "busy"],
 )
 def test_late_answer_for_an_earlier_boot_does_not_count_for_the_next_one(
--- a/tests/daemon/test_transport.py
+++ b/tests/daemon/test_transport.py
@@ -3,10 +3,20 @@
 from collections import Counter
 from typing import Any
 
+import pytest
+from twisted.internet.error import ConnectionDone, ConnectionRefusedError, NoRouteError
 from twisted.internet.task import Clock
-from twisted.internet.testing import StringTransport
-
-from quetzallock_daemon.transport import CallFailedError, HttpClient, NotConnectedError, Reply
+from twisted.internet.testing import MemoryReactorClock, StringTransport
+from twisted.python.failure import Failure
+
+from quetzallock_daemon.transport import (
+    CallFailedError,
+    ConnectionLostError,
+    ConnectionRejectedError,
+    HttpClient,
+    NotConnectedError,
+    Reply,
+)
 from quetzallock_daemon.transport.client import Connection
 
 ADDRESS = "127.0.0.1:80"
@@ -223,3 +233,23 @@
     let_pass(clock, 500)
     assert len(results) == 1
     assert client._idle[ADDRESS] == [late]
+
+
+@pytest.mark.parametrize(
+    ("failure", "expected"),
+    [(ConnectionRefusedError(), ConnectionRejectedError), (NoRouteError(), NotConnectedError)],
+)
+def test_only_an_answer_of_the_peer_counts_as_a_rejected_connection(
+    failure: Exception, expected: type[CallFailedError]
+) -> None:
+    reactor = MemoryReactorClock()
+    results: list[Any] = []
+    HttpClient(reactor, Counter()).call(ADDRESS, b"", TIMEOUT_MS).addErrback(results.append)
+    reactor.tcpClients[0][2].clientConnectionFailed(None, Failure(failure))
+    assert results[0].type is expected
+
+
+def test_connection_that_is_lost_after_the_call_was_sent_is_not_a_rejected_one() -> None:
+    connection, results = make_call(Clock())
+    connection.connectionLost(Failure(ConnectionDone()))
+    assert results[0].type is ConnectionLostError
--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -6,7 +6,14 @@
 import pytest
 from twisted.internet.defer import Deferred, ensureDeferred, succeed
 
-from quetzallock_core.cells.models import EndRow, Inventory, Resources, RunningRow, WorkerEntry
+from quetzallock_core.cells.models import (
+    EndRow,
+    Inventory,
+    PollFailure,
+    Resources,
+    RunningRow,
+    WorkerEntry,
+)
 from quetzallock_core.cells.orders import StopRun
 from quetzallock_daemon.cells.ports import OrderAnswer
 from quetzallock_daemon.transport import Reply, build_request
@@ -122,7 +129,7 @@
     ],
 )
 def test_unusable_inventory_counts_as_no_answer(body: bytes) -> None:
-    assert poll(body) is None
+    assert poll(body) is PollFailure.UNUSABLE
 
 
 @pytest.mark.parametrize("clock", ["1e300", "18446744073709551616", "-1", '"4"', "[]", "true"])
