Test that tasks do not wait for the lease of a worker that left as announced

The negative cases hold: a draining worker that is cut off, whose entry another writer deleted or falsified, or whose listener is closed, keeps its lease.

--- a/packages/standins/src/quetzallock_standins/emulator/cluster.py
+++ b/packages/standins/src/quetzallock_standins/emulator/cluster.py
@@ -15,6 +15,7 @@
     Bounds,
     Inventory,
     JobSpec,
+    PollFailure,
     QueuePolicy,
     Resources,
     StepSpec,
@@ -236,7 +237,7 @@
             return
         if worker.has_broken_connections:
             worker.has_broken_connections = False
-            owner.cell.handle_no_answer(cell_worker.boot)
+            owner.cell.handle_no_answer(cell_worker.boot, PollFailure.CONNECTION_LOST)
             return
         boot = cell_worker.boot
         now = self.clock.now()
@@ -247,6 +248,9 @@
                 lambda: self._handle_inventory_answer(owner, boot, Answer("other boot", 0), now),
             )
             return
+        if _rejects_connections(worker, cell_worker.entry.address):
+            self.schedule(self.latency_ms, lambda: self._handle_rejection(owner, boot))
+            return
         if not worker.is_up or worker.is_isolated:
             return
         answer = worker.poll_inventory(owner.epoch, cell_worker.ack_cursor, until)
@@ -254,6 +258,11 @@
             self.latency_ms, lambda: self._handle_inventory_answer(owner, boot, answer, now)
         )
 
+    def _handle_rejection(self, owner: Owner, boot: Boot) -> None:
+        if owner.is_running:
+            owner.cell.handle_no_answer(boot, PollFailure.REJECTED)
+            self.run_effects(owner)
+
     def _is_misdirected(self, worker: EmulatedWorker, address: str) -> bool:
         """Return whether a call to `worker` at `address` reaches another worker."""
         others = (other for other in self.workers.values() if other is not worker)
@@ -339,7 +348,7 @@
         if self._is_misdirected(worker, order.address):
             self._handle_answer(owner, order, Answer("other boot", 0), sent_at)
             return
-        if not worker.is_up or worker.is_isolated:
+        if not worker.is_up or worker.is_isolated or worker.is_listener_closed:
             if delivery.may_answer:
                 self._time_out(owner, order, sent_at)
             return
@@ -418,6 +427,13 @@
         old.revive(replace(old.entry, boot_ms=boot_ms, is_draining=False))
 
 
+def _rejects_connections(worker: EmulatedWorker, address: str) -> bool:
+    """Return whether nothing listens at an address, which may be a false one of a worker."""
+    if address != worker.entry.address:
+        return True
+    return not worker.is_isolated and (worker.has_left or worker.is_listener_closed)
+
+
 def make_entry(
     worker: str, capacity: Resources, rack: str, boot_ms: int, data_centre: str = "dc"
 ) -> WorkerEntry:
--- a/packages/standins/src/quetzallock_standins/emulator/fault_monitor.py
+++ b/packages/standins/src/quetzallock_standins/emulator/fault_monitor.py
@@ -110,4 +110,5 @@
 def _is_faulty(worker: EmulatedWorker) -> bool:
     if worker.has_left:
         return False
-    return not worker.is_up or worker.is_isolated or worker.is_replaced or worker.mode != "sound"
+    is_cut_off = worker.is_isolated or worker.is_listener_closed
+    return not worker.is_up or is_cut_off or worker.is_replaced or worker.mode != "sound"
--- a/packages/standins/src/quetzallock_standins/emulator/workers.py
+++ b/packages/standins/src/quetzallock_standins/emulator/workers.py
@@ -93,6 +93,7 @@
         is_isolated: Whether no calls reach it; its runs go on until the lease lapses.
         guards_capacity: Whether it refuses a start that does not fit into its capacity.
         is_replaced: Whether it is down and another worker answers at its address.
+        is_listener_closed: Whether it rejects connections although its runs go on.
         has_broken_connections: Whether the next call finds its connection broken by a crash.
         is_crashed_by_task: Whether a task has crashed it since its last start.
         has_left: Whether it is down since it has left as announced.
@@ -119,6 +120,7 @@
     is_up: bool = True
     is_isolated: bool = False
     is_replaced: bool = False
+    is_listener_closed: bool = False
     has_broken_connections: bool = False
     is_crashed_by_task: bool = False
     has_left: bool = False
@@ -358,7 +360,7 @@
         self._shut_down("crashed")
 
     def leave(self) -> None:
-        """Leave as announced by `drain`: all runs end, and the entry goes."""
+        """Leave as announced by `drain`: all runs end, the entry goes, and nothing listens."""
         if not self.entry.is_draining:
             raise ValueError(f"{self.id} has not announced its leave")
         self.has_left = True
--- /dev/null
+++ b/tests/core/cells/test_announced_leaves.py
@@ -0,0 +1,141 @@
+"""Workers that have left as announced: their tasks need not wait for the lease."""
+
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any
+
+import pytest
+
+from quetzallock_core.cells.const import DRAINING_LEASE_MS, MAX_LEASE_MS
+from quetzallock_core.cells.models import Resources, WorkerEntry
+from quetzallock_standins.emulator import CellCluster, EmulatedWorker
+from quetzallock_standins.emulator.cluster import INVENTORY_POLL_INTERVAL_MS, make_spec
+
+from .common import POLICY, make_step
+
+DRAIN_MS = 2_000
+SEEN_MS = 1_000
+"""Time for two polls, the entries and a tick, well below a lease."""
+LONG_MS = 2 * MAX_LEASE_MS
+TASKS = 6
+
+
+def make_full_cluster() -> tuple[CellCluster, EmulatedWorker]:
+    """Return a cluster full of lasting tasks, and a worker whose leave is announced."""
+    cluster = CellCluster(workers=3, capacity=Resources(2_000, 8_000, 0))
+    cluster.run(500)
+    cluster.submit(make_spec("a", make_step(TASKS, lasting=True)), POLICY, {0: None})
+    cluster.run(1_000)
+    leaving = cluster.workers["w0"]
+    leaving.drain()
+    cluster.run(DRAIN_MS)
+    assert len(leaving.runs) == 2
+    return cluster, leaving
+
+
+def count_running(cluster: CellCluster) -> int:
+    """Return the number of tasks that run."""
+    return len(cluster.ground_truth.list_running("a"))
+
+
+def test_lasting_tasks_do_not_wait_for_the_lease_of_a_worker_that_has_left() -> None:
+    cluster, leaving = make_full_cluster()
+    leaving.leave()
+    cluster.join_worker()
+    cluster.run(SEEN_MS)
+    assert count_running(cluster) == TASKS
+    assert not cluster.ground_truth.violations
+
+
+@pytest.mark.parametrize("ms_before", [0, 2 * INVENTORY_POLL_INTERVAL_MS, 300])
+@pytest.mark.parametrize("hand_overs", [1, 2])
+def test_new_owners_do_not_wait_for_the_lease_of_a_worker_that_has_left(
+    hand_overs: int, ms_before: int
+) -> None:
+    cluster, leaving = make_full_cluster()
+    leaving.leave()
+    cluster.join_worker()
+    cluster.run(ms_before)
+    for _ in range(hand_overs):
+        cluster.hand_over()
+        cluster.run(INVENTORY_POLL_INTERVAL_MS)
+    cluster.run(SEEN_MS)
+    assert count_running(cluster) == TASKS
+    assert not cluster.ground_truth.violations
+
+
+def cut_off(_cluster: CellCluster, worker: EmulatedWorker) -> None:
+    """Let no call reach a worker."""
+    worker.is_isolated = True
+
+
+def close_listener(_cluster: CellCluster, worker: EmulatedWorker) -> None:
+    """Let a worker that goes on reject connections."""
+    worker.is_listener_closed = True
+
+
+def delete_entry(cluster: CellCluster, worker: EmulatedWorker) -> None:
+    """Delete the entry of a worker that goes on."""
+    cluster.unlisted_workers.add(worker.id)
+
+
+def falsify_address(cluster: CellCluster, worker: EmulatedWorker) -> None:
+    """Cut a worker off, give its entry an address where nothing listens, and delete it later."""
+    worker.is_isolated = True
+    list_entries = cluster._list_entries
+
+    def list_false_entries() -> dict[str, WorkerEntry]:
+        entries = list_entries()
+        if worker.id in entries:
+            entries[worker.id] = replace(entries[worker.id], address="nobody:1")
+        return entries
+
+    cluster._list_entries = list_false_entries  # type: ignore[method-assign]
+    cluster.schedule(2_000, lambda: delete_entry(cluster, worker))
+
+
+FALSE_SIGNS: list[tuple[Callable[[CellCluster, Any], None], ...]] = [
+    (delete_entry,),
+    (cut_off, delete_entry),
+    (close_listener,),
+    (falsify_address,),
+]
+
+
+@pytest.mark.parametrize("hand_overs", [0, 1])
+@pytest.mark.parametrize("signs", FALSE_SIGNS, ids=lambda signs: signs[-1].__name__)
+def test_tasks_do_not_start_elsewhere_while_a_draining_worker_may_run_them(
+    signs: tuple[Callable[[CellCluster, Any], None], ...], hand_overs: int
+) -> None:
+    cluster, draining = make_full_cluster()
+    for sign in signs:
+        sign(cluster, draining)
+    for _ in range(hand_overs):
+        cluster.hand_over()
+    cluster.join_worker()
+    cluster.run(DRAINING_LEASE_MS // 2)
+    cluster.run(LONG_MS)
+    assert not cluster.ground_truth.violations
+
+
+def test_a_listener_that_is_back_at_once_does_not_end_the_runs_of_a_worker() -> None:
+    cluster, draining = make_full_cluster()
+    delete_entry(cluster, draining)
+    for _ in range(10):
+        draining.is_listener_closed = True
+        cluster.run(INVENTORY_POLL_INTERVAL_MS)
+        draining.is_listener_closed = False
+        cluster.run(2 * INVENTORY_POLL_INTERVAL_MS)
+    assert len(cluster.ground_truth.starts) == TASKS
+    assert count_running(cluster) == TASKS
+
+
+def test_runs_of_a_worker_that_has_not_announced_its_leave_wait_for_its_lease() -> None:
+    cluster, silent = make_full_cluster()
+    silent.entry = replace(silent.entry, is_draining=False)
+    cluster.run(SEEN_MS)
+    close_listener(cluster, silent)
+    delete_entry(cluster, silent)
+    cluster.join_worker()
+    cluster.run(LONG_MS)
+    assert not cluster.ground_truth.violations
