End the runs of a worker that has left as announced without its lease

Callers saw long-running tasks away for 3.2 s longer than needed (LOST): a worker that announced its leave, ran out of its time and exited was waited for until its lease had lapsed, by its owner and by each next one.

Cause: the owner knew of two ends only, a listed one and a lapsed lease, so an announced leave ended like a silence; and a new owner polled no worker whose entry had gone before its takeover.

A worker now counts as gone when it has announced its leave, its entry is gone, and the address at which this boot itself has last answered has rejected connections for 200 ms on end, without an answer in between. Each sign alone proves nothing: an entry may be deleted or falsified by others or expire, and connections may be reset at one moment. The end goes the way of a lapsed lease, so that a run whose start order may reach a next boot is kept, and next boots are told to reject ended runs.

A hand-over names the boots that have announced their leave and the address at which each has answered. The next owner polls those without an entry too, with no room for tasks and no renewal before an answer.

--- a/packages/core/src/quetzallock_core/cells/cell.py
+++ b/packages/core/src/quetzallock_core/cells/cell.py
@@ -158,6 +158,7 @@
             self.evacuations.update_worker(worker, entry)
             worker.entry = entry
             worker.is_listed = True
+        state.add_unlisted_leaving()
 
     def _log_resize(self, worker: Worker, entry: WorkerEntry) -> None:
         self.state.log_decision(
@@ -199,7 +200,7 @@
         known = self.state.find_boot(boot)
         if known is not None:
             self.state.drains.handle_no_answer(known, failure)
-            known.record_no_answer(self.state.clock.now())
+            known.record_no_answer(self.state.clock.now(), failure)
             self.state.crashes.expose_runs(known)
 
     def handle_previous_owner_gone(self, gone_at: int) -> None:
@@ -274,6 +275,9 @@
                 state.crashes.handle_unseen_end((worker, boot_ms))
 
     def _check_worker(self, worker: Worker, now: int) -> None:
+        if worker.has_left:
+            self._end_left(worker, now)
+            return
         if worker.is_reachable(now):
             if worker.is_lease_suspended and worker.is_recorded:
                 self.state.invalidate_record(worker)
@@ -282,20 +286,28 @@
             self.state.suspend_lease(worker)
         if worker.runs and now >= worker.compute_lapse_at():
             self.state.crashes.expose_runs(worker)
-            self._lapse_runs(worker, now)
-        if not worker.runs and not worker.is_listed:
-            self.state.drop_worker(worker, "no entry and no answer")
+            self._lapse_runs(worker, now, "lapsed")
+        if worker.runs or worker.is_listed or self.state.unverified.is_leaving(worker.boot):
+            return
+        self.state.drop_worker(worker, "no entry and no answer")
+
+    def _end_left(self, worker: Worker, now: int) -> None:
+        """End the runs of a worker that has left as announced, without waiting for its lease."""
+        self.state.unverified.remove_boot(worker.boot)
+        self._lapse_runs(worker, now, "left")
+        if not worker.runs:
+            self.state.drop_worker(worker, "left as announced")
 
-    def _lapse_runs(self, worker: Worker, now: int) -> None:
-        """End the runs of a lapsed lease, but those that a late start order may still begin."""
+    def _lapse_runs(self, worker: Worker, now: int, how: str) -> None:
+        """End the runs on a worker that is over, but those that a late start order may begin."""
         self.state.drains.report(worker)
         for run in list(worker.runs.values()):
             if run.unconfirmed_until > now:
                 continue
             self.state.log_decision(
-                "run.lapsed", task=run.task.name, run=run.number, worker=run.worker
+                "run.lapsed", task=run.task.name, run=run.number, worker=run.worker, how=how
             )
-            self.state.lapse_run(run, "lapsed")
+            self.state.lapse_run(run, how)
 
     def _repeat_orders(self, now: int) -> None:
         state = self.state
--- a/packages/core/src/quetzallock_core/cells/inventory.py
+++ b/packages/core/src/quetzallock_core/cells/inventory.py
@@ -48,6 +48,7 @@
         state.interruptions.handle_inventory(worker)
         worker.record_contact(inventory.clock_ms, asked_at, now)
         worker.inventory_at = now
+        worker.leave.record_inventory()
         worker.inventory_asked_at = max(worker.inventory_asked_at, asked_at)
         worker.is_poll_unanswered = False
         if is_first:
--- a/packages/core/src/quetzallock_core/cells/records.py
+++ b/packages/core/src/quetzallock_core/cells/records.py
@@ -198,6 +198,8 @@
         unbegun: Those of the runs that had not begun, as far as the workers had answered.
         worked: Those that had worked past the time in which they may be expected to crash a worker.
         interrupted: Long-running tasks that have run before and wait for their next run.
+        leaving: Worker, its boot and the address at which it has last answered, of those that have
+            announced to leave.
     """
 
     runs: tuple[tuple[str, str, int], ...]
@@ -205,6 +207,7 @@
     unbegun: tuple[tuple[str, str, int], ...] = ()
     worked: tuple[tuple[str, str, int], ...] = ()
     interrupted: tuple[str, ...] = ()
+    leaving: tuple[tuple[str, int, str], ...] = ()
 
 
 @message(229)
@@ -214,6 +217,8 @@
 
     Attributes:
         leases: As in `HandOverRecord`.
+        leaving: As in `HandOverRecord`.
     """
 
     leases: tuple[tuple[str, int, int], ...]
+    leaving: tuple[tuple[str, int, str], ...] = ()
--- a/packages/core/src/quetzallock_core/cells/state.py
+++ b/packages/core/src/quetzallock_core/cells/state.py
@@ -18,6 +18,7 @@
 from .interruptions import Interruptions
 from .job_records import list_exhausted, make_job, restore_has_run, restore_job
 from .jobs import Job, Run, StepRun, Task
+from .leaves import make_unlisted_entry
 from .models import Boot, Bounds, WorkerEntry
 from .orders import Decision, Effect, PaceRun, StopRun
 from .packing import PolicyChooser
@@ -474,6 +475,7 @@
     def add_worker(self, entry: WorkerEntry) -> Worker:
         """Add a new boot of a worker and return it."""
         worker = Worker(entry)
+        worker.leave.answered_address = self.unverified.leaving.get(worker.boot, "")
         if entry.worker in self.dropped_workers:
             self.dropped_workers.remove(entry.worker)
         self.workers[entry.worker] = worker
@@ -485,3 +487,17 @@
             worker.is_lease_suspended = True
         self.log_decision("worker.known", worker=entry.worker, born=entry.boot_ms, rack=entry.rack)
         return worker
+
+    def add_unlisted_leaving(self) -> None:
+        """Add unverified boots whose entries have gone after they announced to leave, to poll them.
+
+        They get no tasks. Their leases are renewed only after an answer.
+        """
+        for boot, address in self.unverified.list_leaving():
+            if boot[0] in self.workers or boot in self.ended_boots:
+                continue
+            worker = self.add_worker(make_unlisted_entry(boot, address))
+            worker.is_listed = False
+            worker.is_lease_suspended = True
+            self.drains.handle_entry(worker, worker.entry)
+            self.drains.handle_unlisted(worker)
--- a/packages/core/src/quetzallock_core/cells/unverified.py
+++ b/packages/core/src/quetzallock_core/cells/unverified.py
@@ -46,6 +46,8 @@
             over; None after any other takeover.
         unbegun: Task and boot of those of its runs that had not begun when it did so.
         worked: Task and boot of those that had worked past their risky time.
+        leaving: Address at which each boot that has announced to leave has last answered, as
+            recorded by an owner that handed the cell over.
         previous_owner: The process that may have renewed the leases until now, if recorded.
     """
 
@@ -56,6 +58,7 @@
         self.locations: dict[str, Boot] | None = None
         self.unbegun: set[tuple[str, Boot]] = set()
         self.worked: set[tuple[str, Boot]] = set()
+        self.leaving: dict[Boot, str] = {}
         self.previous_owner: OwnerRecord | None = None
         self._longest_wait_ms = 0
 
@@ -81,6 +84,8 @@
         if contents.hand_over is not None:
             leases = contents.hand_over.leases
             remaining_ms = {(worker, boot_ms): left_ms for worker, boot_ms, left_ms in leases}
+            leaving = contents.hand_over.leaving
+            self.leaving = {(worker, boot_ms): address for worker, boot_ms, address in leaving}
         for record in contents.workers:
             boot = (record.worker, record.boot_ms)
             left_ms = min(longest_ms, remaining_ms.get(boot, longest_ms))
@@ -137,6 +142,18 @@
             del self.by_boot[boot]
         return bool(boots)
 
+    def is_leaving(self, boot: Boot) -> bool:
+        """Return whether an unverified boot has announced to leave, so that it is polled."""
+        return boot in self.leaving and boot in self.by_boot
+
+    def list_leaving(self) -> list[tuple[Boot, str]]:
+        """Return such boots, and the address at which each has last answered."""
+        return [(boot, address) for boot, address in self.leaving.items() if boot in self.by_boot]
+
+    def remove_boot(self, boot: Boot) -> None:
+        """Drop a boot whose process is gone."""
+        self.by_boot.pop(boot, None)
+
     def has_boot_of(self, worker_id: str) -> bool:
         """Return whether a boot of the worker is unverified."""
         return any(known == worker_id for known, _ in self.by_boot)
@@ -262,7 +279,7 @@
         """Return the record of the leases, with all runs that may be going on if they are known."""
         leases = tuple(self._list_leases())
         if self.by_boot and self.locations is None:
-            return LeasesRecord(leases)
+            return LeasesRecord(leases, self._list_announced())
         runs = []
         unbegun = []
         worked = []
@@ -277,7 +294,17 @@
         runs += [
             (task, *location) for task, location in locations.items() if location in self.by_boot
         ]
-        return HandOverRecord(tuple(runs), leases, tuple(unbegun), tuple(worked))
+        return HandOverRecord(
+            tuple(runs), leases, tuple(unbegun), tuple(worked), leaving=self._list_announced()
+        )
+
+    def _list_announced(self) -> tuple[tuple[str, int, str], ...]:
+        """Return worker, boot and last answering address of those that have announced to leave."""
+        addresses = dict(self.list_leaving())
+        for worker in self._workers.values():
+            if worker.entry.is_draining and worker.leave.answered_address:
+                addresses[worker.boot] = worker.leave.answered_address
+        return tuple((*boot, address) for boot, address in addresses.items())
 
     def _list_leases(self) -> list[tuple[str, int, int]]:
         """Return worker, boot and the ms until its lease has lapsed, of all that may run tasks.
