--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -158,7 +158,7 @@
     async def remove_worker(self, worker: str) -> None:
         """Let a worker leave for good; its address refuses connections from then on."""
         await self.call_standin("leave", worker)
-        self.worker_proxies.pop(worker).set_mode("reset")
+        self.worker_proxies.pop(worker).close()
 
     async def wait_ready(self, host: Host) -> None:
         """Wait until a host reports ready; add a finding if it does not in time."""
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -39,6 +39,11 @@
         for connection in list(self._connections):
             connection.apply_mode(mode)
 
+    def close(self) -> None:
+        """Abort all connections, and let new ones be refused from now on."""
+        self.set_mode("reset")
+        self._port.stopListening()
+
     def add_connection(self, connection: "_CallerConnection") -> None:
         """Add a connection and apply the mode to it."""
         self._connections.add(connection)
