--- a/packages/standins/src/quetzallock_standins/emulator/cluster.py
+++ b/packages/standins/src/quetzallock_standins/emulator/cluster.py
@@ -38,6 +38,8 @@
 
 STEP_MS = 5
 INVENTORY_POLL_INTERVAL_MS = 60
+CONNECT_TIMEOUT_MS = 1_000
+"""Time limit for a connection to a machine that does not answer."""
 REVIVE_DELAY_MS = 3_000
 """Time from a crash that a task has caused to the worker's next boot."""
 TICK_INTERVAL_MS = 100
@@ -249,7 +251,12 @@
             )
             return
         if _rejects_connections(worker, cell_worker.entry.address):
-            self.schedule(self.latency_ms, lambda: self._handle_rejection(owner, boot))
+            rejected = PollFailure.REJECTED
+            self.schedule(self.latency_ms, lambda: self._handle_failure(owner, boot, rejected))
+            return
+        if worker.is_silent:
+            failure = PollFailure.NOT_CONNECTED
+            self.schedule(CONNECT_TIMEOUT_MS, lambda: self._handle_failure(owner, boot, failure))
             return
         if not worker.is_up or worker.is_isolated:
             return
@@ -258,9 +265,9 @@
             self.latency_ms, lambda: self._handle_inventory_answer(owner, boot, answer, now)
         )
 
-    def _handle_rejection(self, owner: Owner, boot: Boot) -> None:
+    def _handle_failure(self, owner: Owner, boot: Boot, failure: PollFailure) -> None:
         if owner.is_running:
-            owner.cell.handle_no_answer(boot, PollFailure.REJECTED)
+            owner.cell.handle_no_answer(boot, failure)
             self.run_effects(owner)
 
     def _is_misdirected(self, worker: EmulatedWorker, address: str) -> bool:
@@ -431,7 +438,8 @@
     """Return whether nothing listens at an address, which may be a false one of a worker."""
     if address != worker.entry.address:
         return True
-    return not worker.is_isolated and (worker.has_left or worker.is_listener_closed)
+    has_left = worker.has_left and not worker.is_silent
+    return not worker.is_isolated and (has_left or worker.is_listener_closed)
 
 
 def make_entry(
--- a/packages/standins/src/quetzallock_standins/emulator/workers.py
+++ b/packages/standins/src/quetzallock_standins/emulator/workers.py
@@ -97,6 +97,7 @@
         has_broken_connections: Whether the next call finds its connection broken by a crash.
         is_crashed_by_task: Whether a task has crashed it since its last start.
         has_left: Whether it is down since it has left as announced.
+        is_silent: Whether its machine has gone too, so that it accepts and rejects no connection.
         crashes: Number of its crashes.
         interference: For a pair of images, the relative increase of the first one's tail latency
             if tasks of the second use the whole processor.
@@ -124,6 +125,7 @@
     has_broken_connections: bool = False
     is_crashed_by_task: bool = False
     has_left: bool = False
+    is_silent: bool = False
     crashes: int = 0
     interference: dict[tuple[str, str], float] = field(default_factory=dict)
     compute_load: Callable[[float], float] = _compute_even_load
@@ -359,11 +361,15 @@
         self.crashes += 1
         self._shut_down("crashed")
 
-    def leave(self) -> None:
-        """Leave as announced by `drain`: all runs end, the entry goes, and nothing listens."""
+    def leave(self, is_silent: bool = False) -> None:
+        """Leave as announced by `drain`: all runs end, the entry goes, and nothing listens.
+
+        If `is_silent`, the machine goes too: after its connections are closed it answers nothing.
+        """
         if not self.entry.is_draining:
             raise ValueError(f"{self.id} has not announced its leave")
         self.has_left = True
+        self.is_silent = is_silent
         self._shut_down("left")
 
     def _shut_down(self, outcome: str) -> None:
@@ -387,4 +393,5 @@
         self._clock = 0.0
         self.is_up = True
         self.has_left = False
+        self.is_silent = False
         self.is_crashed_by_task = False
--- a/tests/core/cells/test_announced_leaves.py
+++ b/tests/core/cells/test_announced_leaves.py
@@ -9,7 +9,11 @@
 from quetzallock_core.cells.const import DRAINING_LEASE_MS, MAX_LEASE_MS
 from quetzallock_core.cells.models import Resources, WorkerEntry
 from quetzallock_standins.emulator import CellCluster, EmulatedWorker
-from quetzallock_standins.emulator.cluster import INVENTORY_POLL_INTERVAL_MS, make_spec
+from quetzallock_standins.emulator.cluster import (
+    CONNECT_TIMEOUT_MS,
+    INVENTORY_POLL_INTERVAL_MS,
+    make_spec,
+)
 
 from .common import POLICY, make_step
 
@@ -64,6 +68,20 @@
     assert not cluster.ground_truth.violations
 
 
+def test_lasting_tasks_do_not_wait_for_the_lease_of_a_worker_whose_machine_has_left_too() -> None:
+    cluster, leaving = make_full_cluster()
+    leaving.leave(is_silent=True)
+    cluster.join_worker()
+    cluster.run(CONNECT_TIMEOUT_MS + SEEN_MS)
+    assert count_running(cluster) == TASKS
+    assert not cluster.ground_truth.violations
+
+
+def break_connections(_cluster: CellCluster, worker: EmulatedWorker) -> None:
+    """Reset the connections of a worker that goes on."""
+    worker.has_broken_connections = True
+
+
 def cut_off(_cluster: CellCluster, worker: EmulatedWorker) -> None:
     """Let no call reach a worker."""
     worker.is_isolated = True
@@ -99,6 +117,7 @@
     (cut_off, delete_entry),
     (close_listener,),
     (falsify_address,),
+    (delete_entry, break_connections),
 ]
 
 
