--- a/packages/core/src/quetzallock_core/cells/workers.py
+++ b/packages/core/src/quetzallock_core/cells/workers.py
@@ -282,7 +282,7 @@
         """Record an answer, which arrives at `now`, to a call that was sent at `asked_at`."""
         self.contact_at = now
         self.unanswered_since = -1
-        self.leave.forget_rejections()
+        self.leave.forget_failures()
         if clock_ms >= self.clock_ms:
             self.clock_ms = clock_ms
             self.clock_read_at = now
