Check the resources of a worker once when it is ranked

Cause: a ranking first lists the workers with enough resources, and checked the resources of each again with its constraints, for best-effort tasks with a new object for each. Why it works: the second check is only of the constraints.

--- a/packages/core/src/quetzallock_core/cells/placement.py
+++ b/packages/core/src/quetzallock_core/cells/placement.py
@@ -1,7 +1,7 @@
 """Chooses workers for tasks: among those within the hard limits, the one with the lowest cost."""
 
 from collections import defaultdict
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 from enum import StrEnum
 from heapq import heapify, heappop, heappush
@@ -141,6 +141,8 @@
     return cost
 
 
+_Check = Callable[[Task, Worker, int], Obstacle | None]
+
 _Ranked = tuple[float, int, int, Worker]
 """Cost, position in the list of workers, version of the worker, and the worker."""
 
@@ -383,7 +385,7 @@
     def _rank(self, task: Task, is_starving: bool) -> _Ranking:
         ranking = _Ranking(task, is_starving, [], len(self._changes))
         for position, worker in self._list_fitting(task.spec):
-            cost = self._compute_total_cost(task, worker, is_starving)
+            cost = self._compute_total_cost(task, worker, is_starving, find_constraint)
             if cost is not None:
                 ranking.heap.append((cost, position, self._versions[position], worker))
         heapify(ranking.heap)
@@ -403,9 +405,18 @@
             and (not spec.fills or worker.idle_cpu >= min_idle_cpu)
         ]
 
-    def _compute_total_cost(self, task: Task, worker: Worker, is_starving: bool) -> float | None:
-        """Return the cost of `worker` for the step of `task`, or None where it may not start."""
-        if not can_place(task, worker, self._now):
+    def _compute_total_cost(
+        self, task: Task, worker: Worker, is_starving: bool, find: _Check = find_obstacle
+    ) -> float | None:
+        """Return the cost of `worker` for the step of `task`, or None where it may not start.
+
+        Args:
+            task: A task of the step.
+            worker: A worker that accepts tasks.
+            is_starving: The tasks have waited longer than `STARVING_AFTER_MS`.
+            find: Check that the worker must pass; without resources where they are known to fit.
+        """
+        if find(task, worker, self._now) is not None:
             return None
         interference_cost = self._compute_interference_cost(task, worker)
         if _is_over_limit(interference_cost, worker, is_starving):
