Add up the free resources once for all steps in a report of waits

Cause: the tick that reports why tasks wait, once a second, added up what all workers have free for each of up to eight steps, two to three times for each worker. Why it works: it is the same for all steps of a report.

--- a/packages/core/src/quetzallock_core/cells/waiting.py
+++ b/packages/core/src/quetzallock_core/cells/waiting.py
@@ -1,6 +1,7 @@
 """Reports why tasks wait: what keeps them from each worker, and how much room is free meanwhile."""
 
 from collections import Counter
+from collections.abc import Iterable
 from dataclasses import dataclass, replace
 from typing import Final
 
@@ -10,7 +11,7 @@
 from .placement import Obstacle, Placement
 from .scheduler import may_start
 from .state import CellState
-from .workers import compute_commitment
+from .workers import Worker, compute_commitment
 
 REPORT_INTERVAL_MS: Final = 1_000
 """Minimum time between two reports, each of which looks at all workers."""
@@ -62,6 +63,19 @@
     fits_in_total: bool
 
 
+@dataclass(frozen=True, slots=True)
+class Room:
+    """Resources that all workers have left.
+
+    Attributes:
+        largest: Those of the worker with the most free processor.
+        total: Their sum.
+    """
+
+    largest: Resources
+    total: Resources
+
+
 class WaitReporter:
     """Reports regularly why the longest waiting steps of a cell wait."""
 
@@ -102,9 +116,10 @@
     if not waiting:
         return []
     placement = Placement(state.workers.values(), state.interference, now)
+    room = measure_room(placement.workers)
     reports = []
     for _, task in waiting[:MAX_STEPS_REPORTED]:
-        report = explain_wait(task, placement, now)
+        report = explain_wait(task, placement, room, now)
         if state.unverified.may_be_running(task):
             report = replace(report, reason=UNVERIFIED)
         elif not state.headroom.may_start(task):
@@ -135,24 +150,30 @@
     return next((task for task in step.tasks if task.is_waiting and now >= task.not_before), None)
 
 
-def explain_wait(task: Task, placement: Placement, now: int) -> WaitReport:
-    """Return what keeps `task` from each worker of `placement`."""
+def measure_room(workers: Iterable[Worker]) -> Room:
+    """Return the room that `workers` have left."""
+    largest = Resources()
+    total = Resources()
+    for worker in workers:
+        free = worker.free
+        total += free
+        if free.cpu > largest.cpu:
+            largest = free
+    return Room(largest, total)
+
+
+def explain_wait(task: Task, placement: Placement, room: Room, now: int) -> WaitReport:
+    """Return what keeps `task` from each worker of `placement`, which have `room` left."""
     obstacles: Counter[str] = Counter()
-    largest_free = Resources()
-    total_free = Resources()
     for worker in placement.workers:
-        obstacle = placement.find_obstacle(task, worker)
-        obstacles[obstacle or NO_OBSTACLE] += 1
-        total_free += worker.free
-        if worker.free.cpu > largest_free.cpu:
-            largest_free = worker.free
+        obstacles[placement.find_obstacle(task, worker) or NO_OBSTACLE] += 1
     reason = next((reason for reason in _REASONS if obstacles[reason]), NO_WORKER)
     return WaitReport(
         task,
         now - task.step.ready_at,
         str(reason),
         {str(name): count for name, count in obstacles.items() if count},
-        largest_free,
-        total_free,
-        compute_commitment(task.spec.needs, task.spec.fills).fits_in(total_free),
+        room.largest,
+        room.total,
+        compute_commitment(task.spec.needs, task.spec.fills).fits_in(room.total),
     )
