--- a/packages/core/src/quetzallock_core/cells/placement.py
+++ b/packages/core/src/quetzallock_core/cells/placement.py
@@ -1,7 +1,7 @@
 """Chooses workers for tasks: among those within the hard limits, the one with the lowest cost."""
 
 from collections import defaultdict
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 from enum import StrEnum
 from heapq import heapify, heappop, heappush
@@ -141,6 +141,8 @@
     return cost
 
 
+_Check = Callable[[Task, Worker, int], Obstacle | None]
+
 _Ranked = tuple[float, int, int, Worker]
 """Cost, position in the list of workers, version of the worker, and the worker."""
 
@@ -165,14 +167,21 @@
 
     def add(self, worker: Worker) -> None:
         """Take a worker of the pool into account."""
-        free = worker.free
+        capacity = worker.entry.capacity
+        committed = worker.committed
+        cpu = capacity.cpu - committed.cpu
+        memory_mb = capacity.memory_mb - committed.memory_mb
+        gpus = capacity.gpus - committed.gpus
         idle_cpu = worker.idle_cpu
         for reservation in worker.reservations.values():
-            free = free + reservation.held
-            idle_cpu += max(reservation.held.cpu, reservation.task.spec.needs.cpu)
-        self.cpu = max(self.cpu, free.cpu)
-        self.memory_mb = max(self.memory_mb, free.memory_mb)
-        self.gpus = max(self.gpus, free.gpus)
+            held = reservation.held
+            cpu += held.cpu
+            memory_mb += held.memory_mb
+            gpus += held.gpus
+            idle_cpu += max(held.cpu, reservation.task.spec.needs.cpu)
+        self.cpu = max(self.cpu, cpu)
+        self.memory_mb = max(self.memory_mb, memory_mb)
+        self.gpus = max(self.gpus, gpus)
         self.idle_cpu = max(self.idle_cpu, idle_cpu)
 
     def is_short_for(self, spec: StepSpec) -> bool:
@@ -383,7 +392,7 @@
     def _rank(self, task: Task, is_starving: bool) -> _Ranking:
         ranking = _Ranking(task, is_starving, [], len(self._changes))
         for position, worker in self._list_fitting(task.spec):
-            cost = self._compute_total_cost(task, worker, is_starving)
+            cost = self._compute_total_cost(task, worker, is_starving, find_constraint)
             if cost is not None:
                 ranking.heap.append((cost, position, self._versions[position], worker))
         heapify(ranking.heap)
@@ -403,9 +412,18 @@
             and (not spec.fills or worker.idle_cpu >= min_idle_cpu)
         ]
 
-    def _compute_total_cost(self, task: Task, worker: Worker, is_starving: bool) -> float | None:
-        """Return the cost of `worker` for the step of `task`, or None where it may not start."""
-        if not can_place(task, worker, self._now):
+    def _compute_total_cost(
+        self, task: Task, worker: Worker, is_starving: bool, find: _Check = find_obstacle
+    ) -> float | None:
+        """Return the cost of `worker` for the step of `task`, or None where it may not start.
+
+        Args:
+            task: A task of the step.
+            worker: A worker that accepts tasks.
+            is_starving: The tasks have waited longer than `STARVING_AFTER_MS`.
+            find: Check that the worker must pass; without resources where they are known to fit.
+        """
+        if find(task, worker, self._now) is not None:
             return None
         interference_cost = self._compute_interference_cost(task, worker)
         if _is_over_limit(interference_cost, worker, is_starving):
