Report at exit what became of callers while a host drained

'host is stopped' only told how many requests were in flight. It could not tell when they were read, so a request taken long after SIGTERM looked like one that was there before.

The line now lists the unanswered requests with their age and when they were read relative to SIGTERM, counts the requests read in each phase of the drain, and the connections by the cause of their end. The phases are times since SIGTERM, derived from graceS and lossSlackMs, in a module without I/O; nothing but the report uses them yet.

--- a/packages/daemon/src/quetzallock_daemon/cells/const.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/const.py
@@ -101,6 +101,10 @@
 DEFAULT_DEADLINE_MS: Final = 3_000
 """Deadline of callers' requests that name none."""
 
+DEFAULT_LOSS_SLACK_MS: Final = 200
+"""Time after a request's last byte within which its connection may end without an answer, where the
+deployment sets none."""
+
 ANSWER_MARGIN_MS: Final = 60
 """How long before a caller's deadline its answer is sent."""
 
--- a/packages/daemon/src/quetzallock_daemon/cells/front.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/front.py
@@ -7,6 +7,8 @@
 from twisted.web import http
 
 from ..helpers import run_in_background
+from .caller_channels import CallerChannel, CallerChannels
+from .open_requests import OpenRequests
 from .ports import RequestLimits
 from .router import CallerAnswer, CallerRequest, Router
 
@@ -22,18 +24,26 @@
     """State shared by all callers' connections of a host.
 
     Attributes:
-        in_flight: Number of requests that were received and not answered yet.
+        requests: The requests that were read whole and not answered yet.
+        channels: The open connections.
         is_draining: Connections are closed after their next answer.
     """
 
     def __init__(
-        self, router: Router, encode: Encode, read_request: ReadRequest, limits: RequestLimits
+        self,
+        router: Router,
+        encode: Encode,
+        read_request: ReadRequest,
+        limits: RequestLimits,
+        requests: OpenRequests,
+        channels: CallerChannels,
     ) -> None:
         self.router = router
         self.encode = encode
         self.read_request = read_request
         self.limits = limits
-        self.in_flight = 0
+        self.requests = requests
+        self.channels = channels
         self.is_draining = False
 
 
@@ -63,7 +73,7 @@
 
     async def _answer(self) -> None:
         state = self.state
-        state.in_flight += 1
+        number = state.requests.add(self.method.decode("latin-1"), self.path.decode("latin-1"))
         try:
             if self._is_too_large:
                 limit = state.limits.body_bytes
@@ -74,7 +84,7 @@
             _LOGGER.exception("request failed", extra={"path": self.path.decode("latin-1")})
             answer = CallerAnswer(500, code="internal")
         finally:
-            state.in_flight -= 1
+            state.requests.remove(number)
         if not self._is_disconnected:
             self._write_answer(answer)
 
@@ -107,13 +117,17 @@
         self.finish()
 
 
-def _make_factory(request_class: type[http.Request], limits: RequestLimits) -> http.HTTPFactory:
+def _make_factory(
+    request_class: type[http.Request],
+    limits: RequestLimits,
+    make_channel: Callable[[], http.HTTPChannel],
+) -> http.HTTPFactory:
     factory = http.HTTPFactory(timeout=limits.idle_ms / 1_000)
     factory.noisy = False
     factory.log = lambda _request: None  # type: ignore[assignment]
 
     def build_channel() -> http.HTTPChannel:
-        channel = http.HTTPChannel()
+        channel = make_channel()
         channel.requestFactory = request_class
         channel.totalHeadersSize = limits.header_bytes + _HEADER_SLACK_BYTES
         return channel
@@ -125,10 +139,11 @@
 def make_caller_factory(state: FrontState) -> http.HTTPFactory:
     """Return the factory of callers' connections."""
     request_class = type("BoundCallerRequest", (_CallerRequest,), {"state": state})
-    return _make_factory(request_class, state.limits)
+    channel_class = type("BoundCallerChannel", (CallerChannel,), {"channels": state.channels})
+    return _make_factory(request_class, state.limits, channel_class)
 
 
 def make_page_factory(pages: dict[bytes, Callable[[], tuple[int, bytes]]]) -> http.HTTPFactory:
     """Return the factory of connections for pages, which are given by path."""
     request_class = type("BoundPageRequest", (_PageRequest,), {"pages": pages})
-    return _make_factory(request_class, RequestLimits())
+    return _make_factory(request_class, RequestLimits(), http.HTTPChannel)
--- a/packages/daemon/src/quetzallock_daemon/cells/service.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/service.py
@@ -16,10 +16,12 @@
 from ..helpers import run_in_background
 from ..telemetry.logs import BufferedLogHandler
 from ..telemetry.metrics_page import MetricsPage
+from .caller_channels import CallerChannels
 from .candidacy import CandidacyTask
 from .clocks import BootClock
 from .configuration_follower import ConfigurationFollower
-from .const import INCARNATION_BITS
+from .const import DEFAULT_LOSS_SLACK_MS, INCARNATION_BITS
+from .drain import Drain, derive_drain_times
 from .followers import EntriesFollower
 from .front import FrontState, ReadRequest, make_caller_factory, make_page_factory
 from .membership import Member, MembershipTask, OwnersTask, StoreContact
@@ -31,6 +33,7 @@
     ProcessProbe,
     SubmitJobRequest,
 )
+from .open_requests import OpenRequests
 from .owner import CellOwner
 from .peers import Peers, make_request_factory
 from .ports import Configuration, Membership, RequestLimits, Store, Workers
@@ -62,6 +65,8 @@
         metrics: `ip:port` of the metrics page.
         metrics_path: Path of the metrics page.
         grace_ms: Time between SIGTERM and SIGKILL.
+        loss_slack_ms: Time after a request's last byte within which its connection may end without
+            an answer.
         cells: Number of cells of the deployment.
         bounds: Bounds of the cells.
         power: Processor capacity of the host in thousandths of a core.
@@ -77,6 +82,7 @@
     cells: int
     bounds: Bounds
     power: int
+    loss_slack_ms: int = DEFAULT_LOSS_SLACK_MS
 
 
 @dataclass(frozen=True, slots=True)
@@ -108,6 +114,10 @@
         self._counters = counters
         self._log_handler = log_handler
         self._clock = BootClock()
+        drain_times = derive_drain_times(settings.grace_ms, settings.loss_slack_ms)
+        self._drain = Drain(self._clock, drain_times)
+        self._requests = OpenRequests(self._clock, self._drain, counters)
+        self._channels = CallerChannels(self._drain, counters)
         self._owned: dict[int, CellOwner] = {}
         self._lost_epochs: dict[int, int] = {}
         self._entries: dict[str, WorkerEntry] = {}
@@ -169,7 +179,12 @@
             lambda: bool(self._owned),
         )
         self._front = FrontState(
-            self.router, adapters.encode_answer, adapters.read_request, RequestLimits()
+            self.router,
+            adapters.encode_answer,
+            adapters.read_request,
+            RequestLimits(),
+            self._requests,
+            self._channels,
         )
         self._listening_ports: list[Any] = []
         self._drained: Deferred[None] = Deferred()
@@ -381,6 +396,7 @@
         """
         _LOGGER.info("host is draining", extra={"cells": sorted(self._owned)})
         self._is_draining = True
+        self._drain.begin()
         self._front.is_draining = True
         self._drain_started_at = self._clock.now()
         self._candidacy.stop()
@@ -399,10 +415,15 @@
 
     def _poll_drain(self) -> None:
         elapsed_ms = self._clock.now() - self._drain_started_at
-        is_idle = not self._front.in_flight and not self._owned
+        is_idle = not self._requests.count and not self._owned
         is_late = elapsed_ms >= self._settings.grace_ms - _EXIT_MARGIN_MS
         if (elapsed_ms >= _MIN_DRAIN_MS and is_idle) or is_late:
-            _LOGGER.info("host is stopped", extra={"in_flight": self._front.in_flight})
+            report = self._requests.report() | self._channels.report()
+            _LOGGER.log(
+                logging.WARNING if report["in_flight"] else logging.INFO,
+                "host is stopped",
+                extra=report,
+            )
             self._log_handler.write_buffered_lines()
             self._drained.callback(None)
             return
