--- a/tests/daemon/emulated_hosts.py
+++ b/tests/daemon/emulated_hosts.py
@@ -18,6 +18,7 @@
 from quetzallock_daemon.cells.ports import ConfigPage, EntryPage, Membership
 from quetzallock_daemon.cells.service import Adapters, HostService, HostSettings
 from quetzallock_daemon.helpers import sleep
+from quetzallock_platform.requests import encode_answer, read_request
 from quetzallock_platform_standin import store as store_module
 from quetzallock_platform_standin.store import PARTITION_COUNT, StandinStore
 
@@ -26,6 +27,24 @@
 LAST_PARTITION = PARTITION_COUNT - 1
 TOPIC = "keyed.cells"
 GROUP = "owners"
+FRONT_PORT = 1
+
+
+class EmulatedPort:
+    """A listening port.
+
+    Attributes:
+        factory: Factory of its connections.
+        is_open: Whether it accepts connections.
+    """
+
+    def __init__(self, factory: Any) -> None:
+        self.factory = factory
+        self.is_open = True
+
+    def stopListening(self) -> None:  # noqa: N802
+        """Accept no more connections."""
+        self.is_open = False
 
 
 class HostReactor(Clock):
@@ -36,9 +55,13 @@
         self._hosts = hosts
         self.name = name
 
-    def listenTCP(self, port: int, factory: Any, **_: Any) -> None:  # noqa: N802
+    def listenTCP(self, port: int, factory: Any, **_: Any) -> "EmulatedPort":  # noqa: N802
         if callable(factory):
             self._hosts.request_handlers[self.name] = factory
+        elif port == FRONT_PORT:
+            self._hosts.fronts[self.name] = EmulatedPort(factory)
+            return self._hosts.fronts[self.name]
+        return EmulatedPort(factory)
 
     def addSystemEventTrigger(self, *_: Any) -> None:  # noqa: N802
         """Ignore the trigger: the reactor is never shut down."""
@@ -113,7 +136,7 @@
         return {}
 
     async def append(self, *_: Any) -> None:
-        await self._pause()
+        await sleep(self._reactor, self._hosts.append_ms)
 
     async def read_entries(self) -> EntryPage:
         await self._pause()
@@ -139,6 +162,8 @@
 
     Attributes:
         now: Time in ms.
+        append_ms: How long an append to the journal takes.
+        fronts: The hosts' ports for callers.
         loading_ms: How long a host that loads the cell does nothing else.
         owner_turn_ms: How long the owner is busy with each turn, in which it handles all input.
         takeovers: Names of the hosts that have taken the cell over, in order.
@@ -158,6 +183,8 @@
         monkeypatch.setattr(service_module, "Peers", peers)
         self.now = 1_000_000
         self.bounds = bounds or Bounds()
+        self.append_ms = CALL_MS
+        self.fronts: dict[str, EmulatedPort] = {}
         self.loading_ms = 0
         self.owner_turn_ms = 0
         self.takeovers: list[str] = []
@@ -177,9 +204,10 @@
         reactor.advance(self.now / 1_000)
         store = self._make_store(name)
         unused: Any = SimpleNamespace()
+        log_handler: Any = SimpleNamespace(write_buffered_lines=lambda: None)
         settings = HostSettings(
             host=name,
-            front=f"{name}:1",
+            front=f"{name}:{FRONT_PORT}",
             ready=f"{name}:2",
             peers=f"{name}:3",
             metrics=f"{name}:4",
@@ -193,11 +221,13 @@
             store=store,
             workers=unused,
             decode_job=lambda job, _: JobSpec(job, "", ()),
-            read_request=unused,
-            encode_answer=unused,
+            read_request=read_request,
+            encode_answer=encode_answer,
             ready_path="/ready",
         )
-        service = self.services[name] = HostService(reactor, settings, adapters, Counter(), unused)
+        service = self.services[name] = HostService(
+            reactor, settings, adapters, Counter(), log_handler
+        )
         service.start()
 
     def _make_reactor(self, name: str) -> HostReactor:
