Tests of refusals at once, the order of idle channels, lingering and stalls in a drain

Single changes of the fix that the earlier tests did not notice: no refusal of what comes too late for an attempt, idle channels left to the end or ended at once, a close that resets, an exit in the turn that writes the last answers.

--- a/tests/daemon/test_draining_callers.py
+++ b/tests/daemon/test_draining_callers.py
@@ -15,6 +15,7 @@
 QUEUE = Queue(HOST, "/jobs/", 60_000, QueuePolicy("jobs", "pool"))
 SETTLING_MS = 6_000
 GRACE_MS = 6_000
+LOSS_SLACK_MS = 200
 SILENT_APPEND_MS = 60_000
 BODY = b"{}"
 
@@ -24,9 +25,11 @@
 
     Attributes:
         is_finished: The host has closed the connection, or its writing half.
+        is_closed: The host has closed the connection.
     """
 
     is_finished = False
+    is_closed = False
 
     def loseWriteConnection(self) -> None:  # noqa: N802
         """Close the writing half."""
@@ -35,6 +38,7 @@
     def loseConnection(self) -> None:  # noqa: N802
         """Close the connection."""
         self.is_finished = True
+        self.is_closed = True
 
 
 class Caller:
@@ -202,3 +206,78 @@
     assert not hosts.fronts["h0"].is_open
     assert idle.transport.is_finished
     assert partial.transport.is_finished
+
+
+def test_request_that_comes_too_late_for_an_attempt_is_refused_at_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a caller that waits to the exit, instead of trying another host."""
+    hosts = make_hosts(monkeypatch, 2)
+    hosts.append_ms = SILENT_APPEND_MS
+    caller = Caller(hosts, "h0")
+    request = make_submission(1)
+    hosts.services["h0"].drain()
+    caller.send(request[:-1])
+    hosts.run(4_400)
+    caller.send(request[-1:])
+    hosts.run(2 * STEP_MS)
+    assert caller.statuses == [503]
+    assert b"Retry-After: 1" in caller.transport.value()
+    assert b"draining" in caller.transport.value()
+
+
+def test_idle_connections_are_ended_after_the_port_and_let_the_host_exit(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against an exit at the limit, and against ending one whose request is on its way."""
+    hosts = make_hosts(monkeypatch, 2)
+    idle = Caller(hosts, "h0")
+    hosts.services["h0"].drain()
+    hosts.run(2_950)
+    new = Caller(hosts, "h0")
+    hosts.run(100)
+    assert not hosts.fronts["h0"].is_open
+    assert idle.transport.is_finished
+    assert not new.transport.is_finished
+    new.submit(1)
+    hosts.run(100)
+    assert new.statuses == [200]
+    assert new.transport.is_finished
+
+
+def test_connection_is_read_for_the_slack_after_its_last_answer(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a reset by unread bytes, which destroys the answer."""
+    hosts = make_hosts(monkeypatch, 2)
+    caller = Caller(hosts, "h0")
+    hosts.services["h0"].drain()
+    caller.submit(1)
+    for _ in range(1_000 // STEP_MS):
+        if not caller.transport.is_finished:
+            hosts.run(STEP_MS)
+    assert caller.statuses == [200]
+    assert not caller.transport.is_closed
+    caller.submit(2)
+    hosts.run(LOSS_SLACK_MS + STEP_MS)
+    assert caller.transport.is_closed
+    assert caller.statuses == [200]
+
+
+def test_host_that_stalls_over_the_end_of_its_drain_has_a_turn_to_flush_answers(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    hosts = make_hosts(monkeypatch, 2)
+    hosts.append_ms = SILENT_APPEND_MS
+    (name,) = set(hosts.services) - {hosts.owner}
+    caller = Caller(hosts, name)
+    service = hosts.services[name]
+    service.drain()
+    hosts.run(2_900)
+    caller.submit(1)
+    hosts.run(1_900)
+    hosts.keep_busy(name, 500)
+    while not caller.statuses:
+        hosts.run(STEP_MS)
+    assert not service._drain_task._drained.called
+    run_until_exit(hosts, name)
