End channels of a draining host only after input that had arrived is read

Found by a review of the fix: after a stall of the process a channel could count as idle though a request was unread in its socket, and be ended without an answer. The polls of the drain run after a turn of input, as the answers do; a test guards the latter (without the wait it gives one answer of two).

A channel lingers for half of lossSlackMs, so that a request which is dropped meanwhile sees its end within the slack also where the end of the writing half is not noticed.

--- a/packages/daemon/src/quetzallock_daemon/cells/caller_channels.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/caller_channels.py
@@ -116,8 +116,11 @@
             self._count_end(channel.end_cause)
 
     def close_later(self, transport: Any) -> None:
-        """Close a connection after the slack that its caller has to close it."""
-        self._reactor.callLater(self._loss_slack_ms / 1_000, transport.loseConnection)
+        """Close a connection after half of the slack, in which its caller may close it.
+
+        A request that is dropped meanwhile sees the end of its connection within the slack.
+        """
+        self._reactor.callLater(self._loss_slack_ms / 2_000, transport.loseConnection)
 
     def end_idle(self) -> None:
         """End the idle connections, but for those whose first request may be on its way."""
--- a/packages/daemon/src/quetzallock_daemon/cells/drain_task.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/drain_task.py
@@ -6,6 +6,7 @@
 
 from twisted.internet.defer import Deferred
 
+from ..helpers import call_after_input
 from .caller_channels import CallerChannels
 from .drain import Drain, Phase
 from .open_requests import OpenRequests
@@ -73,7 +74,8 @@
         if may_exit:
             self._finish()
         else:
-            self._reactor.callLater(_POLL_INTERVAL_MS / 1_000, self._poll)
+            # A connection is idle only if its input that had arrived was read.
+            call_after_input(self._reactor, _POLL_INTERVAL_MS, self._poll)
 
     @property
     def _is_done(self) -> bool:
--- a/tests/daemon/test_draining_callers.py
+++ b/tests/daemon/test_draining_callers.py
@@ -8,6 +8,7 @@
 
 from quetzallock_core.cells.models import QueuePolicy
 from quetzallock_daemon.cells.ports import Configuration, Queue, RequestLimits
+from quetzallock_daemon.cells.router import CallerAnswer, CallerRequest
 
 from .emulated_hosts import CALL_MS, STEP_MS, EmulatedHosts
 
@@ -171,6 +172,29 @@
     assert caller.transport.is_finished
 
 
+def test_request_that_arrives_before_the_answer_to_the_one_before_it_is_answered(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a whole request that is unread as the answer closes its connection."""
+    hosts = make_hosts(monkeypatch, 2)
+    service = hosts.services["h0"]
+    caller = Caller(hosts, "h0")
+    make_answer = service.router.answer
+
+    async def answer(request: CallerRequest) -> CallerAnswer:
+        made = await make_answer(request)
+        if caller.sent == 1:
+            hosts.reactors["h0"].callLater(0, caller.submit, 2)
+        return made
+
+    monkeypatch.setattr(service.router, "answer", answer)
+    service.drain()
+    caller.submit(1)
+    hosts.run(1_000)
+    assert caller.statuses == [200, 200]
+    assert caller.transport.is_finished
+
+
 @pytest.mark.parametrize("append_ms", [CALL_MS, SILENT_APPEND_MS])
 @pytest.mark.parametrize("completed_after_ms", [2_900, 3_500, 4_500, 4_900])
 def test_request_whose_last_byte_comes_late_in_the_drain_is_answered(
