Roll hosts of a full pool in the soak, with callers on open channels

Users saw requests that were read long after SIGTERM and given up without an answer, and long-running tasks that stayed away for over nine seconds in a full pool. The soak drew neither: its callers change hosts after a failed call, and its pools hold whole pieces.

--- a/tests/soak/fault_log.py
+++ b/tests/soak/fault_log.py
@@ -17,6 +17,7 @@
     "reload_host",
     "replace_workers",
     "restart_hosts",
+    "slow_appends",
     "stop_host",
 )
 """Faults that are planned work: they do not end a calm period."""
--- a/tests/soak/planned_work.py
+++ b/tests/soak/planned_work.py
@@ -9,7 +9,7 @@
 
 from quetzallock_daemon.helpers import run_coroutine, sleep
 
-from .callers import Caller, JobMaker
+from .callers import Caller, CallerJob, JobMaker
 from .deployment import Host, SoakDeployment, now_ms
 from .fault_log import FaultLog
 from .lasting_checks import ABSENCE_MS, CALM_MS, RESTART_MS
@@ -38,6 +38,8 @@
 SPLIT_MS: Final = 8_000
 """Time for the smaller workers to leave in turn."""
 REPLACEMENT_DELAY_MS: Final = 400
+LEAD_MS: Final = 400
+"""How long before the announcement of a leave in a row the successor is up."""
 REPLACEMENT_GAPS_MS: Final = (700, 1_500, 3_000)
 """Times between the announcements of two workers that are drawn; all shorter than `DRAIN_MS`."""
 RESTART_COUNT: Final = 6
@@ -68,11 +70,20 @@
         while now_ms() < until:
             is_lasting = now_ms() < flood_until and self._rng.random() < 0.5
             kind = "lasting" if is_lasting else "timed"
-            job, body = self._make_job_of(kind, FLOOD_KINDS[kind])
-            self.jobs.append(job)
-            await self._submit(job, body)
+            await self._submit_job_of(kind, FLOOD_KINDS[kind])
             await sleep(self._deployment.reactor, self._rng.randrange(FLOOD_PAUSE_MS))
 
+    async def submit_lasting(self, cpu: int, tasks: int) -> CallerJob:
+        """Submit a job of long-running tasks and return it."""
+        fields = {"longRunning": True, "cpu": cpu}
+        return await self._submit_job_of("lasting", lambda _rng: (f"lasts {cpu}", (tasks,), fields))
+
+    async def _submit_job_of(self, kind: str, make: JobMaker) -> CallerJob:
+        job, body = self._make_job_of(kind, make)
+        self.jobs.append(job)
+        await self._submit(job, body)
+        return job
+
     async def cancel_lasting(self) -> None:
         """Cancel the accepted long-running jobs."""
         for job in self.jobs:
@@ -185,6 +196,26 @@
     for name in names:
         await deployment.add_worker(name, cpu)
         log.add(f"{name} has started")
-    await sleep(deployment.reactor, DRAIN_MS - REPLACEMENT_DELAY_MS)
+    await _let_leave(deployment, worker, DRAIN_MS - REPLACEMENT_DELAY_MS, log)
+
+
+async def _let_leave(deployment: SoakDeployment, worker: str, ms: int, log: FaultLog) -> None:
+    await sleep(deployment.reactor, ms)
     await deployment.remove_worker(worker)
     log.add(f"{worker} has left")
+
+
+async def replace_workers_in_row(
+    deployment: SoakDeployment, leaving: list[str], sizes: dict[str, int], log: FaultLog
+) -> None:
+    """Let workers leave in a row, each after a successor of its size has started."""
+    with log.record("replace_workers", f"{leaving} in a row"):
+        leaves = []
+        for worker in leaving:
+            await deployment.add_worker(f"{worker}-next", sizes[worker])
+            await sleep(deployment.reactor, LEAD_MS)
+            await deployment.call_standin("drain", worker)
+            log.add(f"{worker} drains, {worker}-next has started")
+            leaves.append(run_coroutine(_let_leave(deployment, worker, DRAIN_MS, log)))
+            await sleep(deployment.reactor, SPLIT_GAP_MS - LEAD_MS)
+        await gatherResults(leaves, consumeErrors=True)
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -26,6 +26,7 @@
 from .fault_log import FaultLog
 from .faults import heal, inject_faults
 from .final_cancels import acknowledge_cancellations, cancel_jobs, cancel_jobs_under_restarts
+from .full_pool import FullPoolCourse
 from .lasting_checks import list_lasting_findings
 from .order_faults import inject_order_faults
 from .planned_work import do_planned_work
@@ -80,6 +81,15 @@
     return findings + await _check_end(deployment, everyone, healed_at, log)
 
 
+async def run_full_pool(deployment: SoakDeployment, seed: int, log: FaultLog) -> list[str]:
+    """Play the course of planned work on a full pool, without faults, and return the findings."""
+    course = FullPoolCourse(deployment, seed, log)
+    findings = await course.play()
+    ended_at = now_ms()
+    await wait_for_final_states(deployment, course.callers, ended_at)
+    return findings + await _check_end(deployment, course.callers, ended_at, log)
+
+
 async def _inject_faults(
     deployment: SoakDeployment, rng: Random, silence_rng: Random, seconds: float, log: FaultLog
 ) -> tuple[list[Caller], list[Canceller]]:
@@ -167,17 +177,30 @@
     return job.state in ("completed", "failed", "cancelled")
 
 
-def main(seed: int, seconds: float = 20, hosts: int = 3, workers: int = 4, keep: str = "") -> None:
-    """Run the soak with SEED; the logs go below the folder KEEP, or to a temporary folder."""
+def main(
+    seed: int,
+    seconds: float = 20,
+    hosts: int = 3,
+    workers: int = 4,
+    keep: str = "",
+    full_pool: bool = False,
+) -> None:
+    """Run the soak with SEED; the logs go below the folder KEEP, or to a temporary folder.
+
+    With FULL_POOL the course is planned work on a full pool instead of faults.
+    """
     folder = Path(keep) / f"seed-{seed}" if keep else Path(tempfile.mkdtemp(prefix="soak-"))
     folder.mkdir(parents=True, exist_ok=True)
     log = FaultLog()
     findings: list[str] = []
 
     async def run() -> None:
-        deployment = SoakDeployment(reactor, folder, hosts, workers)
+        deployment = SoakDeployment(reactor, folder, hosts, 0 if full_pool else workers)
         try:
-            findings.extend(await run_seed(deployment, seed, seconds, log))
+            if full_pool:
+                findings.extend(await run_full_pool(deployment, seed, log))
+            else:
+                findings.extend(await run_seed(deployment, seed, seconds, log))
         finally:
             deployment.close()
             reactor.stop()
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -20,11 +20,11 @@
 SEED_TIMEOUT_S: Final = 300
 
 
-def run_seed(seed: int, seconds: float, hosts: int) -> bool:
+def run_seed(seed: int, seconds: float, hosts: int, full_pool: bool) -> bool:
     """Run one seed in a separate process; return whether it had no findings."""
     command = [sys.executable, "-m", "tests.soak.play", f"--seed={seed}", f"--seconds={seconds}"]
     ended = subprocess.run(
-        [*command, f"--hosts={hosts}", f"--keep={OUT}"],
+        [*command, f"--hosts={hosts}", f"--full_pool={full_pool}", f"--keep={OUT}"],
         capture_output=True,
         text=True,
         timeout=SEED_TIMEOUT_S,
@@ -54,6 +54,7 @@
     seconds: float = 20,
     known: bool = False,
     hosts: int = 3,
+    full_pool: bool = False,
 ) -> None:
     """Run COUNT seeds, or the KNOWN ones; the exit status is 1 if any has findings.
 
@@ -61,7 +62,7 @@
     """
     seeds = choose_seeds(first, count, known)
     with ThreadPoolExecutor(at_once) as pool:
-        passed = list(pool.map(lambda seed: run_seed(seed, seconds, hosts), seeds))
+        passed = list(pool.map(lambda seed: run_seed(seed, seconds, hosts, full_pool), seeds))
     failed = [seed for seed, has_passed in zip(seeds, passed, strict=True) if not has_passed]
     print(f"{len(seeds)} seeds, {len(failed)} with findings: {failed}")
     sys.exit(1 if failed else 0)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -17,9 +17,20 @@
 @pytest.mark.process
 @pytest.mark.xdist_group("soak")
 def test_short_seed_breaks_no_promise(tmp_path: Path) -> None:
-    command = [sys.executable, "-m", "tests.soak.play", "--seed=16", "--seconds=8"]
+    play_seed(tmp_path, "--seed=16", "--seconds=8")
+
+
+@pytest.mark.process
+@pytest.mark.xdist_group("soak")
+def test_planned_work_on_a_full_pool_breaks_no_promise(tmp_path: Path) -> None:
+    play_seed(tmp_path, "--seed=1", "--full_pool=True")
+
+
+def play_seed(folder: Path, *options: str) -> None:
+    """Play a course, which must have no findings."""
+    command = [sys.executable, "-m", "tests.soak.play", *options]
     ended = subprocess.run(
-        [*command, f"--keep={tmp_path}"], capture_output=True, text=True, timeout=120, check=False
+        [*command, f"--keep={folder}"], capture_output=True, text=True, timeout=120, check=False
     )
     assert ended.returncode == 0, ended.stdout + ended.stderr
 
