--- a/packages/standins/src/quetzallock_standins/emulator/cluster.py
+++ b/packages/standins/src/quetzallock_standins/emulator/cluster.py
@@ -119,20 +119,21 @@
         """The newest owner's cell."""
         return self.owner.cell
 
-    def _add_worker(self, number: int, boot_ms: int) -> EmulatedWorker:
+    def _add_worker(
+        self, number: int, boot_ms: int, capacity: Resources | None = None
+    ) -> EmulatedWorker:
         data_centre = self._data_centres[number % len(self._data_centres)]
-        entry = make_entry(
-            f"w{number}", self._capacity, f"rack{number % 2}", boot_ms, data_centre=data_centre
-        )
+        offered = capacity or self._capacity
+        entry = make_entry(f"w{number}", offered, f"rack{number % 2}", boot_ms, data_centre)
         worker = EmulatedWorker(
             entry, self.ground_truth, self.behaviours, stop_ms=self.bounds.stop_ms
         )
         self.workers[worker.id] = worker
         return worker
 
-    def join_worker(self) -> EmulatedWorker:
-        """Let another worker join the cell."""
-        worker = self._add_worker(len(self.workers), boot_ms=self.clock.now() + 1)
+    def join_worker(self, capacity: Resources | None = None) -> EmulatedWorker:
+        """Let another worker join the cell, by default with the capacity of the first ones."""
+        worker = self._add_worker(len(self.workers), self.clock.now() + 1, capacity)
         self.schedule(self.latency_ms, lambda: self._poll_inventory(self.owner, worker))
         return worker
 
