--- a/tests/proofs/lasting.py
+++ b/tests/proofs/lasting.py
@@ -6,7 +6,7 @@
 from typing import Any, Final
 
 from quetzallock_core.workers.const import RUNNING
-from tests.common import CAPACITY, FakeCluster, make_spec
+from tests.common import FakeCluster, make_spec
 from tests.soak.callers import CallerJob
 from tests.soak.fault_log import Span
 from tests.soak.lasting_checks import ABSENCE_MS, CALM_MS, RESTART_MS, list_lasting_findings
@@ -14,8 +14,8 @@
 from .outcomes import CallerRecord, heal_and_settle
 
 RUN_MS: Final = 36_000_000
-BATCH_CPU: Final = CAPACITY.cpu_milli // 2
-"""What the preset of the tests leaves of a worker to tasks, in thousandths of a core."""
+_BATCH_DIVISOR: Final = 2
+"""The preset of the tests leaves this part of a worker to tasks."""
 DRAIN_MS: Final = 6_000
 """Time that a worker serves after it has announced that it leaves."""
 SETTLE_MS: Final = CALM_MS + RESTART_MS + ABSENCE_MS
@@ -70,6 +70,11 @@
     cluster.restore_worker(name)
 
 
+def get_batch_cpu(cluster: FakeCluster, worker: str) -> int:
+    """Return what a worker has for tasks, in thousandths of a core."""
+    return cluster.workers[worker].shape.capacity.cpu_milli // _BATCH_DIVISOR
+
+
 def settle_and_check(cluster: FakeCluster, callers: CallerRecord, log: CalmLog) -> list[str]:
     """End all faults, let the work finish, and return all violations."""
     log.heal(cluster.clock.now())
@@ -95,8 +100,8 @@
 
 def make_record(cluster: FakeCluster) -> dict[str, Any]:
     """Return what the workers ran in the form of the platform stand-in's record."""
-    states = [(0, name, "ready", BATCH_CPU) for name in cluster.workers]
-    states += [(at, name, state, BATCH_CPU) for at, name, state in cluster.leaves]
+    listings = [(0, name, "ready") for name in cluster.workers] + cluster.leaves
+    states = [(at, name, state, get_batch_cpu(cluster, name)) for at, name, state in listings]
     record: dict[str, Any] = {"starts": [], "ends": [], "worker_states": states, "task_cpu": {}}
     for run in sorted(cluster.list_runs(), key=lambda run: run.started_at):
         task = run.task.replace("/", ".")
