--- a/tests/soak/full_pool.py
+++ b/tests/soak/full_pool.py
@@ -13,7 +13,7 @@
 from .deployment import Host, SoakDeployment, now_ms
 from .fault_log import FaultLog
 from .lasting_checks import ABSENCE_MS, CALM_MS, RESTART_MS
-from .loss_checks import GRACE_MS, SentSignals, list_loss_findings
+from .loss_checks import SentSignals, list_loss_findings
 from .open_channels import ChannelCaller, watch_channels
 from .planned_work import (
     DRAIN_MS,
@@ -22,6 +22,7 @@
     LASTING_CPU,
     FloodCaller,
     replace_workers_in_row,
+    restart_host,
 )
 from .starvation import SAMPLE_PAUSE_MS, StarvationWatch
 
@@ -57,7 +58,6 @@
         self._log = log
         self._terms: defaultdict[str, list[float]] = defaultdict(list)
         self._reloads: defaultdict[str, list[float]] = defaultdict(list)
-        self._starting: set[str] = set()
         self._flood = [
             FloodCaller(deployment, Random(self._rng.random()), number)
             for number in range(FLOOD_CALLER_COUNT)
@@ -126,19 +126,8 @@
     async def _restart_host(self, host: Host) -> None:
         host.has_fault = True
         self._terms[host.name].append(now_ms())
-        self._log.add(f"SIGTERM to {host.name}")
-        host.send_signal(signal.SIGTERM)
-        until = now_ms() + GRACE_MS
-        while host.is_running and now_ms() < until:
-            await sleep(self._deployment.reactor, PROCESS_POLL_MS)
-        host.send_signal(signal.SIGKILL)
-        while host.is_running:
-            await sleep(self._deployment.reactor, PROCESS_POLL_MS)
-        self._starting.add(host.name)
-        host.start()
-        self._log.add(f"{host.name} has started")
+        await restart_host(self._deployment, host, self._log)
         await self._deployment.wait_ready(host)
-        self._starting.discard(host.name)
         host.has_fault = False
 
     async def _replace_workers(self, sizes: list[int]) -> None:
@@ -163,7 +152,7 @@
 
     async def _reload(self, rng: Random) -> None:
         """Send SIGHUP to a host; one that starts has no handler yet and would end."""
-        hosts = [host for host in self._deployment.hosts if host.name not in self._starting]
+        hosts = [host for host in self._deployment.hosts if host.was_stopped or not host.has_fault]
         host = rng.choice(hosts)
         self._reloads[host.name].append(now_ms())
         self._log.add(f"SIGHUP to {host.name}")
--- a/tests/soak/planned_work.py
+++ b/tests/soak/planned_work.py
@@ -13,6 +13,7 @@
 from .deployment import Host, SoakDeployment, now_ms
 from .fault_log import FaultLog
 from .lasting_checks import ABSENCE_MS, CALM_MS, RESTART_MS
+from .loss_checks import GRACE_MS
 
 MIN_COURSE_S: Final = 40
 """Shorter courses have no planned work."""
@@ -44,7 +45,7 @@
 """Times between the announcements of two workers that are drawn; all shorter than `DRAIN_MS`."""
 RESTART_COUNT: Final = 6
 RESTART_GAPS_MS: Final = (500, 1_000, 2_000)
-_PROCESS_POLL_MS: Final = 50
+_PROCESS_POLL_MS: Final = 20
 
 FLOOD_KINDS: Final[dict[str, JobMaker]] = {
     "lasting": lambda rng: _make_lasting(rng, rng.choice(LASTING_CPU)),
@@ -126,15 +127,20 @@
     gap_ms = rng.choice(RESTART_GAPS_MS)
     with log.record("restart_hosts", f"gap {gap_ms}"):
         for number in range(RESTART_COUNT):
-            await _restart_host(deployment, hosts[number % len(hosts)], log)
+            await restart_host(deployment, hosts[number % len(hosts)], log)
             await sleep(deployment.reactor, gap_ms)
         for host in hosts:
             await deployment.wait_ready(host)
 
 
-async def _restart_host(deployment: SoakDeployment, host: Host, log: FaultLog) -> None:
+async def restart_host(deployment: SoakDeployment, host: Host, log: FaultLog) -> None:
+    """Stop a host by SIGTERM, and by SIGKILL after the grace, and restart it."""
     log.add(f"SIGTERM to {host.name}")
     host.send_signal(signal.SIGTERM)
+    until = now_ms() + GRACE_MS
+    while host.is_running and now_ms() < until:
+        await sleep(deployment.reactor, _PROCESS_POLL_MS)
+    host.send_signal(signal.SIGKILL)
     while host.is_running:
         await sleep(deployment.reactor, _PROCESS_POLL_MS)
     host.start()
