Exchange two long-running runs where one move does not join a piece

Displaced tasks of the smallest size waited in a full pool: any run that could be moved for them needs as large a piece itself. Two runs of different sizes on two workers now change places, so that a piece grows by the difference. Only the eight workers with the most room are tried on each side. A run may be awaited by two reservations on its worker: for the smaller run, and for the displaced task, each of which holds what is left to it.

--- a/packages/core/src/quetzallock_core/cells/reservations.py
+++ b/packages/core/src/quetzallock_core/cells/reservations.py
@@ -16,7 +16,7 @@
 
     def __init__(self) -> None:
         self.by_task: dict[Task, Reservation] = {}
-        self._by_awaited_run: dict[Run, Reservation] = {}
+        self._by_awaited_run: dict[Run, list[Reservation]] = {}
 
     def has_step(self, step: StepRun) -> bool:
         """Return whether capacity is kept for a task of `step`."""
@@ -54,7 +54,7 @@
         self.release(reservation.task)
         self.by_task[reservation.task] = reservation
         for run in reservation.awaited:
-            self._by_awaited_run[run] = reservation
+            self._by_awaited_run.setdefault(run, []).append(reservation)
         reservation.worker.reserve(reservation)
 
     def release(self, task: Task) -> None:
@@ -63,7 +63,9 @@
         if reservation is None:
             return
         for run in reservation.awaited:
-            del self._by_awaited_run[run]
+            self._by_awaited_run[run].remove(reservation)
+            if not self._by_awaited_run[run]:
+                del self._by_awaited_run[run]
         reservation.worker.release(reservation)
 
     def is_awaited(self, run: Run) -> bool:
@@ -97,8 +99,7 @@
                 reservation.moved_run = None
             else:
                 self.release(run.task)
-        claim = self._by_awaited_run.pop(run, None)
-        if claim is not None:
+        for claim in self._by_awaited_run.pop(run, ()):
             del claim.awaited[run]
             claim.worker.update_reservation(claim)
 
--- a/packages/core/src/quetzallock_core/cells/room.py
+++ b/packages/core/src/quetzallock_core/cells/room.py
@@ -4,8 +4,10 @@
 worker has, or will soon have, a piece of the task's size.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
+from heapq import nlargest
+from itertools import product
 from typing import Final
 
 from .jobs import Run, Task
@@ -38,17 +40,34 @@
 FORGOTTEN_MS: Final = 10_000
 """How long it is known when room was last searched for a task, for the order of the searches."""
 
+MAX_EXCHANGED_WORKERS: Final = 8
+"""Maximum number of workers on each side whose long-running runs one search tries to exchange."""
+
 MAX_MOVES_IN_FLIGHT: Final = 8
 """Maximum number of moved tasks of the cell that have not begun to run elsewhere."""
 
 
 @dataclass(frozen=True, slots=True)
 class _Move:
-    """A long-running run that goes to another worker, and the runs to stop there for it."""
+    """A long-running run that goes to another worker.
+
+    Attributes:
+        run: The run.
+        target: The other worker.
+        victims: Runs to stop there.
+        exchanged: A long-running run that leaves the other worker at the same time, if any.
+    """
 
     run: Run
     target: Worker
     victims: Victims
+    exchanged: Run | None = None
+
+    @property
+    def awaited(self) -> tuple[Run, ...]:
+        """The runs on the other worker whose ends free what is missing there."""
+        victims = tuple(victim.run for victim in self.victims)
+        return victims if self.exchanged is None else (*victims, self.exchanged)
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,22 +77,28 @@
     Attributes:
         worker: The worker.
         victims: Runs to stop there.
-        move: A long-running run to move off it, if that is needed too.
+        moves: Long-running runs to move off it or, in exchange, to it.
     """
 
     worker: Worker
     victims: Victims
-    move: _Move | None = None
+    moves: tuple[_Move, ...] = ()
 
     @property
     def all_victims(self) -> Victims:
-        """The runs to stop on both workers."""
-        return self.victims if self.move is None else self.victims + self.move.victims
+        """The runs to stop on all workers."""
+        return sum((move.victims for move in self.moves), self.victims)
+
+    @property
+    def awaited(self) -> tuple[Run, ...]:
+        """The runs whose ends free what the task needs on the worker."""
+        moved = (move.run for move in self.moves if move.run.worker == self.worker.id)
+        return (*(victim.run for victim in self.victims), *moved)
 
     @property
-    def cost(self) -> tuple[bool, float]:
-        """Whether a long-running task is interrupted, and the core-ms of work that are lost."""
-        return self.move is not None, sum(victim.lost_core_ms for victim in self.all_victims)
+    def cost(self) -> float:
+        """The core-ms of work that are lost."""
+        return sum(victim.lost_core_ms for victim in self.all_victims)
 
 
 class RoomMaking:
@@ -106,26 +131,21 @@
         """Stop and move the runs of a plan, and keep what they free for `task`."""
         state = self._state
         expires_at = now + KEPT_MS
-        awaited = [victim.run for victim in plan.victims]
-        if plan.move is not None:
-            move = plan.move
-            awaited.append(move.run)
-            state.reservations.reserve_for_move(
-                move.run, move.target, expires_at, tuple(one.run for one in move.victims)
-            )
-        state.reservations.reserve_for_waiting(task, plan.worker, tuple(awaited), expires_at)
+        state.reservations.reserve_for_waiting(task, plan.worker, plan.awaited, expires_at)
+        for move in plan.moves:
+            state.reservations.reserve_for_move(move.run, move.target, expires_at, move.awaited)
         for victim in plan.all_victims:
             self._stop(victim, task, now)
-        if plan.move is not None:
+        for move in plan.moves:
             state.log_decision(
                 "run.moved",
-                task=plan.move.run.task.name,
-                run=plan.move.run.number,
-                worker=plan.worker.id,
-                to=plan.move.target.id,
+                task=move.run.task.name,
+                run=move.run.number,
+                worker=move.run.worker,
+                to=move.target.id,
                 moved_for=task.name,
             )
-            state.stop_run(plan.move.run, "moved to make room")
+            state.stop_run(move.run, "moved to make room")
 
     def _stop(self, victim: Candidate, task: Task, now: int) -> None:
         run = victim.run
@@ -148,7 +168,7 @@
 def _describe(plan: _Plan | None) -> str:
     if plan is None:
         return "none"
-    return "preempted" if plan.move is None else "moved"
+    return ("preempted", "moved", "exchanged")[len(plan.moves)]
 
 
 class _RoomSearch:
@@ -176,15 +196,17 @@
         plans = [plan for worker in usable if (plan := self._plan_stops(task, worker))]
         if not plans and self._moves_left > 0:
             plans = [plan for worker in usable if (plan := self._plan_move(task, worker))]
+        if not plans and self._moves_left > 1:
+            plans = list(self._list_exchanges(task, usable))
         return min(plans, key=lambda plan: plan.cost, default=None)
 
     def handle_plan(self, plan: _Plan) -> None:
         """Take the runs that were stopped out of what the next searches see."""
         self._left_by_queue.subtract(victim.queue for victim in plan.all_victims)
+        self._moves_left -= len(plan.moves)
         self._forget(plan.worker)
-        if plan.move is not None:
-            self._moves_left -= 1
-            self._forget(plan.move.target)
+        for move in plan.moves:
+            self._forget(move.target)
 
     def _forget(self, worker: Worker) -> None:
         self._candidates.pop(worker, None)
@@ -212,7 +234,7 @@
                 continue
             move = self._find_target(run, victims)
             if move is not None:
-                return _Plan(worker, victims, move)
+                return _Plan(worker, victims, (move,))
         return None
 
     def _find_target(self, run: Run, victims: Victims) -> _Move | None:
@@ -229,6 +251,44 @@
                 moves.append(_Move(run, worker, others))
         return min(moves, key=_compute_lost_work, default=None)
 
+    def _list_exchanges(self, task: Task, usable: list[Worker]) -> Iterator[_Plan]:
+        """Yield plans that exchange two long-running runs, so that a piece grows by the difference.
+
+        Only the workers with the most room are looked at, as there are many pairs.
+        """
+        usable = nlargest(MAX_EXCHANGED_WORKERS, usable, key=self._get_obtainable_cpu)
+        others = nlargest(MAX_EXCHANGED_WORKERS, self._workers, key=self._get_obtainable_cpu)
+        for worker, other in product(usable, others):
+            if worker is other:
+                continue
+            pairs = product(self._list_movable(worker), self._list_movable(other))
+            for run, smaller in pairs:
+                plan = self._plan_exchange(task, worker, other, run, smaller)
+                if plan is not None:
+                    yield plan
+
+    def _plan_exchange(
+        self, task: Task, worker: Worker, other: Worker, run: Run, smaller: Run
+    ) -> _Plan | None:
+        """Return the plan that puts `run` in the place of a `smaller` one, or None."""
+        freed, taken = run.task.spec.needs, smaller.task.spec.needs
+        if taken.cpu >= freed.cpu or not (taken - freed).fits_in(worker.free):
+            return None
+        victims = self._choose_victims(task.spec.needs + taken, worker, freed)
+        if victims is None:
+            return None
+        others = self._choose_victims(freed, other, taken)
+        if others is None or len(victims) + len(others) > MAX_VICTIMS:
+            return None
+        for moved, target in ((run, other), (smaller, worker)):
+            if find_constraint(moved.task, target, self._now) is not None:
+                return None
+        moves = (_Move(run, other, others, smaller), _Move(smaller, worker, (), run))
+        return _Plan(worker, victims, moves)
+
+    def _get_obtainable_cpu(self, worker: Worker) -> int:
+        return self._get_obtainable(worker).cpu
+
     def _list_movable(self, worker: Worker) -> list[Run]:
         """Return the long-running runs on `worker` that may be interrupted now."""
         return [
