Bound the search for room: try the eight roomiest workers, and no size twice in vain

A search tried to move the runs of all workers, each of them to all workers, which grows with the square of the pool. Runs that may be moved are listed once a tick, and a task is not searched for where a smaller one found nothing. measure_flood.py prints the time that it takes.

--- a/packages/core/src/quetzallock_core/cells/room.py
+++ b/packages/core/src/quetzallock_core/cells/room.py
@@ -4,6 +4,7 @@
 worker has, or will soon have, a piece of the task's size.
 """
 
+from collections import defaultdict
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from heapq import nlargest
@@ -40,8 +41,9 @@
 FORGOTTEN_MS: Final = 10_000
 """How long it is known when room was last searched for a task, for the order of the searches."""
 
-MAX_EXCHANGED_WORKERS: Final = 8
-"""Maximum number of workers on each side whose long-running runs one search tries to exchange."""
+MAX_WORKERS_TRIED: Final = 8
+"""Maximum number of workers, those with the most room, whose long-running runs one search tries to
+move or exchange."""
 
 MAX_MOVES_IN_FLIGHT: Final = 8
 """Maximum number of moved tasks of the cell that have not begun to run elsewhere."""
@@ -186,24 +188,41 @@
         ]
         self._candidates: dict[Worker, list[Candidate]] = {}
         self._obtainable: dict[Worker, Resources] = {}
+        self._movable: dict[Worker, list[Run]] = {}
+        self._too_large: defaultdict[tuple[str, str], list[Resources]] = defaultdict(list)
         self._moves_left = MAX_MOVES_IN_FLIGHT - sum(
             kept.moved_run is not None for kept in state.reservations.by_task.values()
         )
 
     def find(self, task: Task) -> _Plan | None:
         """Return the plan for `task` that costs least, or None."""
+        spec = task.spec
+        too_large = self._too_large[task.job.policy.service, spec.required_label]
+        if any(needs.fits_in(spec.needs) for needs in too_large):
+            return None
+        plan = self._search(task)
+        if plan is None and not spec.max_per_worker:
+            too_large.append(spec.needs)
+        return plan
+
+    def _search(self, task: Task) -> _Plan | None:
         usable = [w for w in self._workers if find_constraint(task, w, self._now) is None]
         plans = [plan for worker in usable if (plan := self._plan_stops(task, worker))]
         if not plans and self._moves_left > 0:
-            plans = [plan for worker in usable if (plan := self._plan_move(task, worker))]
-        if not plans and self._moves_left > 1:
-            plans = list(self._list_exchanges(task, usable))
+            tried = self._list_roomiest(usable)
+            plans = [plan for worker in tried if (plan := self._plan_move(task, worker))]
+            if not plans and self._moves_left > 1:
+                plans = list(self._list_exchanges(task, tried))
         return min(plans, key=lambda plan: plan.cost, default=None)
 
+    def _list_roomiest(self, workers: Iterable[Worker]) -> list[Worker]:
+        return nlargest(MAX_WORKERS_TRIED, workers, key=lambda one: self._get_obtainable(one).cpu)
+
     def handle_plan(self, plan: _Plan) -> None:
         """Take the runs that were stopped out of what the next searches see."""
         self._left_by_queue.subtract(victim.queue for victim in plan.all_victims)
         self._moves_left -= len(plan.moves)
+        self._movable.clear()
         self._forget(plan.worker)
         for move in plan.moves:
             self._forget(move.target)
@@ -252,13 +271,8 @@
         return min(moves, key=_compute_lost_work, default=None)
 
     def _list_exchanges(self, task: Task, usable: list[Worker]) -> Iterator[_Plan]:
-        """Yield plans that exchange two long-running runs, so that a piece grows by the difference.
-
-        Only the workers with the most room are looked at, as there are many pairs.
-        """
-        usable = nlargest(MAX_EXCHANGED_WORKERS, usable, key=self._get_obtainable_cpu)
-        others = nlargest(MAX_EXCHANGED_WORKERS, self._workers, key=self._get_obtainable_cpu)
-        for worker, other in product(usable, others):
+        """Yield plans that exchange two long-running runs of different sizes."""
+        for worker, other in product(usable, self._list_roomiest(self._workers)):
             if worker is other:
                 continue
             pairs = product(self._list_movable(worker), self._list_movable(other))
@@ -286,11 +300,13 @@
         moves = (_Move(run, other, others, smaller), _Move(smaller, worker, (), run))
         return _Plan(worker, victims, moves)
 
-    def _get_obtainable_cpu(self, worker: Worker) -> int:
-        return self._get_obtainable(worker).cpu
-
     def _list_movable(self, worker: Worker) -> list[Run]:
         """Return the long-running runs on `worker` that may be interrupted now."""
+        if worker not in self._movable:
+            self._movable[worker] = self._find_movable(worker)
+        return self._movable[worker]
+
+    def _find_movable(self, worker: Worker) -> list[Run]:
         return [
             run
             for run in worker.runs.values()
--- a/tests/core/cells/measure_flood.py
+++ b/tests/core/cells/measure_flood.py
@@ -16,6 +16,7 @@
 from quetzallock_core.cells.headroom import Headroom
 from quetzallock_core.cells.migration import Migration
 from quetzallock_core.cells.preemption import Preemption
+from quetzallock_core.cells.room import RoomMaking
 from quetzallock_core.cells.waiting import WaitReporter
 
 from .lasting_flood import make_cluster, play_flood
@@ -25,6 +26,7 @@
     (Cell, "tick"),
     (Cell, "start_waiting_tasks"),
     (Preemption, "preempt_for_waiting_tasks"),
+    (RoomMaking, "make"),
     (WaitReporter, "report"),
     (Migration, "migrate_from_leaving_workers"),
     (Defragmentation, "move_for_waiting_task"),
