Show, red, that new long-running tasks are placed before displaced ones

Within a step, a new task that the headroom holds back ends the round for the displaced ones behind it; among steps, an older job's new task comes first where the displaced ones of this tick are not known yet.

--- a/tests/core/cells/test_displaced_tasks.py
+++ b/tests/core/cells/test_displaced_tasks.py
@@ -139,3 +139,41 @@
     cluster.run(500)
     assert cluster.ground_truth.list_running("small")
     assert not cluster.ground_truth.violations
+
+
+def submit_with_interrupted_task(cluster: CellCluster, job: str, needs: Resources) -> None:
+    """Submit a long-running job of two tasks, of which the second has run before."""
+    step = make_step(2, lasting=True, needs=needs)
+    cluster.submit(make_spec(job, step), POLICY, {0: None})
+    record = cluster.cell.state.jobs[job]
+    record.has_started = record.open_occurrence(0).steps[0].tasks[1].has_run = True
+
+
+def test_new_tasks_of_its_step_that_wait_for_headroom_do_not_hold_up_a_displaced_task() -> None:
+    cluster = CellCluster(workers=2, capacity=SMALL_WORKER)
+    cluster.run(500)
+    backlog = make_step(40, required_label="missing")
+    cluster.submit(make_spec("backlog", backlog), POLICY, {0: SHORT_MS})
+    cluster.submit(make_spec("b", make_step(1, lasting=True, needs=WIDE)), POLICY, {0: None})
+    cluster.run(500)
+    submit_with_interrupted_task(cluster, "a", Resources(3_500, 4_000, 0))
+    cluster.run(300)
+    assert cluster.ground_truth.list_running("a") == ["a.0.0.1"]
+    assert not cluster.cell.state.counters["task.reserved"]
+
+
+def test_displaced_tasks_are_placed_before_new_ones_of_older_jobs() -> None:
+    cluster = CellCluster(workers=1, capacity=SMALL_WORKER)
+    cluster.run(500)
+    new = make_step(1, lasting=True, needs=WIDE)
+    cluster.cell.may_order = False
+    cluster.submit(make_spec("new", new), POLICY, {0: None})
+    cluster.run(50)
+    submit_with_interrupted_task(cluster, "a", WIDE)
+    cluster.run(50)
+    cluster.cell.state.displaced = []
+    cluster.cell.state.knows_displaced = True
+    cluster.cell.may_order = True
+    cluster.cell.start_waiting_tasks()
+    tasks = cluster.cell.state.jobs["a"].list_tasks()
+    assert [bool(task.runs) for task in tasks] == [False, True]
