--- a/packages/core/src/quetzallock_core/cells/jobs.py
+++ b/packages/core/src/quetzallock_core/cells/jobs.py
@@ -252,6 +252,13 @@
         self.share_key = ShareKey(policy.queue, self.spec.lasting)
         self.contention_group = (policy.service, policy.priority, self.spec.lasting)
 
+    @property
+    def has_interrupted_task(self) -> bool:
+        """Whether a long-running task of it has run before and waits for its next run."""
+        if not self.spec.lasting or self.has_no_waiting_task or not self.job.has_started:
+            return False
+        return any(task.has_run and task.is_waiting for task in self.tasks)
+
     @property
     def is_done(self) -> bool:
         """Whether all of its tasks are done."""
--- a/packages/core/src/quetzallock_core/cells/ordering.py
+++ b/packages/core/src/quetzallock_core/cells/ordering.py
@@ -42,11 +42,12 @@
 def order_by_slack(step: StepRun, durations: DurationEstimates, now: int) -> OrderKey:
     """Place jobs that can still be in time first, by priority and slack: for demand above capacity.
 
-    Lasting tasks come before all others, since they have value all the time they run. Jobs past
+    Lasting tasks come before all others, since they have value all the time they run, and those
+    that were interrupted come first, as their users notice each second without them. Jobs past
     their objective come after the others, and those past the late bound last; all are completed.
     """
     if step.spec.lasting:
-        return (-1, 0, step.ready_at)
+        return (-2 if step.has_interrupted_task else -1, 0, step.ready_at)
     objective = compute_objective(step, durations)
     age = now - step.job.accepted_at
     lateness = 0 if age <= objective else 1 if age <= LATE_FACTOR * objective else 2
@@ -80,7 +81,7 @@
     and priority the jobs with the highest value for each core-second still needed come first.
     """
     if step.spec.lasting:
-        return (-1, 0, step.ready_at)
+        return (-2 if step.has_interrupted_task else -1, 0, step.ready_at)
     objective = compute_objective(step, durations)
     age_at_end = now - step.job.accepted_at + compute_remaining_chain_ms(step, durations)
     lateness = 0 if age_at_end <= objective else 1 if age_at_end <= LATE_FACTOR * objective else 2
--- a/packages/core/src/quetzallock_core/cells/scheduler.py
+++ b/packages/core/src/quetzallock_core/cells/scheduler.py
@@ -108,7 +108,7 @@
     def _start_tasks(self, step: StepRun, placement: Placement, now: int) -> Iterator[None]:
         placed: defaultdict[str, list[int]] = defaultdict(list)
         is_first_start = False
-        for task in self._sort_by_reservation(step, placement, now):
+        for task in self._sort_tasks(step, placement, now):
             if task.is_done or task.runs or not may_start(self._state, task, now):
                 continue
             if step.spec.fills and not self._state.start_window.has_room():
@@ -131,20 +131,23 @@
         if placed:
             self._log_started(step, placed, now, is_first_start)
 
-    def _sort_by_reservation(self, step: StepRun, placement: Placement, now: int) -> list[Task]:
+    def _sort_tasks(self, step: StepRun, placement: Placement, now: int) -> list[Task]:
         """Return the tasks of a step in the order in which they are placed.
 
         Those whose reserved capacity is free come first, and those that wait for theirs come last.
+        In between, new long-running tasks come after those that ran before, which may start where
+        new ones may not.
         """
         reservations = self._state.reservations
-        if not reservations.has_step(step):
+        has_reservation = reservations.has_step(step)
+        if not has_reservation and not step.has_interrupted_task:
             return step.tasks
         by_task = reservations.by_task
 
         def compute_rank(task: Task) -> int:
-            if task not in by_task:
-                return 1
-            return 0 if reservations.find_usable(task, placement, now) else 2
+            if task in by_task:
+                return 0 if reservations.find_usable(task, placement, now) else 3
+            return 1 if task.has_run else 2
 
         return sorted(step.tasks, key=compute_rank)
 
