--- a/packages/core/src/quetzallock_core/cells/reservations.py
+++ b/packages/core/src/quetzallock_core/cells/reservations.py
@@ -16,13 +16,15 @@
 
     def __init__(self) -> None:
         self.by_task: dict[Task, Reservation] = {}
-        self._by_awaited_run: dict[Run, Reservation] = {}
+        self._by_awaited_run: dict[Run, list[Reservation]] = {}
 
     def has_step(self, step: StepRun) -> bool:
         """Return whether capacity is kept for a task of `step`."""
         return any(task.step is step for task in self.by_task)
 
-    def reserve_for_move(self, run: Run, target: Worker, expires_at: int = 0) -> None:
+    def reserve_for_move(
+        self, run: Run, target: Worker, expires_at: int = 0, awaited: tuple[Run, ...] = ()
+    ) -> None:
         """Keep capacity on `target` for the task of `run` until that run has ended.
 
         Args:
@@ -30,8 +32,17 @@
             target: Another worker.
             expires_at: Local ms until which the capacity is kept also after the end, so that no
                 other waiting task takes it before the task starts again.
+            awaited: Runs on `target` whose ends free what is missing there.
         """
-        self._add(Reservation(run.task, target, moved_run=run, expires_at=expires_at))
+        self._add(
+            Reservation(
+                run.task,
+                target,
+                moved_run=run,
+                awaited=dict.fromkeys(awaited),
+                expires_at=expires_at,
+            )
+        )
 
     def reserve_for_waiting(
         self, task: Task, worker: Worker, awaited: tuple[Run, ...], expires_at: int
@@ -43,7 +54,7 @@
         self.release(reservation.task)
         self.by_task[reservation.task] = reservation
         for run in reservation.awaited:
-            self._by_awaited_run[run] = reservation
+            self._by_awaited_run.setdefault(run, []).append(reservation)
         reservation.worker.reserve(reservation)
 
     def release(self, task: Task) -> None:
@@ -52,7 +63,9 @@
         if reservation is None:
             return
         for run in reservation.awaited:
-            del self._by_awaited_run[run]
+            self._by_awaited_run[run].remove(reservation)
+            if not self._by_awaited_run[run]:
+                del self._by_awaited_run[run]
         reservation.worker.release(reservation)
 
     def is_awaited(self, run: Run) -> bool:
@@ -86,8 +99,7 @@
                 reservation.moved_run = None
             else:
                 self.release(run.task)
-        claim = self._by_awaited_run.pop(run, None)
-        if claim is not None:
+        for claim in self._by_awaited_run.pop(run, ()):
             del claim.awaited[run]
             claim.worker.update_reservation(claim)
 
