Test, red, that tasks without a worker keep others from their turns

Ten displaced tasks require a label that no worker has any more. They have waited longest, so that each tick looks for runs to stop for eight of them and for no other task.

Seen: two displaced tasks that fit on each worker of the pool stay away for good; run.yielded 0, turns.not_found 696 after 20 s.

--- a/tests/core/cells/test_turns.py
+++ b/tests/core/cells/test_turns.py
@@ -89,3 +89,19 @@
     cluster.run(DRAIN_MS + 10_000)
     starts = [task for _, task, _, _ in cluster.ground_truth.starts]
     assert starts.count("large.0.0.0") > 1
+
+
+def test_tasks_that_no_worker_can_hold_do_not_keep_others_from_their_turns() -> None:
+    cluster = make_full_cluster(required_label="rack1")
+    label = make_step(10, lasting=True, needs=Resources(700, 1_000, 0), required_label="rack0")
+    cluster.submit(make_spec("lost", label), POLICY, {0: None})
+    cluster.run(10_000)
+    for number, worker in enumerate(list(cluster.workers.values())):
+        if number % 2 == 0:
+            worker.drain()
+            cluster.schedule(DRAIN_MS, worker.leave)
+    cluster.run(DRAIN_MS + 10_000)
+    yielded = cluster.cell.state.counters["run.yielded"]
+    let_workers_leave(cluster, 2)
+    cluster.run(DRAIN_MS + 10_000)
+    assert cluster.cell.state.counters["run.yielded"] > yielded
