Search for turns of all waiting tasks, also beside some that no worker can hold

What callers saw: where eight displaced long-running tasks can be held by no worker (their label has left, they are too large), no other displaced task of any pool gets a turn: it stays away until a job is cancelled.

Cause: a tick searches for eight tasks, always those that have waited longest. Tasks for which nothing is ever found stay at the head.

Fix: those searched for longest ago come first, as in the other searches for displaced tasks; and a tick searches once for all tasks of a pool and label that need no less than one for which nothing was found, so that two hundred of them do not take a rotation of seconds either.

--- a/packages/core/src/quetzallock_core/cells/turns.py
+++ b/packages/core/src/quetzallock_core/cells/turns.py
@@ -5,13 +5,14 @@
 instead, in absences that are short.
 """
 
+from collections import defaultdict
 from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Final
 
 from .displacement import list_interrupted
 from .jobs import Run, Task
-from .migration import count_movable, drop_past, is_movable
+from .migration import count_movable, drop_past, is_movable, keep_known
 from .models import Resources
 from .placement import find_constraint
 from .state import CellState
@@ -87,6 +88,7 @@
         self._state = state
         self._search_after = 0
         self._paused: dict[Task, int] = {}
+        self._searched_at: dict[Task, int] = {}
 
     def handle_expired(self, tasks: Iterable[Task]) -> None:
         """Stop no run for a while for tasks that have not used the capacity kept for them."""
@@ -103,17 +105,32 @@
         if not waiting:
             return
         runs_by_worker = self._group_runs(now)
-        for task in waiting[:MAX_TURNS_PER_TICK]:
+        too_large: defaultdict[tuple[str, str], list[Resources]] = defaultdict(list)
+        searches = 0
+        for task in waiting:
+            if searches == MAX_TURNS_PER_TICK:
+                break
+            self._searched_at[task] = now
+            not_found = too_large[task.job.policy.service, task.spec.required_label]
+            if any(needs.fits_in(task.spec.needs) for needs in not_found):
+                continue
+            searches += 1
             turn = self._choose(task, runs_by_worker, now)
-            if turn is None:
-                self._search_after = now + SEARCH_PAUSE_MS
-                state.counters["turns.not_found"] += 1
+            if turn is not None:
+                del runs_by_worker[turn.worker]
+                self._stop(turn, task, now)
                 continue
-            del runs_by_worker[turn.worker]
-            self._stop(turn, task, now)
+            self._search_after = now + SEARCH_PAUSE_MS
+            state.counters["turns.not_found"] += 1
+            if not task.spec.max_per_worker:
+                not_found.append(task.spec.needs)
 
     def _list_late_tasks(self, now: int) -> list[Task]:
-        """Return the interrupted tasks without a reservation that wait too long, in that order."""
+        """Return the interrupted tasks without a reservation that wait too long.
+
+        Those searched for longest ago come first, as some that no worker can hold would keep it
+        from the others. Among them, the one that waits longest comes first.
+        """
         reserved = self._state.reservations.by_task
         self._paused = drop_past(self._paused, now)
         late = [
@@ -124,7 +141,8 @@
             and task not in reserved
             and task not in self._paused
         ]
-        return sorted(late, key=lambda task: task.not_before)
+        self._searched_at = keep_known(self._searched_at, set(late))
+        return sorted(late, key=lambda task: (self._searched_at.get(task, 0), task.not_before))
 
     def _is_away_too_long(self, task: Task) -> bool:
         """Return whether another task is to be stopped for the interrupted `task`.
