Test, red, that a worker counts as gone since its owner cannot connect

A draining worker's entry is missing, its connection is reset once, and the owner's own connections fail on the owner's host, as without a free descriptor.

Seen: the worker counts as gone while its runs go on, and two runs of a task overlap (TWICE).

--- a/tests/core/cells/test_announced_leaves.py
+++ b/tests/core/cells/test_announced_leaves.py
@@ -7,7 +7,7 @@
 import pytest
 
 from quetzallock_core.cells.const import DRAINING_LEASE_MS, MAX_LEASE_MS
-from quetzallock_core.cells.models import Resources, WorkerEntry
+from quetzallock_core.cells.models import PollFailure, Resources, WorkerEntry
 from quetzallock_standins.emulator import CellCluster, EmulatedWorker
 from quetzallock_standins.emulator.cluster import (
     CONNECT_TIMEOUT_MS,
@@ -22,6 +22,7 @@
 """Time for two polls, the entries and a tick, well below a lease."""
 LONG_MS = 2 * MAX_LEASE_MS
 TASKS = 6
+LOCAL_FAILURE = PollFailure.NOT_CONNECTED
 
 
 def make_full_cluster() -> tuple[CellCluster, EmulatedWorker]:
@@ -112,12 +113,21 @@
     cluster.schedule(2_000, lambda: delete_entry(cluster, worker))
 
 
+def exhaust_descriptors(cluster: CellCluster, worker: EmulatedWorker) -> None:
+    """Let the owner's connections to a worker that goes on fail on the owner's own host."""
+    worker.is_isolated = True
+    boot = worker.id, worker.entry.boot_ms
+    for ms in range(100, 2_000, 100):
+        cluster.schedule(ms, lambda: cluster._handle_failure(cluster.owner, boot, LOCAL_FAILURE))
+
+
 FALSE_SIGNS: list[tuple[Callable[[CellCluster, Any], None], ...]] = [
     (delete_entry,),
     (cut_off, delete_entry),
     (close_listener,),
     (falsify_address,),
     (delete_entry, break_connections),
+    (delete_entry, break_connections, exhaust_descriptors),
 ]
 
 
