Take no connection that failed on the owner's own host as a sign of a leave

What callers could see: two runs of a long-running task at the same time (TWICE): a worker that has announced its leave, whose entry is missing for a moment and whose connection was reset, counts as gone while it works on.

Cause: after a connection that the worker's side has closed, each failure to connect counted as its machine's silence, also one of the owner itself: no free descriptor or port, no route, or a time limit that was noticed late, after a stall in which the answer had arrived unread.

Fix: only a connection that got no answer within its time limit counts, and only where the limit was noticed at most 50 ms late. Other failures are not_connected, which shows nothing.

--- a/packages/core/src/quetzallock_core/cells/leaves.py
+++ b/packages/core/src/quetzallock_core/cells/leaves.py
@@ -23,7 +23,8 @@
             poll was not rejected.
         rejected_for_ms: Time from that one to the last one.
         has_closed: Its side has closed or reset the connection of a poll, and answered none since.
-        accepts_none: No connection could be established after that.
+        accepts_none: A connection that was opened after that got no answer in time. One that
+            failed on the owner's own host shows nothing.
     """
 
     polled_address: str = ""
@@ -59,7 +60,7 @@
             self.forget_failures()
         elif failure is PollFailure.REJECTED:
             self._record_rejection(now)
-        elif failure is PollFailure.NOT_CONNECTED:
+        elif failure is PollFailure.UNANSWERED:
             self._forget_rejections()
             self.accepts_none = self.has_closed
         elif failure is PollFailure.CONNECTION_LOST:
--- a/packages/core/src/quetzallock_core/cells/models.py
+++ b/packages/core/src/quetzallock_core/cells/models.py
@@ -220,13 +220,15 @@
 
     Attributes:
         REJECTED: The machine at the address has answered that no process listens there.
-        NOT_CONNECTED: There was no connection, for another reason.
+        UNANSWERED: The machine at the address has not answered to a new connection in time.
+        NOT_CONNECTED: There was no connection, for another reason, as a fault of the owner's host.
         CONNECTION_LOST: The connection was closed or reset after the poll was sent.
         TIMED_OUT: There was no answer in time.
         UNUSABLE: The answer could not be used.
     """
 
     REJECTED = "rejected"
+    UNANSWERED = "unanswered"
     NOT_CONNECTED = "not_connected"
     CONNECTION_LOST = "connection_lost"
     TIMED_OUT = "timed_out"
--- a/packages/daemon/src/quetzallock_daemon/transport/__init__.py
+++ b/packages/daemon/src/quetzallock_daemon/transport/__init__.py
@@ -7,6 +7,7 @@
     CallFailedError,
     ConnectionLostError,
     ConnectionRejectedError,
+    ConnectionUnansweredError,
     NotConnectedError,
 )
 
@@ -15,6 +16,7 @@
     "Channel",
     "ConnectionLostError",
     "ConnectionRejectedError",
+    "ConnectionUnansweredError",
     "HttpClient",
     "NotConnectedError",
     "Reply",
--- a/packages/daemon/src/quetzallock_daemon/transport/client.py
+++ b/packages/daemon/src/quetzallock_daemon/transport/client.py
@@ -11,7 +11,7 @@
 
 import httptools
 from twisted.internet.defer import Deferred
-from twisted.internet.error import ConnectError, ConnectionRefusedError
+from twisted.internet.error import ConnectError, ConnectionRefusedError, TimeoutError
 from twisted.internet.protocol import ClientFactory, Protocol, connectionDone
 from twisted.python.failure import Failure
 
@@ -21,10 +21,15 @@
     CallFailedError,
     ConnectionLostError,
     ConnectionRejectedError,
+    ConnectionUnansweredError,
     NotConnectedError,
 )
 
 CONNECT_TIMEOUT_MS: Final = 1_000
+MAX_TIMER_DELAY_MS: Final = 50
+"""How late the time limit of a connection may be noticed for it to count as unanswered: on a host
+that has stalled, the answer may have arrived unread."""
+
 MAX_IDLE_PER_ADDRESS: Final = 8
 _MS_PER_S: Final = 1_000
 
@@ -106,22 +111,27 @@
 class _ConnectionFactory(ClientFactory):
     noisy = False
 
-    def __init__(self, client: "HttpClient", address: str, call: Call) -> None:
+    def __init__(self, client: "HttpClient", address: str, call: Call, timeout_s: float) -> None:
         self._client = client
         self._address = address
         self._call = call
+        self._due_s = client.read_seconds() + timeout_s
 
     def buildProtocol(self, addr: Any) -> Connection:  # noqa: N802
         return _NewConnection(self._client, self._address, self._call)
 
     def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:  # noqa: N802
-        kind = ConnectionRejectedError if _is_rejected(reason) else NotConnectedError
+        kind = self._find_kind(reason)
         self._client.fail_call(self._call, kind(f"{self._address}: {reason.getErrorMessage()}"))
 
-
-def _is_rejected(reason: Failure) -> bool:
-    """Return whether a connection was refused by its peer, not merely without an answer."""
-    return reason.check(ConnectionRefusedError) is not None
+    def _find_kind(self, reason: Failure) -> type[NotConnectedError]:
+        """Return whether the peer has refused or not answered, or this host has failed itself."""
+        if reason.check(ConnectionRefusedError) is not None:
+            return ConnectionRejectedError
+        is_late = self._client.read_seconds() - self._due_s > MAX_TIMER_DELAY_MS / _MS_PER_S
+        if reason.check(TimeoutError) is None or is_late:
+            return NotConnectedError
+        return ConnectionUnansweredError
 
 
 class _NewConnection(Connection):
@@ -167,8 +177,9 @@
     ) -> "Deferred[Reply]":
         """Send `request` to `ip:port` and return a deferred of the `Reply`.
 
-        The deferred fails with `NotConnectedError` if the request was never sent, of which
-        `ConnectionRejectedError` is a kind, else with `CallFailedError`.
+        The deferred fails with `NotConnectedError`, of which `ConnectionRejectedError` and
+        `ConnectionUnansweredError` are kinds, if the request was never sent, else with
+        `CallFailedError`.
 
         Args:
             address: `ip:port`.
@@ -198,8 +209,8 @@
 
     def _connect(self, address: str, call: Call, timeout_ms: int) -> None:
         ip, _, port = address.rpartition(":")
-        factory = _ConnectionFactory(self, address, call)
-        timeout = min(timeout_ms, CONNECT_TIMEOUT_MS) / 1_000
+        timeout = min(timeout_ms, CONNECT_TIMEOUT_MS) / _MS_PER_S
+        factory = _ConnectionFactory(self, address, call, timeout)
         self._counters["http.connections"] += 1
         try:
             self._reactor.connectTCP(ip, int(port), factory, timeout=timeout)
--- a/packages/daemon/src/quetzallock_daemon/transport/errors.py
+++ b/packages/daemon/src/quetzallock_daemon/transport/errors.py
@@ -21,6 +21,12 @@
     code = "connection_rejected"
 
 
+class ConnectionUnansweredError(NotConnectedError):
+    """The machine at the address has not answered to a new connection in time."""
+
+    code = "connection_unanswered"
+
+
 class ConnectionLostError(CallFailedError):
     """The connection was closed or reset after the call was sent."""
 
--- a/packages/standins/src/quetzallock_standins/emulator/cluster.py
+++ b/packages/standins/src/quetzallock_standins/emulator/cluster.py
@@ -256,7 +256,7 @@
             self.schedule(self.latency_ms, lambda: self._handle_failure(owner, boot, rejected))
             return
         if worker.is_silent:
-            failure = PollFailure.NOT_CONNECTED
+            failure = PollFailure.UNANSWERED
             self.schedule(CONNECT_TIMEOUT_MS, lambda: self._handle_failure(owner, boot, failure))
             return
         if not worker.is_up or worker.is_isolated:
--- a/tests/daemon/test_transport.py
+++ b/tests/daemon/test_transport.py
@@ -4,7 +4,13 @@
 from typing import Any
 
 import pytest
-from twisted.internet.error import ConnectionDone, ConnectionRefusedError, NoRouteError
+from twisted.internet.error import (
+    ConnectBindError,
+    ConnectionDone,
+    ConnectionRefusedError,
+    NoRouteError,
+    TimeoutError,
+)
 from twisted.internet.task import Clock
 from twisted.internet.testing import MemoryReactorClock, StringTransport
 from twisted.python.failure import Failure
@@ -13,11 +19,12 @@
     CallFailedError,
     ConnectionLostError,
     ConnectionRejectedError,
+    ConnectionUnansweredError,
     HttpClient,
     NotConnectedError,
     Reply,
 )
-from quetzallock_daemon.transport.client import Connection
+from quetzallock_daemon.transport.client import CONNECT_TIMEOUT_MS, Connection
 
 ADDRESS = "127.0.0.1:80"
 TIMEOUT_MS = 700
@@ -237,7 +244,11 @@
 
 @pytest.mark.parametrize(
     ("failure", "expected"),
-    [(ConnectionRefusedError(), ConnectionRejectedError), (NoRouteError(), NotConnectedError)],
+    [
+        (ConnectionRefusedError(), ConnectionRejectedError),
+        (NoRouteError(), NotConnectedError),
+        (ConnectBindError(), NotConnectedError),
+    ],
 )
 def test_only_an_answer_of_the_peer_counts_as_a_rejected_connection(
     failure: Exception, expected: type[CallFailedError]
@@ -249,6 +260,20 @@
     assert results[0].type is expected
 
 
+@pytest.mark.parametrize(
+    ("late_s", "expected"), [(0, ConnectionUnansweredError), (0.5, NotConnectedError)]
+)
+def test_connection_that_a_stalled_host_has_not_looked_at_does_not_count_as_unanswered(
+    late_s: float, expected: type[CallFailedError]
+) -> None:
+    reactor = MemoryReactorClock()
+    results: list[Any] = []
+    HttpClient(reactor, Counter()).call(ADDRESS, b"", 2_000).addErrback(results.append)
+    reactor.rightNow += CONNECT_TIMEOUT_MS / 1_000 + late_s
+    reactor.tcpClients[0][2].clientConnectionFailed(None, Failure(TimeoutError()))
+    assert results[0].type is expected
+
+
 def test_connection_that_is_lost_after_the_call_was_sent_is_not_a_rejected_one() -> None:
     connection, results = make_call(Clock())
     connection.connectionLost(Failure(ConnectionDone()))
