--- a/tests/core/cells/test_displaced_tasks.py
+++ b/tests/core/cells/test_displaced_tasks.py
@@ -177,3 +177,20 @@
     cluster.cell.start_waiting_tasks()
     tasks = cluster.cell.state.jobs["a"].list_tasks()
     assert [bool(task.runs) for task in tasks] == [False, True]
+
+
+def test_flood_of_new_tasks_leaves_a_place_for_the_task_of_a_lost_worker() -> None:
+    cluster = CellCluster(workers=20, capacity=SMALL_WORKER)
+    cluster.run(500)
+    step = make_step(30, lasting=True, needs=WIDE)
+    cluster.submit(make_spec("a", step), POLICY, {0: None})
+    cluster.run(1_000)
+    running = cluster.ground_truth.list_running("a")
+    assert len(running) == 19
+    lost = cluster.workers[find_worker(cluster, running[0])]
+    lost.drain()
+    cluster.run(DRAIN_MS)
+    lost.leave()
+    cluster.run(MAX_AWAY_MS)
+    assert cluster.ground_truth.list_running("a") == running
+    assert not cluster.ground_truth.violations
