Keep room for one more long-running task in each pool of some size

A flood of new long-running tasks filled all workers, so that the task of a worker that left found no place until another was cancelled. New ones now leave a piece of the size of the largest running one free on one worker of each pool, and of each label that tasks need. Short tasks use it, as they are stopped for a displaced one. Preemption and defragmentation do nothing for a task that is held back so.

--- a/packages/core/src/quetzallock_core/cells/cell.py
+++ b/packages/core/src/quetzallock_core/cells/cell.py
@@ -245,6 +245,7 @@
         state.fail_exhausted_jobs()
         state.cancellations.report_overdue()
         state.headroom.update(state.open_steps, state.workers.values(), now)
+        state.spare_room.update(state.workers.values(), now)
         if self.may_order and not state.fenced:
             state.ended_runs.stop_on_new_boots()
             self._repeat_orders(now)
--- a/packages/core/src/quetzallock_core/cells/defragmentation.py
+++ b/packages/core/src/quetzallock_core/cells/defragmentation.py
@@ -157,7 +157,7 @@
                 continue
             if now - task.not_before < WAIT_LIMIT_MS or not state.headroom.may_start(task):
                 continue
-            if may_start(state, task, now):
+            if state.spare_room.may_start(task) and may_start(state, task, now):
                 return task
         return None
 
--- a/packages/core/src/quetzallock_core/cells/preemption.py
+++ b/packages/core/src/quetzallock_core/cells/preemption.py
@@ -223,9 +223,10 @@
             return False
         if now - max(task.step.ready_at, task.not_before) < WAIT_LIMIT_MS:
             return False
-        if task in self._state.reservations.by_task or not self._state.headroom.may_start(task):
+        state = self._state
+        if task in state.reservations.by_task or not state.headroom.may_start(task):
             return False
-        return may_start(self._state, task, now)
+        return state.spare_room.may_start(task) and may_start(state, task, now)
 
     def _preempt_for_step(self, step: StepRun, search: "VictimSearch") -> bool:
         """Preempt runs for the late tasks of a step; return whether there were enough."""
--- a/packages/core/src/quetzallock_core/cells/scheduler.py
+++ b/packages/core/src/quetzallock_core/cells/scheduler.py
@@ -30,13 +30,13 @@
 
 
 def takes_room_of_displaced(state: CellState, task: Task, worker: Worker, now: int) -> bool:
-    """Return whether a new long-running task would take capacity that a displaced one fits in.
+    """Return whether a new long-running task would take the room of a displaced one.
 
     Right after a takeover, the runs on workers that drain are not known yet, so none is started.
     """
     if task.has_run or not task.spec.lasting or task.spec.fills:
         return False
-    if not state.knows_displaced:
+    if not state.knows_displaced or state.spare_room.is_taken_by(task, worker):
         return True
     return any(can_place(displaced, worker, now) for displaced in state.displaced)
 
--- a/packages/core/src/quetzallock_core/cells/state.py
+++ b/packages/core/src/quetzallock_core/cells/state.py
@@ -25,6 +25,7 @@
 from .records import JobRecord, LearnedRecord
 from .reservations import Reservations
 from .shares import Shares
+from .spare_room import SpareRoom
 from .start_window import StartWindow
 from .unverified import UnverifiedWorkers
 from .verdicts import describe_verdict
@@ -50,6 +51,7 @@
         shares: Service that the queues have received.
         dirty: Jobs whose progress the journal does not hold yet.
         headroom: CPU that is kept free of new long-running tasks.
+        spare_room: Room that new long-running tasks leave free for displaced ones.
         displaced: A task of each kind of long-running tasks that have lost their worker, or are
             about to, and for which no capacity is kept.
         knows_displaced: `displaced` has been found since the takeover.
@@ -95,6 +97,7 @@
         self.durations = DurationEstimates()
         self.interference = Interference()
         self.headroom = Headroom()
+        self.spare_room = SpareRoom()
         self.displaced: list[Task] = []
         self.knows_displaced = False
         self.restored_at = clock.now()
