Show, red, that a preemption for one step breaks the search for the next

The first preemption takes the last CPU that new long-running tasks may hold; the next step then has no late task left, and the owner's tick fails with an IndexError.

--- a/tests/core/cells/test_preemption.py
+++ b/tests/core/cells/test_preemption.py
@@ -376,3 +376,19 @@
     assert cluster.cell.state.counters["preemption.limited"]
     limit = int(MAX_QUEUE_SHARE * 2 * PER_WORKER)
     assert count_most_within(times, QUEUE_INTERVAL_MS - 10) == limit
+
+
+def test_preemption_for_one_step_may_close_the_headroom_for_the_next() -> None:
+    cluster = CellCluster(workers=2, capacity=Resources(4_000, 16_000, 0))
+    cluster.run(500)
+    low = make_step(2, needs=Resources(1_000, 1_000, 0), estimate_ms=60_000)
+    cluster.submit(make_spec("low", low), LOW, {0: 60_000})
+    backlog = make_step(40, required_label="missing")
+    cluster.submit(make_spec("backlog", backlog), HIGH, {0: 500})
+    cluster.run(500)
+    for job in ("a", "b"):
+        step = make_step(1, needs=Resources(3_500, 4_000, 0), lasting=True)
+        cluster.submit(make_spec(job, step), HIGH, {0: None})
+    cluster.run(3_000)
+    running = [cluster.ground_truth.list_running(job) for job in ("a", "b")]
+    assert running == [["a.0.0.0"], []]
