--- a/packages/core/src/quetzallock_core/cells/preemption.py
+++ b/packages/core/src/quetzallock_core/cells/preemption.py
@@ -231,6 +231,8 @@
     def _preempt_for_step(self, step: StepRun, search: "VictimSearch") -> bool:
         """Preempt runs for the late tasks of a step; return whether there were enough."""
         tasks = [task for task in step.tasks if self._is_late(task, search.now)]
+        if not tasks:
+            return True
         choices = search.list_choices(tasks[0])
         for task in tasks:
             choice = search.pop_best_choice(task, choices)
