--- a/tests/core/cells/test_waiting.py
+++ b/tests/core/cells/test_waiting.py
@@ -53,3 +53,15 @@
     before = state.counters["tasks.waiting.cpu"]
     cluster.run(10 * REPORT_INTERVAL_MS)
     assert 8 <= state.counters["tasks.waiting.cpu"] - before <= 10
+
+
+def test_task_that_no_worker_could_ever_hold_is_told_from_one_that_waits_for_room() -> None:
+    cluster = make_fragmented_cluster()
+    large = make_step(1, lasting=True, needs=Resources(9_000, 2_000, 0))
+    cluster.submit(make_spec("large", large), POLICY, {0: None})
+    cluster.run(REPORT_AFTER_MS + 200)
+    reports = explain_waits(cluster.cell.state, cluster.clock.now())
+    assert {report.task.job.id: report.reason for report in reports} == {
+        "wide": "cpu",
+        "large": "too_large",
+    }
