Say in the reason for waiting that a task is larger than any worker

It was reported as headroom or cpu, like tasks that get room once others end. Such a task reserves nothing and no run is stopped for it: no choice of runs frees enough. The test failed before (reason headroom).

--- a/packages/core/src/quetzallock_core/cells/waiting.py
+++ b/packages/core/src/quetzallock_core/cells/waiting.py
@@ -30,6 +30,9 @@
 HEADROOM: Final = "headroom"
 """Reason of a new long-running task where the free CPU is kept for short tasks."""
 
+TOO_LARGE: Final = "too_large"
+"""Reason where no worker of the pool could hold the task, however little runs there."""
+
 NO_OBSTACLE: Final = "none"
 """Reason where some worker has capacity: it has just become free, or the task may not start yet for
 another cause, such as a crash."""
@@ -45,8 +48,8 @@
     Attributes:
         task: The first of them.
         waited_ms: Time since the step's predecessors were done.
-        reason: The last obstacle in the order of the checks, or `UNVERIFIED` or `HEADROOM` where
-            these keep the task from all workers.
+        reason: The last obstacle in the order of the checks, or `UNVERIFIED`, `HEADROOM` or
+            `TOO_LARGE` where these keep the task from all workers.
         obstacles: Number of workers by what keeps the task from them.
         largest_free: Resources that the worker with the most free processor has left.
         total_free: Resources that all workers have left.
@@ -109,10 +112,24 @@
             report = replace(report, reason=UNVERIFIED)
         elif not state.headroom.may_start(task):
             report = replace(report, reason=HEADROOM)
+        if _is_too_large(task, placement):
+            report = replace(report, reason=TOO_LARGE)
         reports.append(report)
     return reports
 
 
+def _is_too_large(task: Task, placement: Placement) -> bool:
+    """Return whether workers of the pool accept tasks, and none offers what `task` needs."""
+    service, label = task.job.policy.service, task.spec.required_label
+    pool = [
+        worker.entry
+        for worker in placement.workers
+        if worker.entry.service == service and (not label or label in worker.entry.labels)
+    ]
+    commitment = compute_commitment(task.spec.needs, task.spec.fills)
+    return bool(pool) and not any(commitment.fits_in(entry.capacity) for entry in pool)
+
+
 def count_startable_steps(state: CellState, now: int) -> Counter[str]:
     """Return the number of steps with a waiting task that may start now, by kind of step."""
     return Counter(
