Report once a second how searches for displaced tasks end

The log could not tell whether a displaced task found no piece, a limit held the search back, or what was kept expired. displaced.searches counts the outcomes; the counters of displaced.room.* did not reach the metrics page, as the daemon counts logged decisions only, and are part of it now.

--- a/packages/core/src/quetzallock_core/cells/displacement.py
+++ b/packages/core/src/quetzallock_core/cells/displacement.py
@@ -24,6 +24,11 @@
 EXPIRED_PAUSE_MS: Final = 1_000
 """How long no capacity is kept for a task that has not used what was kept for it."""
 
+SEARCHES_EVENT: Final = "displaced.searches"
+
+REPORT_INTERVAL_MS: Final = 1_000
+"""Minimum time between two reports of the outcomes of searches."""
+
 MAX_TASKS_SEARCHED: Final = 8
 """Maximum number of tasks for which one tick searches, as the owner does nothing else meanwhile."""
 
@@ -41,12 +46,16 @@
     def __init__(self, state: CellState) -> None:
         self._state = state
         self._search_after: dict[Task, int] = {}
-        self._room_making = RoomMaking(state)
+        self._outcomes: Counter[str] = Counter()
+        self._reported_at = 0
+        self._room_making = RoomMaking(state, self._outcomes)
 
     def handle_expired(self, tasks: Iterable[Task]) -> None:
         """Keep nothing for tasks that have not used their capacity, until others could."""
         search_at = self._state.clock.now() + EXPIRED_PAUSE_MS
-        self._search_after.update(dict.fromkeys(tasks, search_at))
+        for task in tasks:
+            self._search_after[task] = search_at
+            self._outcomes["expired"] += 1
 
     def update(self) -> None:
         """Move tasks to the capacity that is kept for them, and keep more where it is needed."""
@@ -59,6 +68,21 @@
         is_settled = now >= self._state.restored_at + TAKEOVER_SETTLE_MS
         self._state.knows_displaced |= is_settled or not self._state.unverified.by_boot
         self._room_making.make(self._reserve(tasks, now), now)
+        self._report(tasks, now)
+
+    def _report(self, tasks: list[Task], now: int) -> None:
+        """Log the outcomes of the searches since the last report, if that is long enough ago."""
+        if not self._outcomes or now - self._reported_at < REPORT_INTERVAL_MS:
+            return
+        self._reported_at = now
+        self._state.log_decision(
+            SEARCHES_EVENT,
+            without_run=sum(not task.runs for task in tasks),
+            on_lost_workers=sum(bool(task.runs) for task in tasks),
+            reserved=len(self._state.reservations.by_task),
+            outcomes=dict(self._outcomes),
+        )
+        self._outcomes.clear()
 
     def _reserve(self, tasks: list[Task], now: int) -> list[Task]:
         """Keep capacity that is about to become free for some of the displaced `tasks`.
@@ -79,6 +103,7 @@
             if search.count == MAX_TASKS_SEARCHED:
                 break
             vacancy = search.find(task)
+            self._outcomes["no_vacancy" if vacancy is None else "reserved"] += 1
             if vacancy is None:
                 self._search_after[task] = now + ROOM_SEARCH_PAUSE_MS
                 not_found.append(task)
--- a/packages/core/src/quetzallock_core/cells/room.py
+++ b/packages/core/src/quetzallock_core/cells/room.py
@@ -4,7 +4,7 @@
 worker has, or will soon have, a piece of the task's size.
 """
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from heapq import nlargest
@@ -106,8 +106,10 @@
 class RoomMaking:
     """Stops and moves runs of one cell for its displaced tasks."""
 
-    def __init__(self, state: CellState) -> None:
+    def __init__(self, state: CellState, outcomes: Counter[str]) -> None:
+        """Count the searches by outcome in `outcomes`."""
         self._state = state
+        self._outcomes = outcomes
         self._limits = PreemptionLimits()
         self._searched_at: dict[Task, int] = {}
 
@@ -121,7 +123,7 @@
         for task in wanted[:MAX_SEARCHES]:
             self._searched_at[task] = now
             plan = search.find(task)
-            self._state.counters[f"displaced.room.{_describe(plan)}"] += 1
+            self._outcomes[_describe(plan)] += 1
             if plan is not None:
                 self._carry_out(task, plan, now)
                 search.handle_plan(plan)
@@ -169,7 +171,7 @@
 
 def _describe(plan: _Plan | None) -> str:
     if plan is None:
-        return "none"
+        return "no_room"
     return ("preempted", "moved", "exchanged")[len(plan.moves)]
 
 
--- a/tests/core/cells/test_displaced_tasks.py
+++ b/tests/core/cells/test_displaced_tasks.py
@@ -117,6 +117,7 @@
     cluster.run(DRAIN_MS)
     assert cluster.ground_truth.list_running("a") == ["a.0.0.0"]
     assert cluster.cell.state.counters["task.reserved"]
+    assert cluster.cell.state.counters["displaced.searches"]
 
 
 def test_capacity_that_is_too_small_for_a_large_task_yet_is_given_to_a_smaller_one() -> None:
