--- a/tests/core/cells/test_displaced_tasks.py
+++ b/tests/core/cells/test_displaced_tasks.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from quetzallock_core.cells.displacement import find_kinds
 from quetzallock_core.cells.models import Resources
 from quetzallock_standins.emulator import CellCluster
 from quetzallock_standins.emulator.cluster import make_spec
@@ -195,3 +196,15 @@
     cluster.run(MAX_AWAY_MS)
     assert cluster.ground_truth.list_running("a") == running
     assert not cluster.ground_truth.violations
+
+
+def test_small_displaced_tasks_count_behind_many_kinds_of_larger_ones() -> None:
+    cluster = CellCluster(workers=1, capacity=SMALL_WORKER)
+    cluster.run(500)
+    sizes = range(9_000, 1_000, -250)
+    for cpu in sizes:
+        step = make_step(1, lasting=True, needs=Resources(cpu, 4_000, 0))
+        cluster.submit(make_spec(f"j{cpu}", step), POLICY, {0: None})
+    jobs = cluster.cell.state.jobs.values()
+    tasks = [job.open_occurrence(0).steps[0].tasks[0] for job in jobs]
+    assert min(sizes) in [task.spec.needs.cpu for task in find_kinds(tasks)]
