Let the smallest displaced tasks count, however many kinds there are

The check of new long-running tasks covered the first 16 kinds found, so that one which fitted a place did not count behind kinds that fit nowhere. Now the smallest of each pool and label count, which are few: a place that holds a larger one holds them too.

--- a/packages/core/src/quetzallock_core/cells/displacement.py
+++ b/packages/core/src/quetzallock_core/cells/displacement.py
@@ -4,7 +4,7 @@
 that enough for a long-running task is hardly ever free on one worker.
 """
 
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Iterable, Iterator
 from itertools import chain
 from typing import Final
@@ -32,9 +32,6 @@
 MAX_TASKS_SEARCHED: Final = 8
 """Maximum number of tasks for which one tick searches, as the owner does nothing else meanwhile."""
 
-MAX_KINDS: Final = 16
-"""Maximum number of kinds of displaced tasks for which a start of a new one is checked."""
-
 
 class Displacement:
     """Keeps capacity of one cell for its displaced tasks.
@@ -224,13 +221,15 @@
 
 
 def find_kinds(tasks: Iterable[Task]) -> list[Task]:
-    """Return one of `tasks` for each kind with the same needs, at most `MAX_KINDS`."""
-    kinds: dict[object, Task] = {}
-    for task in tasks:
-        kinds.setdefault((task.job.policy.service, task.spec.required_label, task.spec.needs), task)
-        if len(kinds) == MAX_KINDS:
-            break
-    return list(kinds.values())
+    """Return the smallest of `tasks`: for each other one, one that fits wherever it does."""
+    kinds: defaultdict[object, list[Task]] = defaultdict(list)
+    for task in sorted(tasks, key=lambda task: task.spec.needs.cpu):
+        spec = task.spec
+        step = task.step if spec.max_per_worker else None
+        smaller = kinds[task.job.policy.service, spec.required_label, step]
+        if not any(other.spec.needs.fits_in(spec.needs) for other in smaller):
+            smaller.append(task)
+    return [task for same in kinds.values() for task in same]
 
 
 def find_busy_services(workers: Iterable[Worker], now: int) -> set[str]:
