--- a/tests/core/cells/test_displaced_tasks.py
+++ b/tests/core/cells/test_displaced_tasks.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from quetzallock_core.cells.displacement import find_kinds
 from quetzallock_core.cells.models import Resources
 from quetzallock_standins.emulator import CellCluster
 from quetzallock_standins.emulator.cluster import make_spec
@@ -117,6 +118,7 @@
     cluster.run(DRAIN_MS)
     assert cluster.ground_truth.list_running("a") == ["a.0.0.0"]
     assert cluster.cell.state.counters["task.reserved"]
+    assert cluster.cell.state.counters["displaced.searches"]
 
 
 def test_capacity_that_is_too_small_for_a_large_task_yet_is_given_to_a_smaller_one() -> None:
@@ -177,3 +179,32 @@
     cluster.cell.start_waiting_tasks()
     tasks = cluster.cell.state.jobs["a"].list_tasks()
     assert [bool(task.runs) for task in tasks] == [False, True]
+
+
+def test_flood_of_new_tasks_leaves_a_place_for_the_task_of_a_lost_worker() -> None:
+    cluster = CellCluster(workers=30, capacity=SMALL_WORKER)
+    cluster.run(500)
+    step = make_step(40, lasting=True, needs=WIDE)
+    cluster.submit(make_spec("a", step), POLICY, {0: None})
+    cluster.run(1_000)
+    running = cluster.ground_truth.list_running("a")
+    assert len(running) == 29
+    lost = cluster.workers[find_worker(cluster, running[0])]
+    lost.drain()
+    cluster.run(DRAIN_MS)
+    lost.leave()
+    cluster.run(MAX_AWAY_MS)
+    assert cluster.ground_truth.list_running("a") == running
+    assert not cluster.ground_truth.violations
+
+
+def test_small_displaced_tasks_count_behind_many_kinds_of_larger_ones() -> None:
+    cluster = CellCluster(workers=1, capacity=SMALL_WORKER)
+    cluster.run(500)
+    sizes = range(9_000, 1_000, -250)
+    for cpu in sizes:
+        step = make_step(1, lasting=True, needs=Resources(cpu, 4_000, 0))
+        cluster.submit(make_spec(f"j{cpu}", step), POLICY, {0: None})
+    jobs = cluster.cell.state.jobs.values()
+    tasks = [job.open_occurrence(0).steps[0].tasks[0] for job in jobs]
+    assert min(sizes) in [task.spec.needs.cpu for task in find_kinds(tasks)]
