Add a failing test: a round in a full pool tries each step that waits

On 350 full workers with 368 waiting steps a round of the emulated cell takes 7.5 ms on this machine, of which four fifths are the order of these steps and attempts that can't succeed.

--- a/tests/core/cells/test_decision_costs.py
+++ b/tests/core/cells/test_decision_costs.py
@@ -1,5 +1,6 @@
 """How often the owner evaluates what has not changed, as the number of workers and tasks grows."""
 
+from dataclasses import replace
 from typing import Any
 
 import pytest
@@ -12,6 +13,7 @@
 from quetzallock_core.cells.preemption import VictimSearch
 from quetzallock_core.cells.preemption_limits import PreemptionLimits
 from quetzallock_core.cells.regression import TermEstimates
+from quetzallock_core.cells.scheduler import Scheduler
 from quetzallock_core.cells.waiting import MAX_STEPS_REPORTED, REPORT_AFTER_MS, explain_waits
 from quetzallock_standins.emulator import CellCluster
 from quetzallock_standins.emulator.cluster import TICK_INTERVAL_MS, make_spec
@@ -147,6 +149,24 @@
     assert len(evaluated) == 1
 
 
+@pytest.mark.parametrize("queues", [1, 2])
+def test_steps_without_room_on_any_worker_are_left_out_unless_queues_compete(
+    monkeypatch: pytest.MonkeyPatch, queues: int
+) -> None:
+    """Guards against rounds in a full pool that grow with the steps that wait."""
+    cluster = CellCluster(workers=WORKERS, capacity=CAPACITY)
+    cluster.run(500)
+    cluster.submit(make_spec("full", StepSpec(WORKERS, CAPACITY)), POLICY, {0: 9_000})
+    cluster.run(500)
+    for number in range(WORKERS):
+        policy = replace(POLICY, queue=f"queue{number % queues}")
+        cluster.submit(make_spec(f"waits{number}", make_step(1)), policy, {0: 500})
+    cluster.run(500)
+    tried = count_calls(monkeypatch, Scheduler, "_start_tasks")
+    cluster.cell.start_waiting_tasks()
+    assert len(tried) == (0 if queues == 1 else WORKERS)
+
+
 def test_steps_of_one_kind_are_ranked_together(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against rounds that evaluate all workers for each of many small jobs."""
     cluster = CellCluster(workers=WORKERS, capacity=CAPACITY)
