Leave steps for which no worker has room out of a round

What callers saw: in a full pool the pause between two placement rounds, three times the length of a round, grows with the steps that wait. Cause: each waiting step was given its place in the order and tried in each round, also where the free resources of all workers, which a round adds up first, can't do for one task of it. Why it works: such a step starts nothing in the round, as what is reserved counts as free in that check. Where several queues compete for the same capacity all steps are kept, as the turns of the queues and the report of a queue that is held back depend on them. A best-effort step that is left out still lets a full start window ask for a round, at the end of this one rather than in its turn.

--- a/packages/core/src/quetzallock_core/cells/placement.py
+++ b/packages/core/src/quetzallock_core/cells/placement.py
@@ -290,6 +290,10 @@
             self._unplaceable[demand_key].append(spec.needs)
         return best
 
+    def may_have_room(self, step: StepRun) -> bool:
+        """Return whether a worker may have the resources for a task of `step` in this round."""
+        return not self._rooms[step.job.policy.service].is_short_for(step.spec)
+
     def _scan_workers(self, task: Task, is_starving: bool, excluded_worker: str) -> Worker | None:
         """Return the cheapest worker for a task whose costs differ from those of its step."""
         best: Worker | None = None
--- a/packages/core/src/quetzallock_core/cells/scheduler.py
+++ b/packages/core/src/quetzallock_core/cells/scheduler.py
@@ -71,7 +71,8 @@
             return
         state.placing.update(state.workers.values(), now, state.log_decision)
         placement = state.make_placement()
-        candidates = [WaitingStep(self._order(step, state.durations, now), step) for step in steps]
+        tried = _drop_unplaceable(steps, placement)
+        candidates = [WaitingStep(self._order(step, state.durations, now), step) for step in tried]
         arranged = self._fair_shares.arrange(candidates, now)
         for step, contest in arranged:
             if contest is None:
@@ -80,6 +81,9 @@
                 self._start_contested(contest, placement, now)
         for contest in {contest: None for _, contest in arranged if contest is not None}:
             self._fair_shares.report(contest, now)
+        if len(tried) < len(steps) and any(step.spec.fills for step in steps):
+            # Best-effort steps without room wait for the window too, so its answers start a round.
+            state.start_window.has_room()
 
     def _start_contested(self, contest: Contest[StepRun], placement: Placement, now: int) -> None:
         """Start tasks of the queues of a contest in turns, until one of its steps has had all."""
@@ -280,3 +284,18 @@
             "task.copied", task=task.name, age_ms=now - run.ordered_at, longest_ms=int(max_age_ms)
         )
         self.start(task, worker, self._state.next_run_number(), now)
+
+
+def _drop_unplaceable(steps: list[StepRun], placement: Placement) -> list[StepRun]:
+    """Return `steps` without those for which no worker has room, as nothing of them can start.
+
+    Where several queues compete, all their steps are kept, as the turns depend on them.
+    """
+    queues: defaultdict[object, set[object]] = defaultdict(set)
+    for step in steps:
+        queues[step.contention_group].add(step.share_key)
+    return [
+        step
+        for step in steps
+        if len(queues[step.contention_group]) > 1 or placement.may_have_room(step)
+    ]
--- a/tests/core/cells/test_same_decisions.py
+++ b/tests/core/cells/test_same_decisions.py
@@ -6,6 +6,7 @@
 
 from quetzallock_core.cells import placement as placements
 from quetzallock_core.cells.models import QueuePolicy, Resources, StepSpec
+from quetzallock_core.cells.placement import Placement
 from quetzallock_standins.emulator.cluster import make_spec
 
 from .lasting_flood import (
@@ -26,6 +27,7 @@
     draw = Random(seed)
     cluster = make_cluster(WORKERS, seed)
     cluster.order_loss_rate = 0.02 * draw.randrange(3)
+    cluster.cell.state.start_window.limit = draw.choice((None, 8))
     leaving = [f"w{number}" for number in range(WORKERS // 3)]
     for second in range(SECONDS):
         submit_lasting(cluster, second, draw.randint(0, 2))
@@ -69,3 +71,13 @@
     assert placement.choose(first) is state.workers["w1"]
     state.reservations.release(kept)
     assert placement.choose(second) is state.workers["w0"]
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_leaving_out_steps_without_room_decides_as_trying_them(
+    seed: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a step that could have started, and other turns of the queues."""
+    left_out = play(seed)
+    monkeypatch.setattr(Placement, "may_have_room", lambda *_: True)
+    assert play(seed) == left_out
