Tests that guard the end of announced leaves: a short rejection, a late order

The test of a listener that is back at once compared starts in a full service, where none could follow a wrong end: it passed without the time span and without the reset by an answer. It now looks for ended runs, and fails for both. Another one plays a start order that reaches the next boot of a worker that has left.

--- a/tests/core/cells/test_announced_leaves.py
+++ b/tests/core/cells/test_announced_leaves.py
@@ -126,7 +126,7 @@
         cluster.run(INVENTORY_POLL_INTERVAL_MS)
         draining.is_listener_closed = False
         cluster.run(2 * INVENTORY_POLL_INTERVAL_MS)
-    assert len(cluster.ground_truth.starts) == TASKS
+    assert cluster.cell.state.counters["run.lapsed"] == 0
     assert count_running(cluster) == TASKS
 
 
@@ -139,3 +139,23 @@
     cluster.join_worker()
     cluster.run(LONG_MS)
     assert not cluster.ground_truth.violations
+
+
+def test_late_start_order_to_a_worker_that_left_is_rejected_by_its_next_boot() -> None:
+    cluster = CellCluster(workers=1)
+    cluster.run(500)
+    cluster.order_delay_rate = 1.0
+    cluster.submit(make_spec("a", make_step(4, lasting=True)), POLICY, {0: None})
+    cluster.run(20)
+    cluster.order_delay_rate = 0.0
+    leaving = cluster.workers["w0"]
+    leaving.drain()
+    cluster.run(200)
+    leaving.leave()
+    cluster.join_worker()
+    cluster.run(SEEN_MS)
+    assert not cluster.cell.state.workers["w1"].is_idle
+    cluster.revive("w0")
+    cluster.run(LONG_MS)
+    assert count_running(cluster) == 4
+    assert not cluster.ground_truth.violations
