Keep steps without room in the order of a round, and only do not try them

The previous form left them out before the order was made. tests/core/cells/test_fair_shares.py:: test_order_is_that_of_the_policy_where_each_priority_has_one_queue failed on: it expects all four queues in the order at once, and saw three.

--- a/packages/core/src/quetzallock_core/cells/scheduler.py
+++ b/packages/core/src/quetzallock_core/cells/scheduler.py
@@ -71,19 +71,18 @@
             return
         state.placing.update(state.workers.values(), now, state.log_decision)
         placement = state.make_placement()
-        tried = _drop_unplaceable(steps, placement)
-        candidates = [WaitingStep(self._order(step, state.durations, now), step) for step in tried]
+        candidates = [WaitingStep(self._order(step, state.durations, now), step) for step in steps]
         arranged = self._fair_shares.arrange(candidates, now)
         for step, contest in arranged:
-            if contest is None:
-                deque(self._start_step(step, placement, now), maxlen=0)
-            else:
+            if contest is not None:
                 self._start_contested(contest, placement, now)
+            elif placement.may_have_room(step):
+                deque(self._start_step(step, placement, now), maxlen=0)
+            elif step.spec.fills:
+                # Records that the step waits for the window too, if that is full.
+                state.start_window.has_room()
         for contest in {contest: None for _, contest in arranged if contest is not None}:
             self._fair_shares.report(contest, now)
-        if len(tried) < len(steps) and any(step.spec.fills for step in steps):
-            # Best-effort steps without room wait for the window too, so its answers start a round.
-            state.start_window.has_room()
 
     def _start_contested(self, contest: Contest[StepRun], placement: Placement, now: int) -> None:
         """Start tasks of the queues of a contest in turns, until one of its steps has had all."""
@@ -284,18 +283,3 @@
             "task.copied", task=task.name, age_ms=now - run.ordered_at, longest_ms=int(max_age_ms)
         )
         self.start(task, worker, self._state.next_run_number(), now)
-
-
-def _drop_unplaceable(steps: list[StepRun], placement: Placement) -> list[StepRun]:
-    """Return `steps` without those for which no worker has room, as nothing of them can start.
-
-    Where several queues compete, all their steps are kept, as the turns depend on them.
-    """
-    queues: defaultdict[object, set[object]] = defaultdict(set)
-    for step in steps:
-        queues[step.contention_group].add(step.share_key)
-    return [
-        step
-        for step in steps
-        if len(queues[step.contention_group]) > 1 or placement.may_have_room(step)
-    ]
