--- a/tests/core/cells/test_displaced_tasks.py
+++ b/tests/core/cells/test_displaced_tasks.py
@@ -208,3 +208,23 @@
     jobs = cluster.cell.state.jobs.values()
     tasks = [job.open_occurrence(0).steps[0].tasks[0] for job in jobs]
     assert min(sizes) in [task.spec.needs.cpu for task in find_kinds(tasks)]
+
+
+@pytest.mark.parametrize(("max_unavailable", "moves"), [(None, 1), (1, 1), (0, 0)])
+def test_task_of_a_sound_worker_makes_room_only_if_its_step_may_miss_one(
+    max_unavailable: int | None, moves: int
+) -> None:
+    cluster = CellCluster(workers=3, capacity=SMALL_WORKER)
+    cluster.run(500)
+    sizes = (("a", 3_000, None), ("b", 2_000, max_unavailable), ("c", 2_000, max_unavailable))
+    for job, cpu, limit in sizes:
+        needs = Resources(cpu, 4_000, 0)
+        step = make_step(1, lasting=True, needs=needs, max_unavailable=limit)
+        cluster.submit(make_spec(job, step), POLICY, {0: None})
+        cluster.run(100)
+    cluster.run(DRAIN_MS)
+    leaving = cluster.workers[find_worker(cluster, "a.0.0.0")]
+    leaving.drain()
+    cluster.run(3_000)
+    assert cluster.cell.state.counters["run.moved"] == moves
+    assert not leaving.runs or not moves
