Move no run for a displaced task whose step may miss none

AVAIL forbids to end a task of such a step on a sound worker. Only draining workers justify that one is moved all the same.

--- a/packages/core/src/quetzallock_core/cells/room.py
+++ b/packages/core/src/quetzallock_core/cells/room.py
@@ -309,6 +309,7 @@
         return self._movable[worker]
 
     def _find_movable(self, worker: Worker) -> list[Run]:
+        """Return them; of a step of which none may be unavailable, none, as its worker goes on."""
         return [
             run
             for run in worker.runs.values()
@@ -319,6 +320,7 @@
             and is_movable(run, self._state)
             and run.task not in self._state.reservations.by_task
             and not self._state.reservations.is_awaited(run)
+            and run.task.spec.max_unavailable != 0
             and count_movable(run.task.step) > 0
         ]
 
