Make no room before most workers have listed their runs after a takeover

Until then few workers are known, and a search would stop runs on them for a piece that another worker has free. By reading; in the emulator all workers answer together, so that no test shows it.

--- a/packages/core/src/quetzallock_core/cells/displacement.py
+++ b/packages/core/src/quetzallock_core/cells/displacement.py
@@ -64,7 +64,9 @@
         self._state.displaced = find_kinds(chain(tasks, self._list_expected(now)))
         is_settled = now >= self._state.restored_at + TAKEOVER_SETTLE_MS
         self._state.knows_displaced |= is_settled or not self._state.unverified.by_boot
-        self._room_making.make(self._reserve(tasks, now), now)
+        without_vacancy = self._reserve(tasks, now)
+        if self._state.knows_displaced:
+            self._room_making.make(without_vacancy, now)
         self._report(tasks, now)
 
     def _report(self, tasks: list[Task], now: int) -> None:
