Stop no short run for a task that is still at work on a draining worker

Change: room making stops short runs for tasks without a run only; it still moves long-running ones. Turns bring back in time what finds no place before its worker has left.

--- a/packages/core/src/quetzallock_core/cells/room.py
+++ b/packages/core/src/quetzallock_core/cells/room.py
@@ -192,12 +192,17 @@
         self._obtainable: dict[Worker, Resources] = {}
         self._movable: dict[Worker, list[Run]] = {}
         self._too_large: defaultdict[tuple[str, str], list[Resources]] = defaultdict(list)
+        self._may_stop_runs = True
         self._moves_left = MAX_MOVES_IN_FLIGHT - sum(
             kept.moved_run is not None for kept in state.reservations.by_task.values()
         )
 
     def find(self, task: Task) -> _Plan | None:
-        """Return the plan for `task` that costs least, or None."""
+        """Return the plan for `task` that costs least, or None.
+
+        No short run is stopped for a task that is still at work, on a worker that drains.
+        """
+        self._may_stop_runs = task.is_waiting
         spec = task.spec
         too_large = self._too_large[task.job.policy.service, spec.required_label]
         if any(needs.fits_in(spec.needs) for needs in too_large):
@@ -242,7 +247,8 @@
         if not needs.fits_in(self._get_obtainable(worker) + freed):
             return None
         candidates = self._list_candidates(worker)
-        victims = choose_victims(needs, worker.free + freed, candidates, self._left_by_queue)
+        left_by_queue = self._left_by_queue if self._may_stop_runs else {}
+        victims = choose_victims(needs, worker.free + freed, candidates, left_by_queue)
         if victims is None or len(victims) > MAX_VICTIMS:
             return None
         return victims if len(victims) <= self._limits.count_left_in_cell(self._now) else None
--- a/tests/core/cells/test_room_for_displaced_tasks.py
+++ b/tests/core/cells/test_room_for_displaced_tasks.py
@@ -1,5 +1,6 @@
 """A full pool loses workers: displaced tasks wait no longer than allowed beside room in pieces."""
 
+from collections.abc import Sequence
 from random import Random
 
 import pytest
@@ -13,6 +14,8 @@
 WORKERS = 24
 CAPACITIES = (Resources(16_000, 64_000, 0), Resources(12_000, 48_000, 0))
 CPU_NEEDS = range(2_200, 5_001, 50)
+FEW_CPU_NEEDS = (2_200, 2_750, 3_900, 4_450, 5_000)
+"""Needs of which pieces can hardly be joined."""
 JOB_INTERVAL_MS = 300
 """Jobs arrive that no longer fit, until the end of the play."""
 SHORT_CPU_NEEDS = (900, 1_350, 1_900, 2_700)
@@ -30,13 +33,16 @@
 class FullPoolPlay:
     """One random play of a pool in which more long-running tasks wait than fit."""
 
-    def __init__(self, seed: int, leaves_at_once: bool) -> None:
+    def __init__(
+        self, seed: int, leaves_at_once: bool, cpu_needs: Sequence[int] = CPU_NEEDS
+    ) -> None:
         self.cluster = CellCluster(workers=WORKERS, capacity=CAPACITIES[0], seed=seed)
         for worker in list(self.cluster.workers.values())[::3]:
             worker.resize(CAPACITIES[1])
             worker.publish_capacity()
         self._rng = Random(seed)
         self._leaves_at_once = leaves_at_once
+        self._cpu_needs = cpu_needs
         self._jobs = 0
 
     def play(self) -> CellCluster:
@@ -60,7 +66,7 @@
     def _submit_lasting(self) -> None:
         """Submit a long-running job now and then; in total more than fit."""
         rng = self._rng
-        needs = Resources(rng.choice(CPU_NEEDS), 1_000, 0)
+        needs = Resources(rng.choice(self._cpu_needs), 1_000, 0)
         step = make_step(rng.randrange(2, 12), lasting=True, needs=needs)
         self.cluster.submit(make_spec(self._name_job(), step), POLICY, {0: None})
         self.cluster.schedule(JOB_INTERVAL_MS, self._submit_lasting)
@@ -99,3 +105,9 @@
     seed: int, leaves_at_once: bool
 ) -> None:
     assert not play(seed, leaves_at_once).ground_truth.violations
+
+
+@pytest.mark.parametrize("seed", [2, 3, 4])
+def test_displaced_tasks_run_again_in_time_where_no_pieces_can_be_joined(seed: int) -> None:
+    cluster = FullPoolPlay(seed, leaves_at_once=True, cpu_needs=FEW_CPU_NEEDS).play()
+    assert not cluster.ground_truth.violations
