--- a/packages/core/src/quetzallock_core/cells/preemption.py
+++ b/packages/core/src/quetzallock_core/cells/preemption.py
@@ -171,6 +171,36 @@
     return not task.preempted_at or now - run.ordered_at >= PROTECTED_MS
 
 
+def make_candidate(run: Run, now: int) -> Candidate:
+    """Return `run` as one that may be preempted."""
+    spec = run.task.spec
+    policy = run.task.job.policy
+    freed = compute_commitment(spec.needs, spec.fills)
+    return Candidate(run, policy.queue, policy.priority, compute_lost_work(run, now), freed)
+
+
+def stop_victims(
+    state: CellState, limits: PreemptionLimits, victims: Iterable[Candidate], task: Task, now: int
+) -> None:
+    """Stop runs for `task`; their tasks start again after a pause, elsewhere if possible."""
+    for victim in victims:
+        run = victim.run
+        run.task.preempted_at = now
+        run.task.not_before = now + PREEMPTED_PAUSE_MS
+        run.task.avoid.add(run.worker)
+        limits.record(victim.queue, now)
+        state.log_decision(
+            "run.preempted",
+            task=run.task.name,
+            run=run.number,
+            worker=run.worker,
+            queue=victim.queue,
+            preempted_for=task.name,
+            lost_core_ms=int(victim.lost_core_ms),
+        )
+        state.stop_run(run, "preempted")
+
+
 class Preemption:
     """Preempts runs of one cell for its waiting tasks."""
 
@@ -263,22 +293,7 @@
         runs = tuple(victim.run for victim in choice.victims)
         state.reservations.reserve_for_waiting(task, choice.worker, runs, now + RESERVATION_MS)
         state.headroom.add(task)
-        for victim in choice.victims:
-            run = victim.run
-            run.task.preempted_at = now
-            run.task.not_before = now + PREEMPTED_PAUSE_MS
-            run.task.avoid.add(run.worker)
-            self._limits.record(victim.queue, now)
-            state.log_decision(
-                "run.preempted",
-                task=run.task.name,
-                run=run.number,
-                worker=run.worker,
-                queue=victim.queue,
-                preempted_for=task.name,
-                lost_core_ms=int(victim.lost_core_ms),
-            )
-            state.stop_run(run, "preempted")
+        stop_victims(state, self._limits, choice.victims, task, now)
         search.handle_preempted(choice)
 
 
@@ -378,7 +393,7 @@
         candidates = self._candidates.get(worker)
         if candidates is None:
             candidates = self._candidates[worker] = [
-                self._make_candidate(run)
+                make_candidate(run, self.now)
                 for run in worker.runs.values()
                 if is_preemptible(run, self.now) and not self._is_kept(run)
             ]
@@ -391,13 +406,6 @@
             return True
         return state.unverified.may_be_running(run.task)
 
-    def _make_candidate(self, run: Run) -> Candidate:
-        spec = run.task.spec
-        policy = run.task.job.policy
-        freed = compute_commitment(spec.needs, spec.fills)
-        lost = compute_lost_work(run, self.now)
-        return Candidate(run, policy.queue, policy.priority, lost, freed)
-
     def handle_preempted(self, choice: _Choice) -> None:
         """Update the limits and the candidates after runs were preempted."""
         self._left_by_queue.subtract(victim.queue for victim in choice.victims)
--- a/packages/core/src/quetzallock_core/cells/room.py
+++ b/packages/core/src/quetzallock_core/cells/room.py
@@ -17,16 +17,16 @@
 from .placement import find_constraint
 from .preemption import (
     MAX_VICTIMS,
-    PREEMPTED_PAUSE_MS,
     Candidate,
     Victims,
     choose_victims,
-    compute_lost_work,
     is_preemptible,
+    make_candidate,
+    stop_victims,
 )
 from .preemption_limits import PreemptionLimits
 from .state import CellState
-from .workers import Worker, compute_commitment
+from .workers import Worker
 
 MAX_SEARCHES: Final = 4
 """Maximum number of tasks for which one tick makes room, as each search looks at all workers."""
@@ -138,8 +138,7 @@
         state.reservations.reserve_for_waiting(task, plan.worker, plan.awaited, expires_at)
         for move in plan.moves:
             state.reservations.reserve_for_move(move.run, move.target, expires_at, move.awaited)
-        for victim in plan.all_victims:
-            self._stop(victim, task, now)
+        stop_victims(state, self._limits, plan.all_victims, task, now)
         for move in plan.moves:
             state.log_decision(
                 "run.moved",
@@ -151,23 +150,6 @@
             )
             state.stop_run(move.run, "moved to make room")
 
-    def _stop(self, victim: Candidate, task: Task, now: int) -> None:
-        run = victim.run
-        run.task.preempted_at = now
-        run.task.not_before = now + PREEMPTED_PAUSE_MS
-        run.task.avoid.add(run.worker)
-        self._limits.record(victim.queue, now)
-        self._state.log_decision(
-            "run.preempted",
-            task=run.task.name,
-            run=run.number,
-            worker=run.worker,
-            queue=victim.queue,
-            preempted_for=task.name,
-            lost_core_ms=int(victim.lost_core_ms),
-        )
-        self._state.stop_run(run, "preempted")
-
 
 def _describe(plan: _Plan | None) -> str:
     if plan is None:
@@ -344,7 +326,7 @@
         candidates = self._candidates.get(worker)
         if candidates is None:
             candidates = self._candidates[worker] = [
-                self._make_candidate(run)
+                make_candidate(run, self._now)
                 for run in worker.runs.values()
                 if is_preemptible(run, self._now)
                 and not self._state.reservations.is_awaited(run)
@@ -352,13 +334,6 @@
             ]
         return candidates
 
-    def _make_candidate(self, run: Run) -> Candidate:
-        spec = run.task.spec
-        policy = run.task.job.policy
-        freed = compute_commitment(spec.needs, spec.fills)
-        lost = compute_lost_work(run, self._now)
-        return Candidate(run, policy.queue, policy.priority, lost, freed)
-
 
 def _compute_lost_work(move: _Move) -> float:
     return sum(victim.lost_core_ms for victim in move.victims)
