Stop no long-running task for another whose step may miss none

AVAIL forbids to end a task of such a step on a sound worker; a turn took one, as a move off a draining worker may.

--- a/packages/core/src/quetzallock_core/cells/turns.py
+++ b/packages/core/src/quetzallock_core/cells/turns.py
@@ -164,8 +164,14 @@
         return runs_by_worker
 
     def _has_had_turn(self, run: Run, now: int) -> bool:
-        """Return whether `run` may be stopped; an adopted one began under an earlier owner."""
-        if run.task.spec.fills or run.task.is_crash_suspect or not is_movable(run, self._state):
+        """Return whether `run` may be stopped; an adopted one began under an earlier owner.
+
+        None is of a step of which none may be unavailable, as its worker goes on.
+        """
+        spec = run.task.spec
+        if spec.fills or spec.max_unavailable == 0 or run.task.is_crash_suspect:
+            return False
+        if not is_movable(run, self._state):
             return False
         return run.first_sent_at < 0 or now - run.ordered_at >= MIN_TURN_MS
 
--- a/tests/core/cells/test_turns.py
+++ b/tests/core/cells/test_turns.py
@@ -73,6 +73,13 @@
             assert stopping <= 1
 
 
+def test_no_task_is_stopped_for_another_if_its_step_may_miss_none() -> None:
+    cluster = make_full_cluster(max_unavailable=0)
+    let_workers_leave(cluster, 2)
+    cluster.run(20_000)
+    assert not cluster.cell.state.counters["run.yielded"]
+
+
 def test_two_small_tasks_are_stopped_for_a_large_one() -> None:
     cluster = CellCluster(workers=2, capacity=CAPACITY)
     cluster.run(500)
