--- a/packages/core/src/quetzallock_core/cells/room.py
+++ b/packages/core/src/quetzallock_core/cells/room.py
@@ -297,7 +297,7 @@
         return self._movable[worker]
 
     def _find_movable(self, worker: Worker) -> list[Run]:
-        """Return them; of a step of which none may be unavailable, none, as its worker goes on."""
+        """Return these runs, but those of steps of which none may be unavailable."""
         return [
             run
             for run in worker.runs.values()
