Log each start and end of a run, with what proved the end

runs.started, runs.adopted and runs.ended have a row for each run, flushed by each tick and when the owner stops, at most 100 rows a line.

No logic is changed.

--- a/packages/core/src/quetzallock_core/cells/answers.py
+++ b/packages/core/src/quetzallock_core/cells/answers.py
@@ -7,6 +7,7 @@
 from .jobs import Run
 from .models import Boot
 from .orders import StartRun, StopRun
+from .run_ends import EndProof
 from .state import CellState
 from .workers import Worker
 
@@ -100,7 +101,7 @@
             state.stop_with_gang(run, "an earlier copy of the refused order may arrive")
             return
         state.shares.refund(run.task.step.share_key, run.service_core_ms, now)
-        state.end_run(run, "refuse", "refused")
+        state.end_run(run, "refuse", EndProof.REFUSED)
         state.stop_gang(run.task.step, "worker refused another task of the gang")
         state.is_start_due = True
 
--- a/packages/core/src/quetzallock_core/cells/cell.py
+++ b/packages/core/src/quetzallock_core/cells/cell.py
@@ -20,6 +20,7 @@
 from .orders import Effect, StartRun, StopRun, TicketOutcome
 from .preemption import Preemption
 from .records import JobRecord
+from .run_ends import EndProof
 from .scheduler import Scheduler
 from .state import CellState
 from .turns import Turns
@@ -270,6 +271,7 @@
         self._open_due_jobs()
         self._expire_jobs(now)
         state.early_cancels.expire()
+        self.state.run_log.flush()
         self.state.is_start_due = True
 
     def _drop_lapsed_unverified(self) -> None:
@@ -292,7 +294,7 @@
             self.state.suspend_lease(worker)
         if worker.runs and now >= worker.compute_lapse_at():
             self.state.crashes.expose_runs(worker)
-            self._lapse_runs(worker, now, "lapsed")
+            self._lapse_runs(worker, now, EndProof.LAPSED)
         if worker.runs or worker.is_listed or self.state.unverified.is_leaving(worker.boot):
             return
         self.state.drop_worker(worker, "no entry and no answer")
@@ -300,20 +302,20 @@
     def _end_left(self, worker: Worker, now: int) -> None:
         """End the runs of a worker that has left as announced, without waiting for its lease."""
         self.state.unverified.remove_boot(worker.boot)
-        self._lapse_runs(worker, now, "left")
+        self._lapse_runs(worker, now, EndProof.LEFT)
         if not worker.runs:
             self.state.drop_worker(worker, "left as announced")
 
-    def _lapse_runs(self, worker: Worker, now: int, how: str) -> None:
+    def _lapse_runs(self, worker: Worker, now: int, proof: EndProof) -> None:
         """End the runs on a worker that is over, but those that a late start order may begin."""
         self.state.drains.report(worker)
         for run in list(worker.runs.values()):
             if run.unconfirmed_until > now:
                 continue
             self.state.log_decision(
-                "run.lapsed", task=run.task.name, run=run.number, worker=run.worker, how=how
+                "run.lapsed", task=run.task.name, run=run.number, worker=run.worker, how=proof
             )
-            self.state.lapse_run(run, how)
+            self.state.lapse_run(run, proof)
 
     def _repeat_orders(self, now: int) -> None:
         state = self.state
--- a/packages/core/src/quetzallock_core/cells/interruptions.py
+++ b/packages/core/src/quetzallock_core/cells/interruptions.py
@@ -14,6 +14,7 @@
 from .drains import Drains
 from .jobs import Run, Task
 from .models import Boot
+from .run_ends import EndProof
 from .unverified import UnverifiedWorkers
 from .workers import Worker
 
@@ -28,8 +29,8 @@
 """How the last run has ended of a task that waits when an owner takes the cell over."""
 
 _STOPPED: Final = "stopped"
-_LISTED: Final = "listed"
-_FROM_INVENTORY: Final = (_LISTED, "vanished")
+_LISTED: Final = EndProof.LISTED
+_FROM_INVENTORY: Final = (_LISTED, EndProof.VANISHED)
 """Ends that an inventory has shown."""
 
 
--- a/packages/core/src/quetzallock_core/cells/inventory.py
+++ b/packages/core/src/quetzallock_core/cells/inventory.py
@@ -12,6 +12,7 @@
     update_best_effort_block,
     update_over_target,
 )
+from .run_ends import EndProof
 from .state import CellState
 from .workers import Worker
 
@@ -148,6 +149,7 @@
         has_other_runs = bool(task.runs) and not task.spec.speculative
         task.runs[row.run] = run
         self._state.add_run(worker, run)
+        state.run_log.add_adoption(run, worker.entry.boot_ms)
         state.log_decision("run.adopted", task=row.task, run=row.run, worker=worker.id)
         if is_unwanted or has_other_runs:
             state.cancellations.adopt(run)
@@ -205,8 +207,16 @@
         if not (run.is_listed or is_answered or is_late):
             return False
         state = self._state
-        state.log_decision("run.vanished", task=run.task.name, run=run.number, worker=run.worker)
-        state.lapse_run(run, "vanished")
+        state.log_decision(
+            "run.vanished",
+            task=run.task.name,
+            run=run.number,
+            worker=run.worker,
+            was_listed=run.is_listed,
+            answered_clock_ms=run.answered_clock_ms,
+            clock_ms=clock_ms,
+        )
+        state.lapse_run(run, EndProof.VANISHED)
         return True
 
     def _handle_end(self, worker: Worker, row: EndRow, now: int) -> None:
@@ -217,7 +227,7 @@
             return
         run = task.runs.get(row.run)
         if run is not None and run.worker == worker.id:
-            state.end_run(run, "end", "listed")
+            state.end_run(run, "end", EndProof.LISTED, row.how)
         else:
             run = None
         mark_started(state, task.job)
--- a/packages/core/src/quetzallock_core/cells/scheduler.py
+++ b/packages/core/src/quetzallock_core/cells/scheduler.py
@@ -11,6 +11,7 @@
 from .ordering import ORDERS
 from .orders import StartRun
 from .placement import Placement, can_place
+from .run_ends import EndProof
 from .state import CellState
 from .workers import Worker
 
@@ -196,6 +197,7 @@
         run = Run(task, number, worker.id, "ordered", now, progressed_at=now)
         task.runs[number] = run
         self._state.add_run(worker, run)
+        self._state.run_log.add_start(run, worker.entry.boot_ms)
         if task.spec.fills:
             self._state.start_window.add(run)
         run.service_core_ms = compute_service(task.step, self._state.durations)
@@ -232,7 +234,7 @@
         state = self._state
         state.log_decision("start.withdrawn", task=run.task.name, run=run.number, worker=run.worker)
         state.shares.refund(run.task.step.share_key, run.service_core_ms, state.clock.now())
-        state.end_run(run, "refuse", "withdrawn")
+        state.end_run(run, "refuse", EndProof.WITHDRAWN)
         state.stop_gang(run.task.step, "start of another task of the gang was withdrawn")
 
     def send_start(self, run: Run, worker: Worker, now: int) -> None:
--- a/packages/core/src/quetzallock_core/cells/state.py
+++ b/packages/core/src/quetzallock_core/cells/state.py
@@ -25,6 +25,7 @@
 from .placement import Placement
 from .records import JobRecord, LearnedRecord
 from .reservations import Reservations
+from .run_ends import EndProof, RunLog
 from .shares import Shares
 from .spare_room import SpareRoom
 from .start_window import StartWindow
@@ -65,6 +66,7 @@
             their entries.
         due_jobs: Jobs with repetitions that may become due.
         exhausted: Tasks without attempts left of which a run may still be going on.
+        run_log: Collects the starts and ends of runs for the log.
         is_start_due: Something has changed that may allow a waiting task to start.
         start_window: Limits how many best-effort starts are on their way at once.
         has_worker_changes: The journal lacks changes of workers.
@@ -113,6 +115,7 @@
         self.is_start_due = False
         self.start_window = StartWindow()
         self.has_worker_changes = False
+        self.run_log = RunLog(self.log_decision)
         self._effects: list[Effect] = []
         self._last_run = epoch * RUNS_PER_EPOCH
 
@@ -295,16 +298,22 @@
             PaceRun(entry.worker, entry.boot_ms, entry.address, run.task.name, run.number, percent)
         )
 
-    def end_run(self, run: Run, event: str, how: str) -> None:
+    def end_run(self, run: Run, event: str, proof: EndProof, how: str = "") -> None:
         """Remove a run that is over by the chart's `event`, and free its resources.
 
-        `how` says for the log how its end was seen.
+        Args:
+            run: The run.
+            event: Event of the run chart.
+            proof: What proves the end.
+            how: How the worker lists the end, if it does.
         """
-        self.interruptions.handle_end(run, how)
+        worker = self.workers.get(run.worker)
+        boot_ms = worker.entry.boot_ms if worker is not None else 0
+        self.run_log.add_end(run, boot_ms, proof, how)
+        self.interruptions.handle_end(run, proof)
         run.advance(event)
         run.task.runs.pop(run.number, None)
         run.task.step.has_no_waiting_task = False
-        worker = self.workers.get(run.worker)
         if worker is not None:
             worker.remove(run)
             self.ended_runs.add(run, worker.boot)
@@ -312,11 +321,11 @@
                 self.crashes.end_exposure(run.task, worker.boot)
             self._record_best_effort_shares(worker, run)
         self.reservations.handle_end(run)
-        self.cancellations.handle_end(run, how)
+        self.cancellations.handle_end(run, proof)
 
-    def lapse_run(self, run: Run, how: str) -> None:
+    def lapse_run(self, run: Run, proof: EndProof) -> None:
         """Remove a run that is over without a reported end, and requeue its task."""
-        self.end_run(run, "lapse", how)
+        self.end_run(run, "lapse", proof)
         if not run.task.is_done:
             self.requeue(run.task, "")
 
@@ -405,16 +414,26 @@
         self.log_decision("job.failed", cause=cause, **describe_verdict(task))
         self.finish_job(task.job, "fail")
 
-    def drop_worker(self, worker: Worker, reason: str) -> None:
-        """Drop a boot of a worker whose runs are all over.
+    def drop_worker(self, worker: Worker, reason: str, proof: EndProof = EndProof.LAPSED) -> None:
+        """Drop a boot of a worker whose runs are all over, as `proof` shows.
 
         Its record stays in the journal while a boot of it is unverified, for the next owner.
         """
-        self.log_decision("worker.gone", worker=worker.id, reason=reason, runs=len(worker.runs))
+        now = self.clock.now()
+        self.log_decision(
+            "worker.gone",
+            worker=worker.id,
+            born=worker.entry.boot_ms,
+            reason=reason,
+            runs=len(worker.runs),
+            silent_ms=now - worker.contact_at if worker.contact_at >= 0 else -1,
+            lease_left_ms=worker.compute_lapse_at() - now,
+            has_next_boot_answered=worker.has_next_boot_answered,
+        )
         self.crashes.handle_loss(worker)
         self.drains.handle_gone(worker)
         for run in list(worker.runs.values()):
-            self.lapse_run(run, "worker_gone")
+            self.lapse_run(run, proof)
         self.reservations.release_worker(worker)
         if self.workers.get(worker.id) is worker:
             del self.workers[worker.id]
@@ -434,7 +453,7 @@
         self.crashes.handle_loss(worker)
         for run in unconfirmed_runs:
             worker.remove(run)
-        self.drop_worker(worker, "worker restarted")
+        self.drop_worker(worker, "worker restarted", EndProof.NEXT_BOOT)
         successor = self.add_worker(entry)
         for run in unconfirmed_runs:
             self.ended_runs.add(run, successor.boot)
@@ -464,7 +483,7 @@
     def end_boot(self, worker: Worker) -> None:
         """End a boot, and its runs, after another boot or worker has answered at its address."""
         self.ended_boots.add((worker.id, worker.entry.boot_ms))
-        self.drop_worker(worker, "another boot answers at its address")
+        self.drop_worker(worker, "another boot answers at its address", EndProof.MISDIRECTED)
         self.is_start_due = True
 
     def find_boot(self, boot: Boot) -> Worker | None:
--- a/packages/daemon/src/quetzallock_daemon/cells/owner.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/owner.py
@@ -394,6 +394,7 @@
         Pending requests are answered as `unsettled`, so that routers repeat them at the next owner.
         """
         self.is_stopped = True
+        self._log_last_runs()
         self._journal.stop()
         self._placement.stop()
         if self._tick_timer is not None and self._tick_timer.active():
@@ -403,6 +404,13 @@
             reply(OwnerAnswer(ticket, "unsettled"))
         self._tickets.clear()
 
+    def _log_last_runs(self) -> None:
+        """Log the starts and ends since the last tick."""
+        self.cell.state.run_log.flush()
+        for effect in self.cell.pop_effects():
+            if isinstance(effect, Decision):
+                self._run_effect(effect)
+
 
 def _send_answer(reply: Reply, request: OwnerRequest, outcome: str) -> None:
     reply(OwnerAnswer(request.ticket, outcome))
