End a boot by the answer of the next one, or by its lease

Both starts come from one owner; the first run has no stop order, ends as done and is taken note of.

Cause: Cell.handle_entries replaced a worker as soon as the platform's list named another boot of it and one poll had no answer, or 1.5 s had passed since its last one. All its runs then counted as over and started elsewhere. The list is open to other writers, and a poll without an answer is ordinary.

Change: the list only says where to ask. A boot with runs is replaced when the next one has answered: any other boot at the address at which it has answered itself, or a later one at the address in its entry, which is asked there while the known boot is silent (no lease, no cursor). Else its runs end by the lease. A boot that has never answered, or a silent one without runs, is replaced as before: nothing ends with it. Starts without an answer are still stopped at the next boot first.

Why it works: a worker answers only calls that name its id, so the answer of another boot is its own word that the earlier one is over.

Tests changed: those that gave the owner a new boot in the list with a failed poll now let that boot answer (answer_as_next_boot). The silent worker is replaced once its lease has lapsed, not after 1.5 s, which was this fault.

--- a/packages/core/src/quetzallock_core/cells/cell.py
+++ b/packages/core/src/quetzallock_core/cells/cell.py
@@ -141,11 +141,13 @@
             entry = entries.get(worker.id)
             if entry is None:
                 worker.is_listed = False
+                worker.next_entry = None
                 state.drains.handle_unlisted(worker)
             elif entry.boot_ms != worker.entry.boot_ms:
                 worker.is_listed = False
-                if worker.may_be_over(now):
-                    state.replace_worker(worker, entry)
+                worker.next_entry = entry
+                if worker.is_replaced_by(entry, now):
+                    state.replace_worker(worker, entry, EndProof.NEXT_BOOT)
         for entry in entries.values():
             if (entry.worker, entry.boot_ms) in state.ended_boots:
                 continue
@@ -161,6 +163,7 @@
             self.evacuations.update_worker(worker, entry)
             worker.entry = entry
             worker.is_listed = True
+            worker.next_entry = None
         state.add_unlisted_leaving()
 
     def _log_resize(self, worker: Worker, entry: WorkerEntry) -> None:
@@ -206,6 +209,14 @@
             known.record_no_answer(self.state.clock.now(), failure)
             self.state.crashes.expose_runs(known)
 
+    def handle_next_boot_inventory(
+        self, boot: Boot, entry: WorkerEntry, inventory: Inventory
+    ) -> None:
+        """Process the answer at the address in the entry of another boot than the known `boot`."""
+        worker = self.state.find_boot(boot)
+        if worker is not None and inventory.boot_ms == entry.boot_ms:
+            self.state.handle_other_boot(worker, inventory.boot_ms, entry.address)
+
     def handle_previous_owner_gone(self, gone_at: int) -> None:
         """Process that the previous owner's process was over at the local ms `gone_at`."""
         owner = self.state.unverified.previous_owner
@@ -294,6 +305,9 @@
             self.state.suspend_lease(worker)
         if worker.runs and now >= worker.compute_lapse_at():
             self.state.crashes.expose_runs(worker)
+            if worker.next_entry is not None and worker.contact_at >= 0:
+                self.state.replace_worker(worker, worker.next_entry, EndProof.LAPSED)
+                return
             self._lapse_runs(worker, now, EndProof.LAPSED)
         if worker.runs or worker.is_listed or self.state.unverified.is_leaving(worker.boot):
             return
--- a/packages/core/src/quetzallock_core/cells/inventory.py
+++ b/packages/core/src/quetzallock_core/cells/inventory.py
@@ -39,10 +39,8 @@
         worker = state.find_boot(boot)
         if worker is None:
             return False
-        if inventory.boot_ms and inventory.boot_ms != worker.entry.boot_ms:
-            state.log_decision("worker.reborn", worker=worker.id, born=inventory.boot_ms)
-            worker.is_listed = False
-            worker.has_next_boot_answered = True
+        if inventory.boot_ms != worker.entry.boot_ms:
+            state.handle_other_boot(worker, inventory.boot_ms, worker.leave.polled_address)
             return False
         now = state.clock.now()
         is_first = worker.inventory_at < 0
--- a/packages/core/src/quetzallock_core/cells/state.py
+++ b/packages/core/src/quetzallock_core/cells/state.py
@@ -428,7 +428,7 @@
             runs=len(worker.runs),
             silent_ms=now - worker.contact_at if worker.contact_at >= 0 else -1,
             lease_left_ms=worker.compute_lapse_at() - now,
-            has_next_boot_answered=worker.has_next_boot_answered,
+            next_boot_ms=worker.next_boot_ms,
         )
         self.crashes.handle_loss(worker)
         self.drains.handle_gone(worker)
@@ -440,8 +440,8 @@
             if not self.unverified.has_boot_of(worker.id):
                 self.dropped_workers.append(worker.id)
 
-    def replace_worker(self, worker: Worker, entry: WorkerEntry) -> None:
-        """Replace a worker by its next boot; the runs of the previous boot are over.
+    def replace_worker(self, worker: Worker, entry: WorkerEntry, proof: EndProof) -> None:
+        """Replace a worker by its next boot; `proof` shows that the previous boot is over.
 
         A start order whose run the previous boot has not listed, or that is unanswered, may have
         reached the next boot, or may still reach it. Such a run is stopped there before its task
@@ -453,7 +453,7 @@
         self.crashes.handle_loss(worker)
         for run in unconfirmed_runs:
             worker.remove(run)
-        self.drop_worker(worker, "worker restarted", EndProof.NEXT_BOOT)
+        self.drop_worker(worker, "worker restarted", proof)
         successor = self.add_worker(entry)
         for run in unconfirmed_runs:
             self.ended_runs.add(run, successor.boot)
@@ -480,6 +480,17 @@
         worker.is_lease_suspended = True
         self.invalidate_record(worker)
 
+    def handle_other_boot(self, worker: Worker, boot_ms: int, address: str) -> None:
+        """Process that a poll of a boot was answered by another boot of the worker at `address`.
+
+        Its runs end once the platform's list names the next boot, which is then known.
+        """
+        self.log_decision("worker.reborn", worker=worker.id, born=boot_ms, address=address)
+        worker.is_listed = False
+        worker.is_poll_unanswered = True
+        if worker.is_next_boot(boot_ms, address):
+            worker.next_boot_ms = boot_ms
+
     def end_boot(self, worker: Worker) -> None:
         """End a boot, and its runs, after another boot or worker has answered at its address."""
         self.ended_boots.add((worker.id, worker.entry.boot_ms))
--- a/packages/core/src/quetzallock_core/cells/workers.py
+++ b/packages/core/src/quetzallock_core/cells/workers.py
@@ -111,7 +111,9 @@
         inventory_asked_at: Local ms at which the last inventory was asked for; -1 before the first.
         unanswered_since: Local ms at which a poll got no answer, if nothing was answered since; -1
             otherwise.
-        has_next_boot_answered: A poll was answered by another boot of the worker.
+        next_entry: Entry of another boot that the platform's list has instead of that of this one.
+        next_boot_ms: The boot that has answered a poll instead of this one, which is over; -1 while
+            none has.
         cursor: Highest number of an end that was processed.
         durable_cursor: Highest number of an end that the journal holds.
         is_poll_unanswered: The last inventory poll got no answer. The next answer may come from
@@ -152,7 +154,8 @@
     inventory_at: int = -1
     inventory_asked_at: int = -1
     unanswered_since: int = -1
-    has_next_boot_answered: bool = False
+    next_entry: WorkerEntry | None = None
+    next_boot_ms: int = -1
     cursor: int = 0
     durable_cursor: int = 0
     is_poll_unanswered: bool = True
@@ -247,14 +250,26 @@
         """Return whether it has answered within `UNREACHABLE_TIMEOUT_MS`."""
         return self.contact_at >= 0 and now - self.contact_at < UNREACHABLE_TIMEOUT_MS
 
-    def may_be_over(self, now: int) -> bool:
-        """Return whether another boot, which the platform's list names, may have replaced this one.
+    def is_replaced_by(self, entry: WorkerEntry, now: int) -> bool:
+        """Return whether the boot that `entry` names takes the place of this one.
 
-        The list alone does not tell, since others may write to it. A boot that answers goes on.
+        Others may write to the list, so the runs of this boot end only by the answer of the next
+        one, or by the lease. A boot that has never answered has begun no run, and one without runs
+        is dropped when it is silent.
         """
-        if self.has_next_boot_answered or self.unanswered_since >= 0:
+        if entry.boot_ms == self.next_boot_ms or self.contact_at < 0:
             return True
-        return not self.is_reachable(now)
+        return not self.runs and not self.is_reachable(now)
+
+    def is_next_boot(self, boot_ms: int, address: str) -> bool:
+        """Return whether an answer of another boot at an address proves that this one is over.
+
+        A worker answers only calls that name its id. At the address at which this boot has answered
+        no other one can; elsewhere an earlier boot might.
+        """
+        if boot_ms == self.entry.boot_ms:
+            return False
+        return address == self.leave.answered_address or boot_ms > self.entry.boot_ms
 
     @property
     def has_left(self) -> bool:
@@ -264,11 +279,19 @@
         """
         return self.entry.is_draining and not self.is_listed and self.leave.shows_end
 
+    @property
+    def must_ask_next_boot(self) -> bool:
+        """Whether it is silent, and the list has another boot of it at another address."""
+        entry = self.next_entry
+        if entry is None or self.unanswered_since < 0:
+            return False
+        return entry.address != self.entry.address
+
     def keep_address(self, entry: WorkerEntry, now: int) -> WorkerEntry:
         """Return a new entry of this boot, with the known address while the boot answers there.
 
         The list alone does not tell, since others may write to it; another worker would refuse the
-        calls at a wrong address, which counts as the end of this boot.
+        calls at a wrong address.
         """
         if entry.address == self.entry.address or not self.is_reachable(now):
             return entry
--- a/packages/daemon/src/quetzallock_daemon/cells/inventory.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/inventory.py
@@ -70,6 +70,8 @@
                 continue
             try:
                 pause_ms = await self._poll_once(worker)
+                if worker.must_ask_next_boot:
+                    await self._ask_next_boot(worker)
             except Exception:
                 _LOGGER.exception("inventory could not be processed", extra={"worker": worker.id})
                 owner.cell.handle_no_answer(worker.boot, PollFailure.UNUSABLE)
@@ -93,6 +95,16 @@
         with owner.meter.measure(INVENTORY):
             return self._handle_answer(worker, answer, now)
 
+    async def _ask_next_boot(self, worker: Worker) -> None:
+        """Poll the boot that the platform's list has at another address than a silent one."""
+        owner, entry = self._owner, worker.next_entry
+        if entry is None or not owner.may_order:
+            return
+        answer = await self._workers.poll_inventory(entry, owner.epoch, 0, None, 0)
+        if isinstance(answer, Inventory) and not owner.is_stopped:
+            owner.cell.handle_next_boot_inventory(worker.boot, entry, answer)
+            owner.run_effects()
+
     def _handle_answer(
         self, worker: Worker, answer: Inventory | OrderAnswer | PollFailure, asked_at: int
     ) -> int:
--- a/packages/standins/src/quetzallock_standins/emulator/cluster.py
+++ b/packages/standins/src/quetzallock_standins/emulator/cluster.py
@@ -23,6 +23,7 @@
 )
 from quetzallock_core.cells.orders import PaceRun, StartRun, StopRun, TicketOutcome
 from quetzallock_core.cells.records import JobRecord
+from quetzallock_core.cells.workers import Worker
 from quetzallock_core.clock import ManualClock
 from quetzallock_core.codec import encode
 
@@ -244,6 +245,8 @@
             return
         boot = cell_worker.boot
         now = self.clock.now()
+        if cell_worker.must_ask_next_boot:
+            self._ask_next_boot(owner, cell_worker)
         until = cell_worker.renew_lease(self.bounds.lease_ms, now)
         if self._is_misdirected(worker, cell_worker.entry.address):
             self.schedule(
@@ -266,6 +269,18 @@
             self.latency_ms, lambda: self._handle_inventory_answer(owner, boot, answer, now)
         )
 
+    def _ask_next_boot(self, owner: Owner, known: Worker) -> None:
+        """Poll the worker at the address in the list's entry of another boot of it."""
+        worker, entry = self.workers[known.id], known.next_entry
+        if entry is None or entry.address != worker.entry.address:
+            return
+        if not worker.is_up or worker.is_isolated:
+            return
+        answer = worker.poll_inventory(owner.epoch, 0, None)
+        if isinstance(answer, Inventory):
+            owner.cell.handle_next_boot_inventory(known.boot, entry, answer)
+            self.run_effects(owner)
+
     def _handle_failure(self, owner: Owner, boot: Boot, failure: PollFailure) -> None:
         if owner.is_running:
             owner.cell.handle_no_answer(boot, failure)
@@ -428,11 +443,12 @@
         if not worker.is_up:
             self.revive(worker.id)
 
-    def revive(self, worker: str) -> None:
-        """Start a crashed worker again, as a new boot."""
+    def revive(self, worker: str, address: str = "") -> None:
+        """Start a crashed worker again, as a new boot, at the same address unless one is given."""
         old = self.workers[worker]
         boot_ms = old.entry.boot_ms + self.clock.now() + 1
-        old.revive(replace(old.entry, boot_ms=boot_ms, is_draining=False))
+        address = address or old.entry.address
+        old.revive(replace(old.entry, boot_ms=boot_ms, address=address, is_draining=False))
 
 
 def _rejects_connections(worker: EmulatedWorker, address: str) -> bool:
--- a/tests/core/cells/common.py
+++ b/tests/core/cells/common.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-from quetzallock_core.cells.models import JobSpec, QueuePolicy, Resources, StepSpec
+from quetzallock_core.cells.models import Inventory, JobSpec, QueuePolicy, Resources, StepSpec
 from quetzallock_core.cells.orders import Decision, Effect
 from quetzallock_standins.emulator import CellCluster
 from quetzallock_standins.emulator.cluster import Owner, make_spec
@@ -36,6 +36,15 @@
         return [decision.inputs for decision in self.decisions if decision.event == event]
 
 
+def answer_as_next_boot(cluster: CellCluster, worker: str) -> None:
+    """Let the next boot of a worker answer a poll, and the owner read the platform's list."""
+    cell, now = cluster.cell, cluster.clock.now()
+    answer = cluster.workers[worker].poll_inventory(cluster.owner.epoch, 0, None)
+    assert isinstance(answer, Inventory)
+    cell.handle_inventory(cell.state.workers[worker].boot, answer, now)
+    cell.handle_entries(cluster._list_entries())
+
+
 def make_step(count: int = 2, **fields: object) -> StepSpec:
     """Return a step of small tasks."""
     return StepSpec(**{"count": count, "needs": SMALL, "estimate_ms": 500, **fields})  # type: ignore[arg-type]
--- a/tests/core/cells/test_crash_evidence.py
+++ b/tests/core/cells/test_crash_evidence.py
@@ -11,7 +11,7 @@
 from quetzallock_standins.emulator import CellCluster
 from quetzallock_standins.emulator.cluster import make_spec
 
-from .common import POLICY, make_step, submit_plain
+from .common import POLICY, answer_as_next_boot, make_step, submit_plain
 from .test_crashing_tasks import (
     MAX_CRASHES,
     SETTLE_MS,
@@ -169,8 +169,7 @@
     for _ in range(2):
         cluster.workers["w0"].crash()
         cluster.revive("w0")
-        cluster.cell.handle_no_answer(cluster.cell.state.workers["w0"].boot)
-        cluster.cell.handle_entries(cluster._list_entries())
+        answer_as_next_boot(cluster, "w0")
     assert len(run.task.crashes) == 1
 
 
--- a/tests/core/cells/test_ended_runs.py
+++ b/tests/core/cells/test_ended_runs.py
@@ -8,7 +8,7 @@
 from quetzallock_standins.emulator import CellCluster
 from quetzallock_standins.emulator.cluster import make_spec
 
-from .common import POLICY, make_step
+from .common import POLICY, answer_as_next_boot, make_step
 
 SETTLE_MS = 12_500
 """Longer than the emulated cluster holds an order back."""
@@ -107,8 +107,7 @@
     cluster = make_cluster_with_late_order(count=8)
     cluster.workers["w0"].crash()
     cluster.revive("w0")
-    cluster.cell.handle_no_answer(cluster.cell.state.workers["w0"].boot)
     cluster.cell.pop_effects()
-    cluster.cell.handle_entries(cluster._list_entries())
+    answer_as_next_boot(cluster, "w0")
     effects = cluster.cell.pop_effects()
     assert sum(isinstance(effect, StopRun) for effect in effects) == 3
--- a/tests/core/cells/test_false_entries.py
+++ b/tests/core/cells/test_false_entries.py
@@ -4,12 +4,18 @@
 
 import pytest
 
-from quetzallock_core.cells.const import UNREACHABLE_TIMEOUT_MS
+from quetzallock_core.cells.const import (
+    CLOCK_DRIFT,
+    LEASE_MARGIN_MS,
+    MAX_LEASE_MS,
+    UNREACHABLE_TIMEOUT_MS,
+)
 from quetzallock_standins.emulator import CellCluster
 
 from .common import submit_plain
 
 ENTRIES_READ_MS = 300
+LONGEST_LEASE_MS = int(MAX_LEASE_MS / (1 - CLOCK_DRIFT)) + LEASE_MARGIN_MS
 
 
 def make_busy_cluster() -> CellCluster:
@@ -84,16 +90,32 @@
     assert cluster.ground_truth.violations == []
 
 
-def test_silent_worker_is_replaced_by_its_next_boot() -> None:
+def test_silent_worker_is_replaced_by_its_next_boot_once_its_lease_has_lapsed() -> None:
     """Its connections may go silent without a reset, so that no poll fails at once."""
     cluster = make_busy_cluster()
+    boot = cluster.cell.state.workers["w0"].boot
     cluster.workers["w0"].crash()
     cluster.revive("w0")
     cluster.workers["w0"].has_broken_connections = False
     cluster.workers["w0"].is_isolated = True
-    cluster.run(UNREACHABLE_TIMEOUT_MS + ENTRIES_READ_MS)
+    cluster.run(MAX_LEASE_MS - ENTRIES_READ_MS)
+    assert cluster.cell.state.workers["w0"].boot == boot
+    cluster.run(UNREACHABLE_TIMEOUT_MS + LONGEST_LEASE_MS - MAX_LEASE_MS + 2 * ENTRIES_READ_MS)
+    worker = cluster.cell.state.workers["w0"]
+    assert worker.entry.boot_ms == cluster.workers["w0"].entry.boot_ms
+
+
+def test_next_boot_at_another_address_is_known_by_its_answer_there() -> None:
+    cluster = make_busy_cluster()
+    cluster.workers["w0"].crash()
+    cluster.revive("w0", address="w0:2")
+    cluster.run(2 * ENTRIES_READ_MS)
     worker = cluster.cell.state.workers["w0"]
     assert worker.entry.boot_ms == cluster.workers["w0"].entry.boot_ms
+    assert worker.inventory_at >= 0
+    cluster.run(6_000)
+    assert cluster.cell.find_state("a") == "completed"
+    assert cluster.ground_truth.violations == []
 
 
 def test_worker_of_a_service_that_no_queue_names_gets_no_task() -> None:
--- a/tests/core/cells/test_guards.py
+++ b/tests/core/cells/test_guards.py
@@ -12,7 +12,7 @@
 from quetzallock_standins.emulator import CellCluster
 from quetzallock_standins.emulator.cluster import make_spec
 
-from .common import POLICY, make_step, submit_plain
+from .common import POLICY, answer_as_next_boot, make_step, submit_plain
 
 LONG_MS = 60_000
 HARM = 30.0
@@ -79,8 +79,7 @@
     run.unanswered = 1
     cluster.workers["w0"].crash()
     cluster.revive("w0")
-    cluster.cell.handle_no_answer(cluster.cell.state.workers["w0"].boot)
-    cluster.cell.handle_entries(cluster._list_entries())
+    answer_as_next_boot(cluster, "w0")
     assert find_run(cluster) is run
     assert run.state == "stopping"
 
--- a/tests/core/cells/test_lost_boots.py
+++ b/tests/core/cells/test_lost_boots.py
@@ -18,6 +18,8 @@
 from .common import POLICY, make_step
 
 LONGEST_LEASE_MS = int(MAX_LEASE_MS / (1 - CLOCK_DRIFT)) + LEASE_MARGIN_MS
+SILENCE_MS = UNREACHABLE_TIMEOUT_MS + LONGEST_LEASE_MS + 200
+"""Time after which a silent boot that has answered is over."""
 RESTART_MS = 1_000
 LATE_START_MS = 11_000
 LONG_MS = 20_000
@@ -37,8 +39,7 @@
         worker.has_broken_connections = False
         cluster.revive(worker.id)
         worker.is_isolated = True
-        cluster.cell.handle_no_answer(state.workers[worker.id].boot)
-        cluster.run(200)
+        cluster.run(SILENCE_MS if state.workers[worker.id].contact_at >= 0 else 200)
         assert state.workers[worker.id].boot == (worker.id, worker.entry.boot_ms)
     worker.crash()
     cluster.order_delay_rate = 0.0
--- a/tests/daemon/test_late_poll_answers.py
+++ b/tests/daemon/test_late_poll_answers.py
@@ -80,7 +80,7 @@
     assert not owner.cell.state.ended_boots
     assert worker.is_listed
     assert not worker.is_poll_unanswered
-    assert not worker.has_next_boot_answered
-    assert not worker.may_be_over(owner.clock.now())
+    assert worker.next_boot_ms == -1
+    assert not worker.is_replaced_by(FIRST, owner.clock.now())
     advance(1_500, NEXT)
     assert workers.next_boot_polls > polls
