Take a 421 for the end of a boot only where the boot has answered itself

Cause: after 1.5 s of silence the address in the list was called. Where that is another worker's, it answers 421, and CellState.end_boot ended the live boot with its runs, for good.

Change: handle_misdirected compares the address of the call with the one at which the boot has last listed its runs. Elsewhere a 421 says nothing of the boot; worker.misdirected logs it.

Why it works: only one process listens at an address, so a 421 where the boot itself has answered means that its process is over.

--- a/packages/core/src/quetzallock_core/cells/answers.py
+++ b/packages/core/src/quetzallock_core/cells/answers.py
@@ -31,12 +31,14 @@
         """Process the refusal of an inventory poll of `boot`."""
         self._state.log_decision("hold.refused", worker=boot[0], born=boot[1], reason=outcome)
         worker = self._state.find_boot(boot)
-        if worker is not None:
-            worker.unanswered_since = -1
         if outcome == "fence":
             self._state.fenced = True
-        elif outcome == OTHER_BOOT and worker is not None:
-            self._state.end_boot(worker)
+        if worker is None:
+            return
+        if outcome == OTHER_BOOT:
+            self._state.handle_misdirected(worker, worker.leave.polled_address)
+        else:
+            worker.unanswered_since = -1
 
     def handle_start_answer(
         self, order: StartRun, outcome: str, clock_ms: int, asked_at: int
@@ -54,7 +56,7 @@
             run.unanswered -= 1
         now = self._state.clock.now()
         if outcome == OTHER_BOOT:
-            self._state.end_boot(worker)
+            self._state.handle_misdirected(worker, order.address)
             return
         if outcome:
             worker.record_contact(clock_ms, asked_at, now)
@@ -116,7 +118,7 @@
         if worker is None or not outcome:
             return
         if outcome == OTHER_BOOT:
-            self._state.end_boot(worker)
+            self._state.handle_misdirected(worker, order.address)
             return
         worker.record_contact(clock_ms, asked_at, self._state.clock.now())
         if outcome == "fence":
--- a/packages/core/src/quetzallock_core/cells/state.py
+++ b/packages/core/src/quetzallock_core/cells/state.py
@@ -491,8 +491,15 @@
         if worker.is_next_boot(boot_ms, address):
             worker.next_boot_ms = boot_ms
 
-    def end_boot(self, worker: Worker) -> None:
-        """End a boot, and its runs, after another boot or worker has answered at its address."""
+    def handle_misdirected(self, worker: Worker, address: str) -> None:
+        """Process that a call to a boot was answered by another boot or worker.
+
+        That ends the boot, and its runs, only at the address at which it has answered itself. Any
+        other address is from the platform's list alone, to which others may write.
+        """
+        if address != worker.leave.answered_address:
+            self.log_decision("worker.misdirected", worker=worker.id, address=address)
+            return
         self.ended_boots.add((worker.id, worker.entry.boot_ms))
         self.drop_worker(worker, "another boot answers at its address", EndProof.MISDIRECTED)
         self.is_start_due = True
