Let the runs of a worker that leaves as announced end by its lease

What callers could see: a task runs on two workers (TWICE): the first one drains, its entry is gone, its port is closed or its connections are lost, and it still works.

Cause: Worker.has_left (design 0020) took these signs for the end of the process. None is the worker's word, and its lease has not lapsed.

Change: has_left, LeaveEvidence and the proof left are gone. A draining worker has the shorter lease as before; the hand-over names it as before.

The tests of announced leaves held the earlier figure, which rested on the wrong proof; they now hold the lease, and tell it in their names.

--- a/packages/core/src/quetzallock_core/cells/answers.py
+++ b/packages/core/src/quetzallock_core/cells/answers.py
@@ -36,7 +36,7 @@
         if worker is None:
             return
         if outcome == OTHER_BOOT:
-            self._state.handle_misdirected(worker, worker.leave.polled_address)
+            self._state.handle_misdirected(worker, worker.polled_address)
         else:
             worker.unanswered_since = -1
 
--- a/packages/core/src/quetzallock_core/cells/cell.py
+++ b/packages/core/src/quetzallock_core/cells/cell.py
@@ -206,7 +206,7 @@
         known = self.state.find_boot(boot)
         if known is not None:
             self.state.drains.handle_no_answer(known, failure)
-            known.record_no_answer(self.state.clock.now(), failure)
+            known.record_no_answer(self.state.clock.now())
             self.state.crashes.expose_runs(known)
 
     def handle_next_boot_inventory(
@@ -294,9 +294,6 @@
                 state.crashes.handle_unseen_end((worker, boot_ms))
 
     def _check_worker(self, worker: Worker, now: int) -> None:
-        if worker.has_left:
-            self._end_left(worker, now)
-            return
         if worker.is_reachable(now):
             if worker.is_lease_suspended and worker.is_recorded:
                 self.state.invalidate_record(worker)
@@ -308,28 +305,21 @@
             if worker.next_entry is not None and worker.contact_at >= 0:
                 self.state.replace_worker(worker, worker.next_entry, EndProof.LAPSED)
                 return
-            self._lapse_runs(worker, now, EndProof.LAPSED)
+            self._lapse_runs(worker, now)
         if worker.runs or worker.is_listed or self.state.unverified.is_leaving(worker.boot):
             return
         self.state.drop_worker(worker, "no entry and no answer")
 
-    def _end_left(self, worker: Worker, now: int) -> None:
-        """End the runs of a worker that has left as announced, without waiting for its lease."""
-        self.state.unverified.remove_boot(worker.boot)
-        self._lapse_runs(worker, now, EndProof.LEFT)
-        if not worker.runs:
-            self.state.drop_worker(worker, "left as announced")
-
-    def _lapse_runs(self, worker: Worker, now: int, proof: EndProof) -> None:
+    def _lapse_runs(self, worker: Worker, now: int) -> None:
         """End the runs on a worker that is over, but those that a late start order may begin."""
         self.state.drains.report(worker)
         for run in list(worker.runs.values()):
             if run.unconfirmed_until > now:
                 continue
             self.state.log_decision(
-                "run.lapsed", task=run.task.name, run=run.number, worker=run.worker, how=proof
+                "run.lapsed", task=run.task.name, run=run.number, worker=run.worker
             )
-            self.state.lapse_run(run, proof)
+            self.state.lapse_run(run, EndProof.LAPSED)
 
     def _repeat_orders(self, now: int) -> None:
         state = self.state
--- a/packages/core/src/quetzallock_core/cells/const.py
+++ b/packages/core/src/quetzallock_core/cells/const.py
@@ -16,10 +16,6 @@
 """Longest lease requested from a worker that drains. Longer than a poll and the hand-over of the
 cell after it take."""
 
-REJECTED_FOR_MS: Final = 200
-"""Time over which the address of a worker must reject connections to show that its process is gone.
-A single reset at that time is not enough, nor is a port that is closed for a moment."""
-
 CLOCK_DRIFT: Final = 0.02
 """Largest share by which a worker's monotonic clock may run slow."""
 
--- a/packages/core/src/quetzallock_core/cells/inventory.py
+++ b/packages/core/src/quetzallock_core/cells/inventory.py
@@ -40,14 +40,14 @@
         if worker is None:
             return False
         if inventory.boot_ms != worker.entry.boot_ms:
-            state.handle_other_boot(worker, inventory.boot_ms, worker.leave.polled_address)
+            state.handle_other_boot(worker, inventory.boot_ms, worker.polled_address)
             return False
         now = state.clock.now()
         is_first = worker.inventory_at < 0
         state.interruptions.handle_inventory(worker)
         worker.record_contact(inventory.clock_ms, asked_at, now)
         worker.inventory_at = now
-        worker.leave.record_inventory()
+        worker.answered_address = worker.polled_address
         worker.inventory_asked_at = max(worker.inventory_asked_at, asked_at)
         worker.is_poll_unanswered = False
         if is_first:
--- a/packages/core/src/quetzallock_core/cells/run_ends.py
+++ b/packages/core/src/quetzallock_core/cells/run_ends.py
@@ -33,8 +33,6 @@
     """Another boot answers at the boot's address."""
     LAPSED = "lapsed"
     """The lease of the boot has lapsed."""
-    LEFT = "left"
-    """The boot has left as it had announced."""
 
 
 class RunLog:
--- a/packages/core/src/quetzallock_core/cells/state.py
+++ b/packages/core/src/quetzallock_core/cells/state.py
@@ -497,7 +497,7 @@
         That ends the boot, and its runs, only at the address at which it has answered itself. Any
         other address is from the platform's list alone, to which others may write.
         """
-        if address != worker.leave.answered_address:
+        if address != worker.answered_address:
             self.log_decision("worker.misdirected", worker=worker.id, address=address)
             return
         self.ended_boots.add((worker.id, worker.entry.boot_ms))
@@ -515,7 +515,7 @@
     def add_worker(self, entry: WorkerEntry) -> Worker:
         """Add a new boot of a worker and return it."""
         worker = Worker(entry)
-        worker.leave.answered_address = self.unverified.leaving.get(worker.boot, "")
+        worker.answered_address = self.unverified.leaving.get(worker.boot, "")
         if entry.worker in self.dropped_workers:
             self.dropped_workers.remove(entry.worker)
         self.workers[entry.worker] = worker
--- a/packages/core/src/quetzallock_core/cells/unverified.py
+++ b/packages/core/src/quetzallock_core/cells/unverified.py
@@ -150,10 +150,6 @@
         """Return such boots, and the address at which each has last answered."""
         return [(boot, address) for boot, address in self.leaving.items() if boot in self.by_boot]
 
-    def remove_boot(self, boot: Boot) -> None:
-        """Drop a boot whose process is gone."""
-        self.by_boot.pop(boot, None)
-
     def has_boot_of(self, worker_id: str) -> bool:
         """Return whether a boot of the worker is unverified."""
         return any(known == worker_id for known, _ in self.by_boot)
@@ -302,8 +298,8 @@
         """Return worker, boot and last answering address of those that have announced to leave."""
         addresses = dict(self.list_leaving())
         for worker in self._workers.values():
-            if worker.entry.is_draining and worker.leave.answered_address:
-                addresses[worker.boot] = worker.leave.answered_address
+            if worker.entry.is_draining and worker.answered_address:
+                addresses[worker.boot] = worker.answered_address
         return tuple((*boot, address) for boot, address in addresses.items())
 
     def _list_leases(self) -> list[tuple[str, int, int]]:
--- a/packages/core/src/quetzallock_core/cells/workers.py
+++ b/packages/core/src/quetzallock_core/cells/workers.py
@@ -14,8 +14,7 @@
     UNREACHABLE_TIMEOUT_MS,
 )
 from .jobs import Run, StepRun, Task
-from .leaves import LeaveEvidence
-from .models import Boot, PollFailure, Resources, StepSpec, WorkerEntry
+from .models import Boot, Resources, StepSpec, WorkerEntry
 
 INITIAL_SLOWNESS = 1.0
 SLOWNESS_WEIGHT = 0.2
@@ -133,7 +132,9 @@
         best_effort_history: Processor shares that its best-effort tasks were allowed to use.
         is_evacuated: Its data centre is evacuated, so that it gets no new tasks.
         cold_until: Local ms until which it is slow after its start; None before that is known.
-        leave: What its polls show of its process.
+        polled_address: Address that the last poll was sent to.
+        answered_address: Address at which the boot has last listed its runs, to this owner or to
+            the one that handed the cell over; empty if none is known.
         id: Its id.
     """
 
@@ -173,7 +174,8 @@
     best_effort_history: BestEffortHistory = field(default_factory=BestEffortHistory)
     is_evacuated: bool = False
     cold_until: int | None = None
-    leave: LeaveEvidence = field(default_factory=LeaveEvidence)
+    polled_address: str = ""
+    answered_address: str = ""
     id: str = field(init=False)
 
     def __post_init__(self) -> None:
@@ -269,15 +271,7 @@
         """
         if boot_ms == self.entry.boot_ms:
             return False
-        return address == self.leave.answered_address or boot_ms > self.entry.boot_ms
-
-    @property
-    def has_left(self) -> bool:
-        """Whether it has left as announced, so that nothing runs there any more.
-
-        Its entry alone may be missing since others have deleted it, or since it is cut off.
-        """
-        return self.entry.is_draining and not self.is_listed and self.leave.shows_end
+        return address == self.answered_address or boot_ms > self.entry.boot_ms
 
     @property
     def must_ask_next_boot(self) -> bool:
@@ -305,16 +299,14 @@
         """Record an answer, which arrives at `now`, to a call that was sent at `asked_at`."""
         self.contact_at = now
         self.unanswered_since = -1
-        self.leave.forget_failures()
         if clock_ms >= self.clock_ms:
             self.clock_ms = clock_ms
             self.clock_read_at = now
             self.clock_asked_at = asked_at
 
-    def record_no_answer(self, now: int, failure: PollFailure = PollFailure.TIMED_OUT) -> None:
+    def record_no_answer(self, now: int) -> None:
         """Record that an inventory poll got no answer."""
         self.is_poll_unanswered = True
-        self.leave.record_failure(failure, now)
         if self.unanswered_since < 0:
             self.unanswered_since = now
 
@@ -328,7 +320,7 @@
         Returns:
             The end on the worker's clock, or None.
         """
-        self.leave.polled_address = self.entry.address
+        self.polled_address = self.entry.address
         if not self.is_reachable(now) or not self.may_renew_lease or self.unanswered_since >= 0:
             return None
         if self.entry.is_draining:
--- a/tests/core/cells/test_announced_leaves.py
+++ b/tests/core/cells/test_announced_leaves.py
@@ -1,4 +1,4 @@
-"""Workers that have left as announced: their tasks need not wait for the lease."""
+"""Workers that have left as announced: their tasks wait for the shorter lease of a draining one."""
 
 from collections.abc import Callable
 from dataclasses import replace
@@ -6,11 +6,15 @@
 
 import pytest
 
-from quetzallock_core.cells.const import DRAINING_LEASE_MS, MAX_LEASE_MS
+from quetzallock_core.cells.const import (
+    CLOCK_DRIFT,
+    DRAINING_LEASE_MS,
+    LEASE_MARGIN_MS,
+    MAX_LEASE_MS,
+)
 from quetzallock_core.cells.models import PollFailure, Resources, WorkerEntry
 from quetzallock_standins.emulator import CellCluster, EmulatedWorker
 from quetzallock_standins.emulator.cluster import (
-    CONNECT_TIMEOUT_MS,
     INVENTORY_POLL_INTERVAL_MS,
     make_spec,
 )
@@ -20,6 +24,8 @@
 DRAIN_MS = 2_000
 SEEN_MS = 1_000
 """Time for two polls, the entries and a tick, well below a lease."""
+LAPSED_MS = int((MAX_LEASE_MS - DRAIN_MS) / (1 - CLOCK_DRIFT)) + LEASE_MARGIN_MS + SEEN_MS
+"""Time after which the last lease before the announcement has lapsed, and tasks run elsewhere."""
 LONG_MS = 2 * MAX_LEASE_MS
 TASKS = 6
 LOCAL_FAILURE = PollFailure.NOT_CONNECTED
@@ -43,18 +49,18 @@
     return len(cluster.ground_truth.list_running("a"))
 
 
-def test_lasting_tasks_do_not_wait_for_the_lease_of_a_worker_that_has_left() -> None:
+def test_lasting_tasks_wait_no_longer_than_the_lease_of_a_worker_that_has_left() -> None:
     cluster, leaving = make_full_cluster()
     leaving.leave()
     cluster.join_worker()
-    cluster.run(SEEN_MS)
+    cluster.run(LAPSED_MS)
     assert count_running(cluster) == TASKS
     assert not cluster.ground_truth.violations
 
 
 @pytest.mark.parametrize("ms_before", [0, 2 * INVENTORY_POLL_INTERVAL_MS, 300])
 @pytest.mark.parametrize("hand_overs", [1, 2])
-def test_new_owners_do_not_wait_for_the_lease_of_a_worker_that_has_left(
+def test_new_owners_wait_no_longer_than_the_lease_of_a_worker_that_has_left(
     hand_overs: int, ms_before: int
 ) -> None:
     cluster, leaving = make_full_cluster()
@@ -64,16 +70,16 @@
     for _ in range(hand_overs):
         cluster.hand_over()
         cluster.run(INVENTORY_POLL_INTERVAL_MS)
-    cluster.run(SEEN_MS)
+    cluster.run(LAPSED_MS - ms_before)
     assert count_running(cluster) == TASKS
     assert not cluster.ground_truth.violations
 
 
-def test_lasting_tasks_do_not_wait_for_the_lease_of_a_worker_whose_machine_has_left_too() -> None:
+def test_lasting_tasks_wait_no_longer_than_the_lease_of_a_worker_whose_machine_has_left() -> None:
     cluster, leaving = make_full_cluster()
     leaving.leave(is_silent=True)
     cluster.join_worker()
-    cluster.run(CONNECT_TIMEOUT_MS + SEEN_MS)
+    cluster.run(LAPSED_MS)
     assert count_running(cluster) == TASKS
     assert not cluster.ground_truth.violations
 
@@ -93,6 +99,12 @@
     worker.is_listener_closed = True
 
 
+def reset_and_cut_off(_cluster: CellCluster, worker: EmulatedWorker) -> None:
+    """Reset the connections of a worker that goes on, and let it accept no others."""
+    worker.has_broken_connections = True
+    worker.is_silent = True
+
+
 def delete_entry(cluster: CellCluster, worker: EmulatedWorker) -> None:
     """Delete the entry of a worker that goes on."""
     cluster.unlisted_workers.add(worker.id)
@@ -128,11 +140,15 @@
     (falsify_address,),
     (delete_entry, break_connections),
     (delete_entry, break_connections, exhaust_descriptors),
+    (delete_entry, close_listener),
+    (delete_entry, reset_and_cut_off),
 ]
 
 
 @pytest.mark.parametrize("hand_overs", [0, 1])
-@pytest.mark.parametrize("signs", FALSE_SIGNS, ids=lambda signs: signs[-1].__name__)
+@pytest.mark.parametrize(
+    "signs", FALSE_SIGNS, ids=lambda signs: "-".join(sign.__name__ for sign in signs)
+)
 def test_tasks_do_not_start_elsewhere_while_a_draining_worker_may_run_them(
     signs: tuple[Callable[[CellCluster, Any], None], ...], hand_overs: int
 ) -> None:
@@ -182,7 +198,7 @@
     cluster.run(200)
     leaving.leave()
     cluster.join_worker()
-    cluster.run(SEEN_MS)
+    cluster.run(MAX_LEASE_MS + SEEN_MS)
     assert not cluster.cell.state.workers["w1"].is_idle
     cluster.revive("w0")
     cluster.run(LONG_MS)
