Replace a boot when the next one answers, and poll other boots less often

A boot whose next one had answered was kept until the next read of the list, up to 300 ms, although its entry was known. It is replaced at once now. While a boot at an address is not the one that the list names, it was polled every 15 ms, each time with a line worker.reborn; now every 250 ms as after a failure.

--- a/packages/core/src/quetzallock_core/cells/state.py
+++ b/packages/core/src/quetzallock_core/cells/state.py
@@ -483,13 +483,17 @@
     def handle_other_boot(self, worker: Worker, boot_ms: int, address: str) -> None:
         """Process that a poll of a boot was answered by another boot of the worker at `address`.
 
-        Its runs end once the platform's list names the next boot, which is then known.
+        Its runs end once the platform's list names the next boot, whose resources it tells.
         """
         self.log_decision("worker.reborn", worker=worker.id, born=boot_ms, address=address)
         worker.is_listed = False
         worker.is_poll_unanswered = True
-        if worker.is_next_boot(boot_ms, address):
-            worker.next_boot_ms = boot_ms
+        if not worker.is_next_boot(boot_ms, address):
+            return
+        worker.next_boot_ms = boot_ms
+        if worker.next_entry is not None and worker.next_entry.boot_ms == boot_ms:
+            self.replace_worker(worker, worker.next_entry, EndProof.NEXT_BOOT)
+            self.is_start_due = True
 
     def handle_misdirected(self, worker: Worker, address: str) -> None:
         """Process that a call to a boot was answered by another boot or worker.
--- a/packages/daemon/src/quetzallock_daemon/cells/inventory.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/inventory.py
@@ -114,6 +114,8 @@
             owner.meter.inventories += 1
             owner.cell.handle_inventory(worker.boot, answer, asked_at)
             owner.run_effects()
+            if answer.boot_ms != worker.entry.boot_ms:
+                return INVENTORY_POLL_RETRY_PAUSE_MS
             durations = owner.cell.state.durations
             return owner.load_control.choose_pause_ms(worker, durations, owner.clock.now())
         if isinstance(answer, OrderAnswer):
