Wait for all boots that may run a task after a hand-over

Cause: of the hand-over record's rows of one task, the last one replaced the others when the record was loaded. A task has several runs when one is being stopped beside another, or when it has copies. Once the worker of the last row had answered, the task counted as not running anywhere.

Change: all boots of a task are kept, and it waits until each is verified or its lease has lapsed.

--- a/packages/core/src/quetzallock_core/cells/crashes.py
+++ b/packages/core/src/quetzallock_core/cells/crashes.py
@@ -6,6 +6,7 @@
 """
 
 from collections import deque
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from typing import Any, Final, Protocol
 
@@ -71,7 +72,7 @@
 
     def restore(
         self,
-        locations: dict[str, Boot] | None,
+        locations: Mapping[str, Iterable[Boot]] | None,
         unbegun: set[tuple[str, Boot]] | None = None,
         worked: set[tuple[str, Boot]] | None = None,
     ) -> None:
@@ -95,14 +96,21 @@
                         self._remove_exposure(task, boot)
                         continue
                     self._exposed.setdefault(boot, {})[task] = None
-        for name, boot in (locations or {}).items():
+        for name, boots in (locations or {}).items():
             running_task = self._find_task(name)
-            if running_task is None or (name, boot) in unbegun:
-                continue
-            if boot not in running_task.exposures:
-                self._add_exposure(running_task, boot)
-            if (name, boot) in (worked or ()):
-                self._mark_worked(running_task, boot)
+            if running_task is not None:
+                begun = [boot for boot in boots if (name, boot) not in unbegun]
+                self._restore_exposures(running_task, begun, worked or set())
+
+    def _restore_exposures(
+        self, task: Task, boots: Iterable[Boot], worked: set[tuple[str, Boot]]
+    ) -> None:
+        """Load the boots on which `task` may be running."""
+        for boot in boots:
+            if boot not in task.exposures:
+                self._add_exposure(task, boot)
+            if (task.name, boot) in worked:
+                self._mark_worked(task, boot)
 
     def _find_task(self, name: str) -> Task | None:
         parts = parse_task_name(name)
--- a/packages/core/src/quetzallock_core/cells/interruptions.py
+++ b/packages/core/src/quetzallock_core/cells/interruptions.py
@@ -211,11 +211,11 @@
             return known
         if not task.spec.lasting or not task.job.is_loaded:
             return None
-        boot = self._find_location(task)
+        boots = self._find_locations(task)
         return self._add(
             Interruption(
                 task,
-                "" if boot is None else boot[0],
+                boots[-1][0] if boots else "",
                 BEFORE_TAKEOVER,
                 -1,
                 self._restored_at,
@@ -234,8 +234,8 @@
             return None
         return self._state.clock.now() - known.began_at
 
-    def _find_location(self, task: Task) -> Boot | None:
-        return (self._state.unverified.locations or {}).get(task.name)
+    def _find_locations(self, task: Task) -> tuple[Boot, ...]:
+        return (self._state.unverified.locations or {}).get(task.name, ())
 
     def handle_waiting(self, task: Task, reason: str, obstacles: Mapping[str, int]) -> None:
         """Note why a task waits, as it was reported."""
@@ -281,10 +281,10 @@
         if self._state.unverified.locations is None:
             is_pending = bool(self._pending_boots)
             return (now, self._measure_blocked(now)) if is_pending else self._all_verified
-        boot = self._find_location(task)
-        if boot in self._pending_boots:
+        boots = self._find_locations(task)
+        if not self._pending_boots.isdisjoint(boots):
             return now, self._measure_blocked(now)
-        return (-1, 0) if boot is None else self._verified.get(boot, (-1, 0))
+        return max((self._verified.get(boot, (-1, 0)) for boot in boots), default=(-1, 0))
 
     def handle_confirmed(self, run: Run) -> None:
         """Process that a run goes on, and report the interruption that it ends."""
--- a/packages/core/src/quetzallock_core/cells/unverified.py
+++ b/packages/core/src/quetzallock_core/cells/unverified.py
@@ -5,7 +5,7 @@
 unverified until an inventory with all its ends is read or its lease lapses.
 """
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from heapq import nlargest
 
@@ -42,8 +42,9 @@
 
     Attributes:
         by_boot: The unverified workers by boot.
-        locations: The boot that may run each task, as recorded by an owner that handed the cell
-            over; None after any other takeover.
+        locations: The boots that may run each task, as recorded by an owner that handed the cell
+            over; None after any other takeover. A task may have several runs: one that is being
+            stopped beside a new one, or copies.
         unbegun: Task and boot of those of its runs that had not begun when it did so.
         worked: Task and boot of those that had worked past their risky time.
         leaving: Address at which each boot that has announced to leave has last answered, as
@@ -55,7 +56,7 @@
         self._workers = workers
         self._clock = clock
         self.by_boot: dict[Boot, UnverifiedWorker] = {}
-        self.locations: dict[str, Boot] | None = None
+        self.locations: dict[str, tuple[Boot, ...]] | None = None
         self.unbegun: set[tuple[str, Boot]] = set()
         self.worked: set[tuple[str, Boot]] = set()
         self.leaving: dict[Boot, str] = {}
@@ -75,8 +76,7 @@
         self.previous_owner = contents.owner
         remaining_ms: dict[Boot, int] = {}
         if isinstance(contents.hand_over, HandOverRecord):
-            runs = contents.hand_over.runs
-            self.locations = {task: (worker, boot_ms) for task, worker, boot_ms in runs}
+            self.locations = _group_by_task(contents.hand_over.runs)
             unbegun = contents.hand_over.unbegun
             self.unbegun = {(task, (worker, boot_ms)) for task, worker, boot_ms in unbegun}
             worked = contents.hand_over.worked
@@ -126,7 +126,7 @@
             return False
         if self.locations is None:
             return True
-        return self.locations.get(task.name) in self.by_boot
+        return any(boot in self.by_boot for boot in self.locations.get(task.name, ()))
 
     def remove_worker(self, worker_id: str) -> bool:
         """Drop the entries of a worker whose inventory was read, and those of its earlier boots.
@@ -292,10 +292,17 @@
                     worked.append(runs[-1])
         locations = self.locations or {}
         runs += [
-            (task, *location) for task, location in locations.items() if location in self.by_boot
+            (task, *boot)
+            for task, boots in locations.items()
+            for boot in boots
+            if boot in self.by_boot
         ]
         return HandOverRecord(
-            tuple(runs), leases, tuple(unbegun), tuple(worked), leaving=self._list_announced()
+            tuple(dict.fromkeys(runs)),
+            leases,
+            tuple(unbegun),
+            tuple(worked),
+            leaving=self._list_announced(),
         )
 
     def _list_announced(self) -> tuple[tuple[str, int, str], ...]:
@@ -320,3 +327,11 @@
             elif worker.contact_at < 0 and not worker.runs:
                 lapses.setdefault(worker.boot, now)
         return [(*boot, max(0, lapse_at - now)) for boot, lapse_at in lapses.items()]
+
+
+def _group_by_task(runs: Iterable[tuple[str, str, int]]) -> dict[str, tuple[Boot, ...]]:
+    """Return all boots that may run each task."""
+    boots: dict[str, tuple[Boot, ...]] = {}
+    for task, worker, boot_ms in runs:
+        boots[task] = (*boots.get(task, ()), (worker, boot_ms))
+    return boots
