--- a/packages/core/src/quetzallock_core/cells/batches.py
+++ b/packages/core/src/quetzallock_core/cells/batches.py
@@ -65,6 +65,7 @@
         self._deleted: list[str] = []
         self._learned_at = state.clock.now()
         self._restored_at = state.clock.now()
+        self._postponed: set[str] = set()
         self.has_hand_over = False
         self.unrecorded_owner: OwnerRecord | None = None
 
@@ -97,6 +98,7 @@
             or self._deleted
             or state.dropped_workers
             or state.has_worker_changes
+            or self._is_postponed_record_due()
             or self._is_owner_due()
             or self._list_due_lapses()
             or self._state.unverified.list_unlisted_lapses()
@@ -138,9 +140,8 @@
         state.dropped_workers = []
         self._record_unverified(batch)
         self._record_owner(batch)
+        self._record_workers(batch)
         for worker in state.workers.values():
-            if not worker.is_recorded:
-                self._record_worker(worker, batch)
             if worker.cursor > worker.durable_cursor:
                 batch.cursors.append((worker, worker.cursor))
         state.has_worker_changes = False
@@ -167,6 +168,27 @@
         batch.records.append(Persist(key, record))
         batch.durable_states.append((job, job.state, job.crash_revision))
 
+    def _record_workers(self, batch: Batch) -> None:
+        """Add the records of the workers that have changed.
+
+        The journal has one record of a worker. While an earlier owner's boot is unverified, the
+        record stays that of this boot, whatever boot the platform's list names: the next owner must
+        know of its lease. The other boot gets no tasks and no lease without a record.
+        """
+        unrecorded = [w for w in self._state.workers.values() if not w.is_recorded]
+        self._postponed = self._state.unverified.find_replaced(unrecorded)
+        for worker in unrecorded:
+            if worker.id not in self._postponed:
+                self._record_worker(worker, batch)
+
+    def _is_postponed_record_due(self) -> bool:
+        """Return whether the record of a worker need not wait for another boot any more."""
+        if not self._postponed:
+            return False
+        workers = self._state.workers
+        waiting = [workers[worker_id] for worker_id in self._postponed if worker_id in workers]
+        return len(self._state.unverified.find_replaced(waiting)) < len(waiting)
+
     def _record_worker(self, worker: Worker, batch: Batch) -> None:
         """Add a worker's record, from which a new owner learns when its lease has lapsed."""
         state = self._state
--- a/packages/core/src/quetzallock_core/cells/unverified.py
+++ b/packages/core/src/quetzallock_core/cells/unverified.py
@@ -5,6 +5,7 @@
 unverified until an inventory with all its ends is read or its lease lapses.
 """
 
+from collections import Counter
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from heapq import nlargest
@@ -158,6 +159,11 @@
         """Return whether a boot of the worker is unverified."""
         return any(known == worker_id for known, _ in self.by_boot)
 
+    def find_replaced(self, workers: Iterable[Worker]) -> set[str]:
+        """Return the ids of those of `workers` of which another boot is unverified."""
+        known = Counter(worker_id for worker_id, _ in self.by_boot)
+        return {w.id for w in workers if known[w.id] > (w.boot in self.by_boot)}
+
     def has_recorded_lapse(self, boot: Boot) -> bool:
         """Return whether the journal says when the lease of an unverified boot has lapsed."""
         unverified_worker = self.by_boot.get(boot)
--- a/tests/core/cells/test_hidden_runs.py
+++ b/tests/core/cells/test_hidden_runs.py
@@ -6,15 +6,24 @@
 
 from dataclasses import replace
 
+import pytest
+
 from quetzallock_core.cells.orders import StartRun
+from quetzallock_core.cells.records import WorkerRecord
+from quetzallock_core.codec import decode
 from quetzallock_standins.emulator import CellCluster
 from quetzallock_standins.emulator.cluster import make_spec
 
 from .common import POLICY, make_step
+from .test_lease_waits import LONGEST_WAIT_MS
+from .test_run_ends import FalseEntries
 
 TASK = "a.0.0.0"
 LONG_MS = 12_000
 SETTLED_MS = 1_500
+FALSE_BOOTS = (0, 7)
+"""`born` in false entries, before and after that of the workers."""
+RECORDED_MS = 200
 
 
 def make_cluster_with_one_run(*, speculative: bool = False) -> CellCluster:
@@ -68,3 +77,117 @@
     cluster.run(SETTLED_MS)
     assert TASK in cluster.workers["w0"].runs
     assert count_starts(cluster) == 2
+
+
+def read_recorded_boot(cluster: CellCluster, worker: str = "w0") -> int:
+    """Return the boot that the journal's record of a worker names."""
+    record = decode(cluster.journal[f"worker/{worker}"])
+    assert isinstance(record, WorkerRecord)
+    return record.boot_ms
+
+
+def take_over_with_false_entry(boot_ms: int) -> tuple[CellCluster, FalseEntries]:
+    """Kill the owner; the next one reads a false entry of the silent worker with the run."""
+    cluster = make_cluster_with_one_run()
+    cluster.kill_owner()
+    cluster.workers["w0"].is_isolated = True
+    entries = FalseEntries(cluster, ["w0"], boot_ms=boot_ms)
+    cluster.take_over()
+    cluster.run(300)
+    return cluster, entries
+
+
+@pytest.mark.parametrize("boot_ms", FALSE_BOOTS)
+@pytest.mark.parametrize("is_entry_kept", [False, True])
+def test_lease_of_a_silent_boot_is_known_after_a_false_entry_and_a_hand_over(
+    boot_ms: int, is_entry_kept: bool
+) -> None:
+    """The record of the entry's boot replaced it, and its task started elsewhere at once."""
+    cluster, entries = take_over_with_false_entry(boot_ms)
+    if not is_entry_kept:
+        entries.remove()
+    cluster.hand_over()
+    cluster.run(SETTLED_MS)
+    assert TASK in cluster.workers["w0"].runs
+    assert count_starts(cluster) == 1
+    cluster.run(LONGEST_WAIT_MS + LONG_MS + SETTLED_MS)
+    assert cluster.cell.find_state("a") == "completed"
+    assert cluster.ground_truth.violations == []
+
+
+@pytest.mark.parametrize("boot_ms", FALSE_BOOTS)
+def test_record_of_a_silent_boot_is_kept_by_an_owner_that_is_killed(boot_ms: int) -> None:
+    """The second of two takeovers in a row knew only the boot that the false entry names."""
+    cluster, entries = take_over_with_false_entry(boot_ms)
+    assert read_recorded_boot(cluster) == 1
+    cluster.kill_owner()
+    cluster.take_over()
+    assert ("w0", 1) in cluster.cell.state.unverified.by_boot
+    cluster.run(SETTLED_MS)
+    assert read_recorded_boot(cluster) == 1
+    entries.remove()
+    cluster.workers["w0"].is_isolated = False
+    cluster.run(LONG_MS)
+    assert cluster.cell.find_state("a") == "completed"
+    assert count_starts(cluster) == 1
+
+
+def test_next_boot_is_recorded_once_it_lists_its_runs() -> None:
+    cluster = make_cluster_with_one_run()
+    cluster.kill_owner()
+    worker = cluster.workers["w0"]
+    worker.crash()
+    cluster.revive("w0")
+    worker.is_isolated = True
+    cluster.take_over()
+    cluster.run(SETTLED_MS)
+    assert read_recorded_boot(cluster) == 1
+    worker.is_isolated = False
+    cluster.run(RECORDED_MS)
+    assert read_recorded_boot(cluster) == worker.entry.boot_ms
+    assert cluster.cell.state.workers["w0"].can_accept_task(cluster.clock.now())
+
+
+def test_lease_of_a_next_boot_is_known_to_the_owner_after_the_next() -> None:
+    """The first new owner wrote the lease end of the boot before over the record of the next one.
+
+    Its own end left no trace of the tasks on the next boot, which were started elsewhere.
+    """
+    cluster = make_cluster_with_one_run()
+    cluster.kill_owner()
+    worker = cluster.workers["w0"]
+    worker.crash()
+    cluster.revive("w0")
+    worker.is_isolated = True
+    for other in ("w1", "w2"):
+        cluster.workers[other].drain()
+    cluster.take_over()
+    cluster.run(SETTLED_MS)
+    worker.is_isolated = False
+    cluster.run(SETTLED_MS)
+    assert TASK in worker.runs
+    cluster.run(LONGEST_WAIT_MS - SETTLED_MS)
+    for other in ("w1", "w2"):
+        entry = cluster.workers[other].entry
+        cluster.workers[other].entry = replace(entry, is_draining=False)
+    cluster.kill_owner()
+    worker.is_isolated = True
+    cluster.take_over()
+    cluster.run(SETTLED_MS)
+    assert TASK in worker.runs
+    assert count_starts(cluster) == 2
+
+
+def test_next_boot_is_recorded_once_the_lease_of_the_one_before_has_lapsed() -> None:
+    cluster = make_cluster_with_one_run()
+    cluster.kill_owner()
+    worker = cluster.workers["w0"]
+    worker.crash()
+    cluster.revive("w0")
+    worker.is_isolated = True
+    cluster.take_over()
+    cluster.run(LONGEST_WAIT_MS - RECORDED_MS)
+    assert read_recorded_boot(cluster) == 1
+    cluster.run(2 * RECORDED_MS)
+    assert read_recorded_boot(cluster) == worker.entry.boot_ms
+    assert not cluster.cell.state.unverified.by_boot
