Wait for boots that only the hand-over record names

Cause: leases and runs of the hand-over record counted only for boots that a worker's record names. Earlier versions may have replaced that record by one of another boot under the same id, so that the boot with the run was ignored.

Change: a boot with runs, or with a lease that has not lapsed, is unverified also without a record. The first batch, which deletes the hand-over record, writes the boot's record. Records of a worker are not deleted while another boot of it is unverified.

--- a/packages/core/src/quetzallock_core/cells/batches.py
+++ b/packages/core/src/quetzallock_core/cells/batches.py
@@ -136,7 +136,8 @@
         batch.records += state.early_cancels.pop_records()
         batch.cancel_calls = state.early_cancels.pop_calls()
         for worker_id in state.dropped_workers:
-            batch.records.append(Persist(f"worker/{worker_id}", None))
+            if not state.unverified.has_boot_of(worker_id):
+                batch.records.append(Persist(f"worker/{worker_id}", None))
         state.dropped_workers = []
         self._record_unverified(batch)
         self._record_owner(batch)
@@ -246,6 +247,7 @@
         """Add the record of when the lease of a boot without an entry has lapsed."""
         state = self._state
         unverified_worker.is_lapse_handed_over = False
+        unverified_worker.is_hidden = False
         lapse_at = unverified_worker.lapse_at
         record = replace(
             unverified_worker.record,
--- a/packages/core/src/quetzallock_core/cells/unverified.py
+++ b/packages/core/src/quetzallock_core/cells/unverified.py
@@ -30,12 +30,15 @@
         is_lapse_recorded: This owner has written to the journal when the lease lapses.
         is_lapse_handed_over: The hand-over record, which is deleted, said so, and this owner has
             not written it yet.
+        is_hidden: The journal's record of the worker names another boot, and this owner has not
+            written one of this boot yet.
     """
 
     record: WorkerRecord
     lapse_at: int
     is_lapse_recorded: bool = False
     is_lapse_handed_over: bool = False
+    is_hidden: bool = False
 
 
 class UnverifiedWorkers:
@@ -87,7 +90,9 @@
             remaining_ms = {(worker, boot_ms): left_ms for worker, boot_ms, left_ms in leases}
             leaving = contents.hand_over.leaving
             self.leaving = {(worker, boot_ms): address for worker, boot_ms, address in leaving}
-        for record in contents.workers:
+        recorded = {(record.worker, record.boot_ms) for record in contents.workers}
+        hidden = self._find_hidden(recorded, remaining_ms)
+        for record in (*contents.workers, *hidden):
             boot = (record.worker, record.boot_ms)
             left_ms = min(longest_ms, remaining_ms.get(boot, longest_ms))
             if record.lapses_in_ms >= 0:
@@ -95,8 +100,20 @@
             lapse_at = now + left_ms
             unverified_worker = UnverifiedWorker(record, lapse_at)
             unverified_worker.is_lapse_handed_over = boot in remaining_ms
+            unverified_worker.is_hidden = boot not in recorded
             self.by_boot[boot] = unverified_worker
 
+    def _find_hidden(
+        self, recorded: set[Boot], remaining_ms: Mapping[Boot, int]
+    ) -> list[WorkerRecord]:
+        """Return records of the boots that may run tasks by the hand-over record only.
+
+        An owner of an earlier version may have written the record of another boot over theirs.
+        """
+        boots = {boot for boot, left_ms in remaining_ms.items() if left_ms > 0}
+        boots.update(*(self.locations or {}).values())
+        return [WorkerRecord(worker, "", boot_ms) for worker, boot_ms in sorted(boots - recorded)]
+
     def list_renewable(self) -> list[UnverifiedWorker]:
         """Return those whose leases the previous owner, and no other, may have renewed."""
         owner = self.previous_owner
@@ -195,14 +212,18 @@
     def list_unlisted_lapses(self) -> list[UnverifiedWorker]:
         """Return those that only the deleted hand-over record and the journal name.
 
-        There are none before the platform's list is read. The others are asked at once.
+        Before the platform's list is read, only hidden boots are among them. Listed workers are
+        asked at once.
         """
-        if not self._workers:
-            return []
         return [
             unverified_worker
             for boot, unverified_worker in self.by_boot.items()
-            if unverified_worker.is_lapse_handed_over and boot[0] not in self._workers
+            if unverified_worker.is_hidden
+            or (
+                unverified_worker.is_lapse_handed_over
+                and self._workers
+                and boot[0] not in self._workers
+            )
         ]
 
     def pop_lapsed(self) -> list[Boot]:
--- a/tests/core/cells/test_hidden_runs.py
+++ b/tests/core/cells/test_hidden_runs.py
@@ -9,8 +9,8 @@
 import pytest
 
 from quetzallock_core.cells.orders import StartRun
-from quetzallock_core.cells.records import WorkerRecord
-from quetzallock_core.codec import decode
+from quetzallock_core.cells.records import HandOverRecord, LeasesRecord, WorkerRecord
+from quetzallock_core.codec import decode, encode
 from quetzallock_standins.emulator import CellCluster
 from quetzallock_standins.emulator.cluster import make_spec
 
@@ -191,3 +191,31 @@
     cluster.run(2 * RECORDED_MS)
     assert read_recorded_boot(cluster) == worker.entry.boot_ms
     assert not cluster.cell.state.unverified.by_boot
+
+
+@pytest.mark.parametrize("are_runs_known", [True, False])
+def test_boot_that_only_the_hand_over_names_is_waited_for(are_runs_known: bool) -> None:
+    """An owner of an earlier version has written the record of another boot over its own."""
+    cluster = make_cluster_with_one_run()
+    cluster.workers["w0"].is_isolated = True
+    cluster.kill_owner()
+    now = cluster.clock.now()
+    left_ms = cluster.cell.state.workers["w0"].compute_lapse_at() - now
+    leases = (("w0", 1, left_ms), ("w0", 7, 0), ("w1", 1, left_ms), ("w2", 1, left_ms))
+    record: HandOverRecord | LeasesRecord = LeasesRecord(leases)
+    if are_runs_known:
+        record = HandOverRecord(((TASK, "w0", 1),), leases)
+    cluster.journal["handover"] = encode(record)
+    cluster.journal["worker/w0"] = encode(WorkerRecord("w0", "w0:1", 7))
+    cluster.take_over()
+    cluster.run(SETTLED_MS)
+    assert count_starts(cluster) == 1
+    assert read_recorded_boot(cluster) == 1
+    cluster.kill_owner()
+    cluster.take_over()
+    cluster.run(SETTLED_MS)
+    assert TASK in cluster.workers["w0"].runs
+    assert count_starts(cluster) == 1
+    cluster.run(LONGEST_WAIT_MS + LONG_MS)
+    assert cluster.cell.find_state("a") == "completed"
+    assert cluster.ground_truth.violations == []
