--- a/packages/core/src/quetzallock_core/cells/unverified.py
+++ b/packages/core/src/quetzallock_core/cells/unverified.py
@@ -147,10 +147,12 @@
         return any(boot in self.by_boot for boot in self.locations.get(task.name, ()))
 
     def remove_worker(self, worker_id: str) -> bool:
-        """Drop the entries of a worker whose inventory was read, and those of its earlier boots.
+        """Drop all boots of a worker whose inventory was read.
 
-        Before the first inventory, a delayed order of the previous owner could still start a task
-        there.
+        One process at a time runs under an id. The boot that has answered was asked after the
+        journal was read, so each boot that the journal names is this one or was over before it
+        began, whichever has the higher `born`: clocks may be set back between two boots. Before the
+        first inventory, a delayed order of the previous owner could still start a task there.
 
         Returns:
             Whether there were any.
--- a/tests/core/cells/test_hidden_runs.py
+++ b/tests/core/cells/test_hidden_runs.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from quetzallock_core.cells.models import Inventory
 from quetzallock_core.cells.orders import StartRun
 from quetzallock_core.cells.records import HandOverRecord, LeasesRecord, WorkerRecord
 from quetzallock_core.codec import decode, encode
@@ -219,3 +220,62 @@
     cluster.run(LONGEST_WAIT_MS + LONG_MS)
     assert cluster.cell.find_state("a") == "completed"
     assert cluster.ground_truth.violations == []
+
+
+@pytest.mark.parametrize("boot_ms", FALSE_BOOTS)
+@pytest.mark.parametrize("hands_over", [False, True])
+def test_owner_that_knows_a_live_boot_keeps_its_record_beside_a_false_entry(
+    boot_ms: int, hands_over: bool
+) -> None:
+    cluster = make_cluster_with_one_run()
+    entries = FalseEntries(cluster, ["w0"], boot_ms=boot_ms)
+    cluster.run(SETTLED_MS)
+    cluster.workers["w0"].is_isolated = True
+    cluster.run(500)
+    assert read_recorded_boot(cluster) == 1
+    if hands_over:
+        cluster.hand_over()
+    else:
+        cluster.kill_owner()
+        cluster.take_over()
+    cluster.run(SETTLED_MS)
+    assert read_recorded_boot(cluster) == 1
+    assert TASK in cluster.workers["w0"].runs
+    assert count_starts(cluster) == 1
+    entries.remove()
+    cluster.workers["w0"].is_isolated = False
+    cluster.run(LONG_MS)
+    assert cluster.cell.find_state("a") == "completed"
+    assert count_starts(cluster) == 1
+
+
+@pytest.mark.parametrize("boot_ms", FALSE_BOOTS)
+def test_inventory_of_another_boot_than_the_asked_one_verifies_nothing(boot_ms: int) -> None:
+    """A false entry lets the owner ask a boot that is not there; the one that answers is counted.
+
+    Only the asked boot's own lists end the wait. It is asked after the journal was read, so that
+    all boots that the journal names under its id are over, or are this one.
+    """
+    cluster, _ = take_over_with_false_entry(boot_ms)
+    worker = cluster.workers["w0"]
+    asked = cluster.cell.state.workers["w0"].boot
+    assert asked == ("w0", boot_ms)
+    answer = worker.poll_inventory(cluster.owner.epoch, 0, None)
+    assert isinstance(answer, Inventory)
+    cluster.cell.handle_inventory(asked, answer, cluster.clock.now())
+    cluster.cell.handle_inventory(("w0", 1), answer, cluster.clock.now())
+    assert ("w0", 1) in cluster.cell.state.unverified.by_boot
+    cluster.run(SETTLED_MS)
+    assert count_starts(cluster) == 1
+    assert read_recorded_boot(cluster) == 1
+
+
+def test_inventory_without_a_boot_does_not_verify_another_one() -> None:
+    """All lists of a worker have `born`, so one without is not known to be of the asked boot."""
+    cluster, _ = take_over_with_false_entry(boot_ms=7)
+    asked = cluster.cell.state.workers["w0"].boot
+    cluster.cell.handle_inventory(asked, Inventory(5_000, (), (), 0), cluster.clock.now())
+    cluster.run_effects(cluster.owner)
+    cluster.run(SETTLED_MS)
+    assert TASK in cluster.workers["w0"].runs
+    assert count_starts(cluster) == 1
