--- a/packages/core/src/quetzallock_core/cells/batches.py
+++ b/packages/core/src/quetzallock_core/cells/batches.py
@@ -17,6 +17,8 @@
 HAND_OVER_KEY: Final = "handover"
 LEARNED_KEY: Final = "learned"
 OWNER_KEY: Final = "owner"
+OWNERSHIP_CHECK_KEY: Final = "check"
+"""Key that no record has; its deletion is an append without any other effect."""
 LEARNED_INTERVAL_MS: Final = 2_000
 """Minimum time between two records of the learned estimates."""
 
@@ -36,6 +38,7 @@
         ends_hand_over: The previous owner's hand-over record is deleted.
         workers: Workers whose records are written, the revisions of these records, and whether the
             leases may be renewed.
+        checked_generation: Generation of the group for which the append checks the ownership.
     """
 
     records: list[Persist] = field(default_factory=list)
@@ -46,6 +49,7 @@
     cursors: list[tuple[Worker, int]] = field(default_factory=list)
     ends_hand_over: bool = False
     workers: list[tuple[Worker, int, bool]] = field(default_factory=list)
+    checked_generation: int = 0
 
 
 class BatchMaker:
@@ -56,6 +60,8 @@
             started while it does, as the record must name all runs.
         unrecorded_owner: Record of the own process that is still to be written; None if there is
             none.
+        checked_generation: Newest generation of the group in which the journal has taken an append
+            that was requested by `request_check`.
     """
 
     def __init__(self, state: CellState) -> None:
@@ -65,8 +71,11 @@
         self._deleted: list[str] = []
         self._learned_at = state.clock.now()
         self._restored_at = state.clock.now()
+        self._postponed: set[str] = set()
         self.has_hand_over = False
         self.unrecorded_owner: OwnerRecord | None = None
+        self._unchecked_generation = 0
+        self.checked_generation = 0
 
     def handle_restored(self, has_hand_over: bool) -> None:
         """Record that the journal was loaded."""
@@ -85,6 +94,10 @@
         """Delete the records of a job with the next batch."""
         self._deleted.append(job_id)
 
+    def request_check(self, generation: int) -> None:
+        """Let the next append show that no later owner has fenced the journal by then."""
+        self._unchecked_generation = generation
+
     def has_records(self) -> bool:
         """Return whether there are records to write."""
         state = self._state
@@ -97,6 +110,8 @@
             or self._deleted
             or state.dropped_workers
             or state.has_worker_changes
+            or self._is_postponed_record_due()
+            or self._unchecked_generation
             or self._is_owner_due()
             or self._list_due_lapses()
             or self._state.unverified.list_unlisted_lapses()
@@ -117,6 +132,13 @@
             batch.records.append(Persist(OWNER_KEY, self.unrecorded_owner))
             self.unrecorded_owner = None
 
+    def _record_check(self, batch: Batch) -> None:
+        """Add a record without any effect, if the ownership is to be checked."""
+        if self._unchecked_generation:
+            batch.records.append(Persist(OWNERSHIP_CHECK_KEY, None))
+            batch.checked_generation = self._unchecked_generation
+            self._unchecked_generation = 0
+
     def pop_batch(self) -> Batch:
         """Return all records that wait to be written, for one atomic append."""
         state = self._state
@@ -134,13 +156,14 @@
         batch.records += state.early_cancels.pop_records()
         batch.cancel_calls = state.early_cancels.pop_calls()
         for worker_id in state.dropped_workers:
-            batch.records.append(Persist(f"worker/{worker_id}", None))
+            if not state.unverified.has_boot_of(worker_id):
+                batch.records.append(Persist(f"worker/{worker_id}", None))
         state.dropped_workers = []
         self._record_unverified(batch)
         self._record_owner(batch)
+        self._record_check(batch)
+        self._record_workers(batch)
         for worker in state.workers.values():
-            if not worker.is_recorded:
-                self._record_worker(worker, batch)
             if worker.cursor > worker.durable_cursor:
                 batch.cursors.append((worker, worker.cursor))
         state.has_worker_changes = False
@@ -167,6 +190,27 @@
         batch.records.append(Persist(key, record))
         batch.durable_states.append((job, job.state, job.crash_revision))
 
+    def _record_workers(self, batch: Batch) -> None:
+        """Add the records of the workers that have changed.
+
+        The journal has one record of a worker. While an earlier owner's boot is unverified, the
+        record stays that of this boot, whatever boot the platform's list names: the next owner must
+        know of its lease. The other boot gets no tasks and no lease without a record.
+        """
+        unrecorded = [w for w in self._state.workers.values() if not w.is_recorded]
+        self._postponed = self._state.unverified.find_replaced(unrecorded)
+        for worker in unrecorded:
+            if worker.id not in self._postponed:
+                self._record_worker(worker, batch)
+
+    def _is_postponed_record_due(self) -> bool:
+        """Return whether the record of a worker need not wait for another boot any more."""
+        if not self._postponed:
+            return False
+        workers = self._state.workers
+        waiting = [workers[worker_id] for worker_id in self._postponed if worker_id in workers]
+        return len(self._state.unverified.find_replaced(waiting)) < len(waiting)
+
     def _record_worker(self, worker: Worker, batch: Batch) -> None:
         """Add a worker's record, from which a new owner learns when its lease has lapsed."""
         state = self._state
@@ -224,6 +268,7 @@
         """Add the record of when the lease of a boot without an entry has lapsed."""
         state = self._state
         unverified_worker.is_lapse_handed_over = False
+        unverified_worker.is_hidden = False
         lapse_at = unverified_worker.lapse_at
         record = replace(
             unverified_worker.record,
@@ -283,6 +328,7 @@
         state = self._state
         if batch.ends_hand_over:
             self.has_hand_over = False
+        self.checked_generation = max(self.checked_generation, batch.checked_generation)
         for job in batch.stored_jobs:
             job.is_stored = True
             if job.spec.repetitions:
--- a/packages/core/src/quetzallock_core/cells/unverified.py
+++ b/packages/core/src/quetzallock_core/cells/unverified.py
@@ -5,7 +5,8 @@
 unverified until an inventory with all its ends is read or its lease lapses.
 """
 
-from collections.abc import Mapping
+from collections import Counter
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from heapq import nlargest
 
@@ -29,12 +30,15 @@
         is_lapse_recorded: This owner has written to the journal when the lease lapses.
         is_lapse_handed_over: The hand-over record, which is deleted, said so, and this owner has
             not written it yet.
+        is_hidden: The journal's record of the worker names another boot, and this owner has not
+            written one of this boot yet.
     """
 
     record: WorkerRecord
     lapse_at: int
     is_lapse_recorded: bool = False
     is_lapse_handed_over: bool = False
+    is_hidden: bool = False
 
 
 class UnverifiedWorkers:
@@ -42,8 +46,9 @@
 
     Attributes:
         by_boot: The unverified workers by boot.
-        locations: The boot that may run each task, as recorded by an owner that handed the cell
-            over; None after any other takeover.
+        locations: The boots that may run each task, as recorded by an owner that handed the cell
+            over; None after any other takeover. A task may have several runs: one that is being
+            stopped beside a new one, or copies.
         unbegun: Task and boot of those of its runs that had not begun when it did so.
         worked: Task and boot of those that had worked past their risky time.
         leaving: Address at which each boot that has announced to leave has last answered, as
@@ -55,7 +60,7 @@
         self._workers = workers
         self._clock = clock
         self.by_boot: dict[Boot, UnverifiedWorker] = {}
-        self.locations: dict[str, Boot] | None = None
+        self.locations: dict[str, tuple[Boot, ...]] | None = None
         self.unbegun: set[tuple[str, Boot]] = set()
         self.worked: set[tuple[str, Boot]] = set()
         self.leaving: dict[Boot, str] = {}
@@ -75,8 +80,7 @@
         self.previous_owner = contents.owner
         remaining_ms: dict[Boot, int] = {}
         if isinstance(contents.hand_over, HandOverRecord):
-            runs = contents.hand_over.runs
-            self.locations = {task: (worker, boot_ms) for task, worker, boot_ms in runs}
+            self.locations = _group_by_task(contents.hand_over.runs)
             unbegun = contents.hand_over.unbegun
             self.unbegun = {(task, (worker, boot_ms)) for task, worker, boot_ms in unbegun}
             worked = contents.hand_over.worked
@@ -86,7 +90,9 @@
             remaining_ms = {(worker, boot_ms): left_ms for worker, boot_ms, left_ms in leases}
             leaving = contents.hand_over.leaving
             self.leaving = {(worker, boot_ms): address for worker, boot_ms, address in leaving}
-        for record in contents.workers:
+        recorded = {(record.worker, record.boot_ms) for record in contents.workers}
+        hidden = self._find_hidden(recorded, remaining_ms)
+        for record in (*contents.workers, *hidden):
             boot = (record.worker, record.boot_ms)
             left_ms = min(longest_ms, remaining_ms.get(boot, longest_ms))
             if record.lapses_in_ms >= 0:
@@ -94,8 +100,20 @@
             lapse_at = now + left_ms
             unverified_worker = UnverifiedWorker(record, lapse_at)
             unverified_worker.is_lapse_handed_over = boot in remaining_ms
+            unverified_worker.is_hidden = boot not in recorded
             self.by_boot[boot] = unverified_worker
 
+    def _find_hidden(
+        self, recorded: set[Boot], remaining_ms: Mapping[Boot, int]
+    ) -> list[WorkerRecord]:
+        """Return records of the boots that may run tasks by the hand-over record only.
+
+        An owner of an earlier version may have written the record of another boot over theirs.
+        """
+        boots = {boot for boot, left_ms in remaining_ms.items() if left_ms > 0}
+        boots.update(*(self.locations or {}).values())
+        return [WorkerRecord(worker, "", boot_ms) for worker, boot_ms in sorted(boots - recorded)]
+
     def list_renewable(self) -> list[UnverifiedWorker]:
         """Return those whose leases the previous owner, and no other, may have renewed."""
         owner = self.previous_owner
@@ -126,13 +144,15 @@
             return False
         if self.locations is None:
             return True
-        return self.locations.get(task.name) in self.by_boot
+        return any(boot in self.by_boot for boot in self.locations.get(task.name, ()))
 
     def remove_worker(self, worker_id: str) -> bool:
-        """Drop the entries of a worker whose inventory was read, and those of its earlier boots.
+        """Drop all boots of a worker whose inventory was read.
 
-        Before the first inventory, a delayed order of the previous owner could still start a task
-        there.
+        One process at a time runs under an id. The boot that has answered was asked after the
+        journal was read, so each boot that the journal names is this one or was over before it
+        began, whichever has the higher `born`: clocks may be set back between two boots. Before the
+        first inventory, a delayed order of the previous owner could still start a task there.
 
         Returns:
             Whether there were any.
@@ -154,6 +174,11 @@
         """Return whether a boot of the worker is unverified."""
         return any(known == worker_id for known, _ in self.by_boot)
 
+    def find_replaced(self, workers: Iterable[Worker]) -> set[str]:
+        """Return the ids of those of `workers` of which another boot is unverified."""
+        known = Counter(worker_id for worker_id, _ in self.by_boot)
+        return {w.id for w in workers if known[w.id] > (w.boot in self.by_boot)}
+
     def has_recorded_lapse(self, boot: Boot) -> bool:
         """Return whether the journal says when the lease of an unverified boot has lapsed."""
         unverified_worker = self.by_boot.get(boot)
@@ -185,14 +210,18 @@
     def list_unlisted_lapses(self) -> list[UnverifiedWorker]:
         """Return those that only the deleted hand-over record and the journal name.
 
-        There are none before the platform's list is read. The others are asked at once.
+        Before the platform's list is read, only hidden boots are among them. Listed workers are
+        asked at once.
         """
-        if not self._workers:
-            return []
         return [
             unverified_worker
             for boot, unverified_worker in self.by_boot.items()
-            if unverified_worker.is_lapse_handed_over and boot[0] not in self._workers
+            if unverified_worker.is_hidden
+            or (
+                unverified_worker.is_lapse_handed_over
+                and self._workers
+                and boot[0] not in self._workers
+            )
         ]
 
     def pop_lapsed(self) -> list[Boot]:
@@ -288,10 +317,17 @@
                     worked.append(runs[-1])
         locations = self.locations or {}
         runs += [
-            (task, *location) for task, location in locations.items() if location in self.by_boot
+            (task, *boot)
+            for task, boots in locations.items()
+            for boot in boots
+            if boot in self.by_boot
         ]
         return HandOverRecord(
-            tuple(runs), leases, tuple(unbegun), tuple(worked), leaving=self._list_announced()
+            tuple(dict.fromkeys(runs)),
+            leases,
+            tuple(unbegun),
+            tuple(worked),
+            leaving=self._list_announced(),
         )
 
     def _list_announced(self) -> tuple[tuple[str, int, str], ...]:
@@ -316,3 +352,11 @@
             elif worker.contact_at < 0 and not worker.runs:
                 lapses.setdefault(worker.boot, now)
         return [(*boot, max(0, lapse_at - now)) for boot, lapse_at in lapses.items()]
+
+
+def _group_by_task(runs: Iterable[tuple[str, str, int]]) -> dict[str, tuple[Boot, ...]]:
+    """Return all boots that may run each task."""
+    boots: dict[str, tuple[Boot, ...]] = {}
+    for task, worker, boot_ms in runs:
+        boots[task] = (*boots.get(task, ()), (worker, boot_ms))
+    return boots
--- a/packages/core/src/quetzallock_core/cells/workers.py
+++ b/packages/core/src/quetzallock_core/cells/workers.py
@@ -269,7 +269,7 @@
         A worker answers only calls that name its id. At the address at which this boot has answered
         no other one can; elsewhere an earlier boot might.
         """
-        if boot_ms == self.entry.boot_ms:
+        if not boot_ms or boot_ms == self.entry.boot_ms:
             return False
         return address == self.answered_address or boot_ms > self.entry.boot_ms
 
