Take only a worker's own answer for its word

Callers could see a task run on two workers at once: a start that was carried out, and whose answer was replaced by that of a machine in between, was taken for refused, and the task started elsewhere. A list made before a start could show the run as over, since an empty 200 counted as a start at clock 0. A 200 or 409 without a body, or without `clockMs`, counted all the same, though the worker always sends it. Change: other statuses, a 200 without a clock, a 409 without a clock or a reason, and a body that is no JSON object (an error page) count as no answer. So does such an answer to a poll; before, it was taken for a sign of life that lets the next poll renew the lease. 400, 421, 429 and 503 may have no body. Why it works: a start without an answer is kept, repeated and stopped like one whose answer was lost.

--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -38,9 +38,9 @@
         return succeed(self._reply)
 
 
-def poll(body: bytes) -> Any:
-    """Return what a poll makes of the body of an answer."""
-    workers = PlatformWorkers(AnsweringClient(Reply(200, body)))  # type: ignore[arg-type]
+def poll(body: bytes, status: int = 200) -> Any:
+    """Return what a poll makes of an answer."""
+    workers = PlatformWorkers(AnsweringClient(Reply(status, body)))  # type: ignore[arg-type]
     results: list[Any] = []
     poll_once = workers.poll_inventory(ENTRY, 7, 12, 900, 1_500)
     ensureDeferred(poll_once).addCallback(results.append)
@@ -143,6 +143,79 @@
     assert answers == [OrderAnswer("")]
 
 
+def stop(reply: Reply) -> OrderAnswer:
+    """Return what a stop order makes of an answer."""
+    workers = PlatformWorkers(AnsweringClient(reply))  # type: ignore[arg-type]
+    answers: list[OrderAnswer] = []
+    order = StopRun("backend-1", 5, ADDRESS, "job.0.0.1", 3)
+    ensureDeferred(workers.stop(order, 7)).addCallback(answers.append)
+    return answers[0]
+
+
+@pytest.mark.parametrize("status", [201, 202, 204, 301, 403, 404, 408, 500, 502, 504, 599])
+@pytest.mark.parametrize("body", [b"", b"{}", b'{"clockMs":4}', b"<html></html>"])
+def test_status_that_workers_do_not_use_counts_as_no_answer(status: int, body: bytes) -> None:
+    """Guards against a run that goes on and is taken for refused since a gateway failed."""
+    reply = Reply(status, body)
+    assert stop(reply) == OrderAnswer("")
+    assert poll(body, status) is PollFailure.UNUSABLE
+
+
+@pytest.mark.parametrize(
+    "body", [b"", b"{}", b"[]", b"[4]", b"4", b"null", b"ok", b'{"clockMs":null}', b'{"clock":4}']
+)
+def test_success_without_a_clock_counts_as_no_answer(body: bytes) -> None:
+    """Guards against a start at clock 0, after which any earlier list showed the run as over."""
+    assert stop(Reply(200, body)) == OrderAnswer("")
+
+
+@pytest.mark.parametrize(
+    "body",
+    [b"", b"{}", b"[]", b"old", b'{"clockMs":4}', b'{"reason":"old"}', b'{"clockMs":4,"reason":1}'],
+)
+def test_conflict_without_a_clock_or_a_reason_counts_as_no_answer(body: bytes) -> None:
+    """Guards against a 409 of a gateway that ends a run as refused."""
+    assert stop(Reply(409, body)) == OrderAnswer("")
+
+
+@pytest.mark.parametrize("status", [400, 421, 429, 503])
+@pytest.mark.parametrize("body", [b"[]", b"4", b"null", b"<html></html>", b"upstream reset"])
+def test_refusal_with_the_body_of_another_program_counts_as_no_answer(
+    status: int, body: bytes
+) -> None:
+    """Guards against a gateway's error page that ends a run as refused."""
+    assert stop(Reply(status, body)) == OrderAnswer("")
+    assert poll(body, status) is PollFailure.UNUSABLE
+
+
+@pytest.mark.parametrize(
+    ("status", "outcome"), [(400, "bad"), (421, "other boot"), (429, "busy"), (503, "busy")]
+)
+@pytest.mark.parametrize(("body", "clock_ms"), [(b"", 0), (b"{}", 0), (b'{"clockMs":4}', 4)])
+def test_refusal_of_a_worker_is_decoded(
+    status: int, outcome: str, body: bytes, clock_ms: int
+) -> None:
+    """Guards against a task that waits for an answer that it has."""
+    expected = OrderAnswer(outcome, clock_ms)
+    assert stop(Reply(status, body)) == expected
+    assert poll(body, status) == expected
+
+
+@pytest.mark.parametrize(
+    ("reason", "outcome"),
+    [
+        ("fence", "fence"),
+        ("old", "old"),
+        ("late", "late"),
+        ("room", "room"),
+        ("ticket", "bad"),
+    ],
+)
+def test_reason_of_a_conflict_is_decoded(reason: str, outcome: str) -> None:
+    body = json.dumps({"clockMs": 4, "reason": reason}).encode()
+    assert stop(Reply(409, body)) == OrderAnswer(outcome, 4)
+
+
 def test_order_is_sent_with_the_headers_of_its_worker() -> None:
     client = AnsweringClient(Reply(200, b'{"clockMs":4}'))
     workers = PlatformWorkers(client)  # type: ignore[arg-type]
