Take a list that names no boot for no answer

Callers could see a task run on two workers at once, if another boot of a worker, or something in between, answered a poll without `born`: the runs that its list lacks were taken for over, and ends in it were acknowledged. Cause: a list without `born`, or with null or 0, counted for whatever boot was asked. Change: the adapter rejects a list without a whole `born` of 1 or more, as it does with entries. 5.0 is whole, and becomes the integer 5. The case `{"born": None}` of test_inventory_with_unexpected_values_is_still_ decoded expected the opposite, so that a newer worker's lists are not dropped; it moves to the lists that count as no answer. The other lists of these tests now name a boot, so that each is rejected for the value that it is about.

--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -69,7 +69,6 @@
         ({"running": [["t", 3, None, 12.5, 0, "more"]]}, ((("t", 3, None, 12.5, 0),), ())),
         ({"finished": [[7, "t", 5, "done", None, 1]]}, ((), ((7, "t", 5, "done", None),))),
         ({"clockMs": 10.5}, ((), ())),
-        ({"born": None}, ((), ())),
     ],
 )
 def test_inventory_with_unexpected_values_is_still_decoded(
@@ -89,6 +88,7 @@
     """The owner started tasks again whose ends did not fit into the list."""
     document = {
         "clockMs": 10,
+        "born": 5,
         "running": [["job.0.0.1", 3, "", percent, 0]],
         "finished": [[number, "job.0.0.2", number, "done", ""] for number in range(count)],
     }
@@ -103,28 +103,28 @@
         b"",
         b"[]",
         b"{}",
-        b'{"clockMs": 1, "running": null}',
-        b'{"clockMs": 1, "running": [["t", 1]]}',
-        b'{"clockMs": 1, "running": [], "finished": [[1]]',
-        b'{"clockMs": 1e300}',
-        b'{"clockMs": -1}',
-        b'{"clockMs": 18446744073709551616}',
-        b'{"clockMs": "1"}',
-        b'{"clockMs": true}',
+        b'{"born": 5, "clockMs": 1, "running": null}',
+        b'{"born": 5, "clockMs": 1, "running": [["t", 1]]}',
+        b'{"born": 5, "clockMs": 1, "running": [], "finished": [[1]]',
+        b'{"born": 5, "clockMs": 1e300}',
+        b'{"born": 5, "clockMs": -1}',
+        b'{"born": 5, "clockMs": 18446744073709551616}',
+        b'{"born": 5, "clockMs": "1"}',
+        b'{"born": 5, "clockMs": true}',
         b'{"clockMs": 1, "born": 18446744073709551616}',
         b'{"clockMs": 1, "born": 1e300}',
         b'{"clockMs": 1, "born": "5"}',
-        b'{"clockMs": 1, "running": [["t", 18446744073709551616, "", 100, 0]]}',
-        b'{"clockMs": 1, "running": [["t", 1e300, "", 100, 0]]}',
-        b'{"clockMs": 1, "running": [[{}, 1, "", 100, 0]]}',
-        b'{"clockMs": 1, "running": [["t", 1, {}, 100, 0]]}',
-        b'{"clockMs": 1, "running": [["t", 1, "", "100", 0]]}',
-        b'{"clockMs": 1, "running": [["t", 1, "", 100, []]]}',
-        b'{"clockMs": 1, "finished": [[18446744073709551616, "t", 1, "done", ""]]}',
-        b'{"clockMs": 1, "finished": [[1, "t", 18446744073709551616, "done", ""]]}',
-        b'{"clockMs": 1, "finished": [[1.5, "t", 1, "done", ""]]}',
-        b'{"clockMs": 1, "finished": [[1, "t", 1, [], ""]]}',
-        b'{"clockMs": 1, "finished": [[1, "t", 1, "done", [[]]]]}',
+        b'{"born": 5, "clockMs": 1, "running": [["t", 18446744073709551616, "", 100, 0]]}',
+        b'{"born": 5, "clockMs": 1, "running": [["t", 1e300, "", 100, 0]]}',
+        b'{"born": 5, "clockMs": 1, "running": [[{}, 1, "", 100, 0]]}',
+        b'{"born": 5, "clockMs": 1, "running": [["t", 1, {}, 100, 0]]}',
+        b'{"born": 5, "clockMs": 1, "running": [["t", 1, "", "100", 0]]}',
+        b'{"born": 5, "clockMs": 1, "running": [["t", 1, "", 100, []]]}',
+        b'{"born": 5, "clockMs": 1, "finished": [[18446744073709551616, "t", 1, "done", ""]]}',
+        b'{"born": 5, "clockMs": 1, "finished": [[1, "t", 18446744073709551616, "done", ""]]}',
+        b'{"born": 5, "clockMs": 1, "finished": [[1.5, "t", 1, "done", ""]]}',
+        b'{"born": 5, "clockMs": 1, "finished": [[1, "t", 1, [], ""]]}',
+        b'{"born": 5, "clockMs": 1, "finished": [[1, "t", 1, "done", [[]]]]}',
         b"[" * 5_000,
     ],
 )
@@ -143,6 +143,31 @@
     assert answers == [OrderAnswer("")]
 
 
+@pytest.mark.parametrize(
+    "born", ["null", "0", "0.0", "-1", "5.5", '"5"', "true", "[5]", "1e300", "18446744073709551616"]
+)
+@pytest.mark.parametrize("row", ["", '["t", 3, null, 12.5, 0]'])
+def test_inventory_that_names_no_boot_counts_as_no_answer(born: str, row: str) -> None:
+    """Guards against the list of another boot, which shows the runs of the asked one as over."""
+    body = f'{{"clockMs": 1, "born": {born}, "running": [{row}], "finished": []}}'
+    assert poll(body.encode()) is PollFailure.UNUSABLE
+
+
+@pytest.mark.parametrize("row", ["", '["t", 3, null, 12.5, 0]'])
+def test_inventory_without_a_boot_counts_as_no_answer(row: str) -> None:
+    """Guards against the same where the field is missing."""
+    body = f'{{"clockMs": 1, "running": [{row}], "finished": []}}'
+    assert poll(body.encode()) is PollFailure.UNUSABLE
+
+
+@pytest.mark.parametrize("row", ["", '["t", 3, null, 12.5, 0]'])
+def test_whole_number_of_any_notation_names_a_boot(row: str) -> None:
+    body = f'{{"clockMs": 1, "born": 5.0, "running": [{row}], "finished": []}}'
+    inventory = poll(body.encode())
+    assert inventory.boot_ms == 5
+    assert isinstance(inventory.boot_ms, int)
+
+
 def stop(reply: Reply) -> OrderAnswer:
     """Return what a stop order makes of an answer."""
     workers = PlatformWorkers(AnsweringClient(reply))  # type: ignore[arg-type]
