Stop a run whose start came late if an earlier copy is unanswered

Callers could see a task run on two workers at once: the first copy of a start was carried out without an answer, the repetition was refused as late, and the task started elsewhere. A copy that was carried out in time goes on all the same: polls extend the lease of the worker. Change: `late` is treated like the other refusals. Without an unanswered copy a refused run is over at once, as before, which the second test now holds.

--- a/packages/core/src/quetzallock_core/cells/answers.py
+++ b/packages/core/src/quetzallock_core/cells/answers.py
@@ -97,7 +97,7 @@
             run.task.not_before = now + RETRY_PAUSE_MS
         if run.state == "running":
             return
-        if run.unanswered and outcome != "late":
+        if run.unanswered:
             state.stop_with_gang(run, "an earlier copy of the refused order may arrive")
             return
         state.shares.refund(run.task.step.share_key, run.service_core_ms, now)
--- /dev/null
+++ b/tests/core/cells/test_worker_answers.py
@@ -0,0 +1,84 @@
+"""A run is over by an answer only if that answer excludes that it goes on."""
+
+import pytest
+
+from quetzallock_core.cells.jobs import Run
+from quetzallock_core.cells.orders import StartRun
+from quetzallock_standins.emulator import CellCluster
+
+from .common import submit_plain
+
+LONG_MS = 4_000
+SILENCE_MS = 1_000
+
+
+@pytest.fixture
+def cluster() -> CellCluster:
+    """Return a cluster of two workers, one of which is to start a task; no order has arrived."""
+    cluster = CellCluster(workers=2)
+    cluster.run(500)
+    cluster.holds_orders = True
+    submit_plain(cluster, "a", count=1, duration_ms=LONG_MS)
+    cluster.run(50)
+    assert find_run(cluster).state == "ordered"
+    return cluster
+
+
+def find_run(cluster: CellCluster) -> Run:
+    """Return the only run."""
+    (run,) = [run for worker in cluster.cell.state.workers.values() for run in worker.runs.values()]
+    return run
+
+
+def make_order(cluster: CellCluster) -> StartRun:
+    """Return the start order of the only run."""
+    run = find_run(cluster)
+    entry = cluster.cell.state.workers[run.worker].entry
+    return StartRun(
+        entry.worker, entry.boot_ms, entry.address, run.task.name, run.number, "", "", run.until_ms
+    )
+
+
+def answer_start(cluster: CellCluster, order: StartRun, outcome: str) -> None:
+    """Let the owner process an answer to a start order."""
+    clock_ms = cluster.workers[order.worker].clock_ms
+    cluster.cell.answers.handle_start_answer(order, outcome, clock_ms, cluster.clock.now())
+    cluster.run_effects(cluster.owner)
+
+
+def check_run_once_at_a_time(cluster: CellCluster, silent_worker: str) -> None:
+    """Check that the task gets done without two runs at once.
+
+    The worker drains, so that the task would start on the other one, and is silent at first, so
+    that no inventory shows in time that the run goes on.
+    """
+    cluster.holds_orders = False
+    cluster.workers[silent_worker].drain()
+    cluster.workers[silent_worker].is_isolated = True
+    cluster.run(SILENCE_MS)
+    cluster.workers[silent_worker].is_isolated = False
+    cluster.run(3 * LONG_MS)
+    assert cluster.ground_truth.violations == []
+    assert cluster.cell.find_state("a") == "completed"
+
+
+@pytest.mark.parametrize("outcome", ["late", "room", "busy", "bad"])
+def test_run_is_stopped_if_an_earlier_copy_of_a_refused_start_may_be_carried_out(
+    cluster: CellCluster, outcome: str
+) -> None:
+    """Guards against a second run while the first copy's goes on, as polls extend its lease."""
+    order, run = make_order(cluster), find_run(cluster)
+    run.unanswered = 2
+    cluster.workers[order.worker].start(order, cluster.owner.epoch)
+    answer_start(cluster, order, outcome)
+    assert run.state == "stopping"
+    check_run_once_at_a_time(cluster, order.worker)
+
+
+@pytest.mark.parametrize("outcome", ["late", "room", "busy", "bad"])
+def test_refusal_of_the_only_copy_ends_the_run(cluster: CellCluster, outcome: str) -> None:
+    """Guards against a task that waits for a stop although nothing can be running."""
+    order, run = make_order(cluster), find_run(cluster)
+    answer_start(cluster, order, outcome)
+    assert run.state == "over"
+    check_run_once_at_a_time(cluster, order.worker)
