Keep a run that has begun when a copy of its start is refused

Callers could see a task run on two workers at once: its run was carried out, was being stopped, and the task started elsewhere before the stop had arrived. Cause: the refusal of a repeated start was ignored for a run in the state `running` only. In the state `stopping` it ended the run as refused, though an earlier copy had been answered with success, or the run was listed. An answer that arrives after the repetition (an owner that was suspended ticks before it reads) leads there. Change: a refusal changes nothing about a run that the worker has answered or listed; its end is listed, or its lease lapses.

--- a/packages/core/src/quetzallock_core/cells/answers.py
+++ b/packages/core/src/quetzallock_core/cells/answers.py
@@ -95,7 +95,7 @@
             worker.blocked_until = now + BUSY_REFUSAL_PAUSE_MS
         else:
             run.task.not_before = now + RETRY_PAUSE_MS
-        if run.state == "running":
+        if run.has_begun:
             return
         if run.unanswered:
             state.stop_with_gang(run, "an earlier copy of the refused order may arrive")
--- a/tests/core/cells/test_worker_answers.py
+++ b/tests/core/cells/test_worker_answers.py
@@ -82,3 +82,22 @@
     answer_start(cluster, order, outcome)
     assert run.state == "over"
     check_run_once_at_a_time(cluster, order.worker)
+
+
+@pytest.mark.parametrize("is_listed", [True, False])
+@pytest.mark.parametrize("outcome", ["late", "room", "busy", "bad"])
+def test_refused_copy_of_a_start_that_was_carried_out_ends_no_run_that_is_being_stopped(
+    cluster: CellCluster, outcome: str, is_listed: bool
+) -> None:
+    """Guards against a second run before the end of the first one, whose stop is unanswered."""
+    order, run = make_order(cluster), find_run(cluster)
+    run.unanswered = 2
+    cluster.workers[order.worker].start(order, cluster.owner.epoch)
+    answer_start(cluster, order, "ok")
+    if is_listed:
+        cluster.run(300)
+    assert run.is_listed is is_listed
+    cluster.cell.state.stop_run(run, "preempted")
+    answer_start(cluster, order, outcome)
+    assert run.state == "stopping"
+    check_run_once_at_a_time(cluster, order.worker)
