Take a run for over only after a list that was asked for after its answer

Callers could see a task run on two workers at once: its run was taken for vanished while it went on. Cause: a list without a run showed its end if its `clockMs` was above that of the answer to the start, or by `stopMs` above that of the answer to the stop. Change: the list must have been asked for after the answer to the start, or to the stop if the run is being stopped, was processed (`Run.answered_at`, local ms; within the same ms counts as before). Still, a run is over that an earlier list of the boot had, and one in the state `ordered` or `stopping` after the lease end in its start order. `answered_clock_ms` remains for the repetition of a stop and for the log of cancels, which need the time of a stop. After the answer to a stop the time of a stop need not pass any more: the next list has the run, or its end, or nothing of it runs or can start there. run.vanished has both local times instead of the clock of the answer.

--- a/packages/core/src/quetzallock_core/cells/answers.py
+++ b/packages/core/src/quetzallock_core/cells/answers.py
@@ -71,7 +71,7 @@
     def _handle_begun(self, run: Run, clock_ms: int, now: int) -> None:
         """Process the answer that a run is there, or was; it says nothing of a stop."""
         if run.state != "stopping":
-            run.answered_clock_ms = clock_ms
+            run.record_answer(clock_ms, now)
         run.is_acknowledged = True
         run.progressed_at = now
         if run.state == "ordered":
@@ -118,7 +118,8 @@
         if outcome == OTHER_BOOT:
             self._state.end_boot(worker)
             return
-        worker.record_contact(clock_ms, asked_at, self._state.clock.now())
+        now = self._state.clock.now()
+        worker.record_contact(clock_ms, asked_at, now)
         if outcome == "fence":
             self._state.fenced = True
             return
@@ -126,7 +127,7 @@
             return
         self._state.ended_runs.handle_stop_answer(order)
         if run is not None:
-            run.answered_clock_ms = clock_ms + self._state.bounds.stop_ms
+            run.record_answer(clock_ms + self._state.bounds.stop_ms, now)
             self._state.cancellations.handle_stop_answer(run, clock_ms)
 
     def _find_run(self, order: StartRun | StopRun) -> tuple[Worker | None, Run | None]:
--- a/packages/core/src/quetzallock_core/cells/inventory.py
+++ b/packages/core/src/quetzallock_core/cells/inventory.py
@@ -67,7 +67,7 @@
         state.cancellations.handle_inventory(worker, listed, clock_ms)
         if len(listed) < len(worker.runs):
             unlisted = [run for run in worker.runs.values() if run not in listed]
-            changed |= self._handle_unlisted(unlisted, inventory, now)
+            changed |= self._handle_unlisted(unlisted, inventory, asked_at)
             self._adopt_replaced(worker, unlisted, inventory, now)
         if not inventory.has_more_ends:
             changed |= state.unverified.remove_worker(worker.id)
@@ -173,16 +173,17 @@
         ):
             run.progressed_at = now
 
-    def _handle_unlisted(self, runs: list[Run], inventory: Inventory, now: int) -> bool:
+    def _handle_unlisted(self, runs: list[Run], inventory: Inventory, asked_at: int) -> bool:
         """Process the runs that are in neither list, and return whether one of them is over.
 
         While the worker has more ends than it lists, a run may be among these.
         """
         if inventory.has_more_ends:
+            now = self._state.clock.now()
             for run in runs:
                 run.progressed_at = now
             return False
-        return any([self._check_missing(run, inventory.clock_ms) for run in runs])
+        return any([self._check_missing(run, inventory.clock_ms, asked_at) for run in runs])
 
     def _adopt_replaced(
         self, worker: Worker, unlisted: list[Run], inventory: Inventory, now: int
@@ -196,15 +197,16 @@
             if row.task in tasks:
                 self._handle_running(worker, row, inventory.clock_ms, now)
 
-    def _check_missing(self, run: Run, clock_ms: int) -> bool:
+    def _check_missing(self, run: Run, clock_ms: int, asked_at: int) -> bool:
         """Drop a run that the worker neither runs nor lists as ended.
 
         A run whose start or stop order is unanswered is kept until the lease in the start order has
-        ended, as that order may still arrive.
+        ended, as that order may still arrive. After an answer the order of the calls decides, as a
+        worker may make the lists before it carries the order out, and read its clock later.
         """
-        is_answered = 0 <= run.answered_clock_ms < clock_ms
+        is_asked_after_answer = run.is_answered and asked_at > run.answered_at
         is_late = run.state != "running" and run.until_ms and clock_ms > run.until_ms
-        if not (run.is_listed or is_answered or is_late):
+        if not (run.is_listed or is_asked_after_answer or is_late):
             return False
         state = self._state
         state.log_decision(
@@ -213,7 +215,9 @@
             run=run.number,
             worker=run.worker,
             was_listed=run.is_listed,
-            answered_clock_ms=run.answered_clock_ms,
+            answered_at=run.answered_at if run.is_answered else -1,
+            asked_at=asked_at,
+            until_ms=run.until_ms,
             clock_ms=clock_ms,
         )
         state.lapse_run(run, EndProof.VANISHED)
--- a/packages/core/src/quetzallock_core/cells/jobs.py
+++ b/packages/core/src/quetzallock_core/cells/jobs.py
@@ -35,10 +35,10 @@
         is_best_effort_colocated: Best-effort tasks ran on the worker when it last reported.
         reported_at: Local ms of its last metric at full speed; 0 before the first.
         is_listed: An inventory has listed it.
-        answered_clock_ms: The worker's clock from which on an inventory without the run means that
-            it is over: its reading in the answer to the last order, for a stop order plus the time
-            that the worker takes to stop a run. -1 while the last order, a stop order if the run is
-            being stopped, has no answer.
+        answered_clock_ms: The worker's clock in the answer to the last order, for a stop order plus
+            the time that the worker takes to stop a run. -1 while the last order, a stop order if
+            the run is being stopped, has no answer.
+        answered_at: Local ms at which that answer was processed; of no meaning while there is none.
         resend_at: Local ms at which an unanswered order is sent again.
         unanswered: Number of start orders without an answer. Each may still be carried out, also
             by another boot of the worker.
@@ -69,6 +69,7 @@
     reported_at: int = 0
     is_listed: bool = False
     answered_clock_ms: int = -1
+    answered_at: int = -1
     resend_at: int = 0
     unanswered: int = 0
     is_unsent: bool = False
@@ -88,6 +89,16 @@
         """Whether the worker has answered that the run has begun."""
         return self.is_listed or self.is_acknowledged
 
+    @property
+    def is_answered(self) -> bool:
+        """Whether the last order, a stop order if it is being stopped, has an answer."""
+        return self.answered_clock_ms >= 0
+
+    def record_answer(self, clock_ms: int, now: int) -> None:
+        """Record the answer to the last order; see `answered_clock_ms`."""
+        self.answered_clock_ms = clock_ms
+        self.answered_at = now
+
     def advance(self, event: str) -> None:
         """Make the transition `event` of the run chart."""
         self.state = RUN_CHART.next_state(self.state, event)
