Ask at once for the list that shows the end of a stopped, unlisted run

A run whose start was lost has no end that would answer it. Change: while a worker has a run that was never listed, and whose stop it has answered, its polls don't wait. The first such list has the run, which then ends with a list of its own, or shows that it is over; so this costs one poll. The new test failed before and passes; the other holds that a start costs no poll more.

--- a/packages/core/src/quetzallock_core/cells/load.py
+++ b/packages/core/src/quetzallock_core/cells/load.py
@@ -5,6 +5,7 @@
 
 from .const import INVENTORY_POLL_WAIT_MS
 from .durations import DurationEstimates
+from .jobs import Run
 from .workers import Worker
 
 MIN_POLL_PAUSE_MS: Final = 15
@@ -122,10 +123,13 @@
     def choose_wait_ms(self, worker: Worker) -> int:
         """Return how long `worker` may keep a poll open while no run ends, in ms.
 
-        A poll after an unanswered one does not renew the lease, so its answer is needed at once.
+        A poll after an unanswered one does not renew the lease, so its answer is needed at once. So
+        is the answer that tells whether a stopped run has ever run: if not, no end of it comes.
         """
         if worker.contact_at < 0 or worker.unanswered_since >= 0:
             return 0
+        if any(_is_stopped_unlisted(run) for run in worker.runs.values()):
+            return 0
         if worker.entry.is_draining:
             return DRAINING_POLL_WAIT_MS
         if not (worker.serving_count and worker.best_effort_count):
@@ -134,6 +138,11 @@
         return int(min(INVENTORY_POLL_WAIT_MS, stretched_ms))
 
 
+def _is_stopped_unlisted(run: Run) -> bool:
+    """Return whether the worker has answered the stop of a run that no inventory has listed."""
+    return run.state == "stopping" and run.is_answered and not run.is_listed
+
+
 def _expect_urgent_end(worker: Worker, durations: DurationEstimates, now: int) -> float:
     """Return in how many ms the next run of an urgent task is expected to end; infinity if none is.
 
--- a/tests/core/cells/test_load_control.py
+++ b/tests/core/cells/test_load_control.py
@@ -4,6 +4,7 @@
 
 from quetzallock_core.cells.const import DRAINING_LEASE_MS, INVENTORY_POLL_WAIT_MS, MAX_LEASE_MS
 from quetzallock_core.cells.durations import DurationEstimates
+from quetzallock_core.cells.jobs import Run
 from quetzallock_core.cells.load import (
     COLOCATED_POLL_WAIT_MS,
     MAX_BEST_EFFORT_STARTS,
@@ -158,3 +159,36 @@
     while control.lag_ms > TOLERATED_LAG_MS:
         control.record_lag(TOLERATED_LAG_MS / 2)
     assert control.choose_wait_ms(make_worker(1, 1)) == COLOCATED_POLL_WAIT_MS
+
+
+def make_unlisted_run() -> tuple[Run, Worker]:
+    """Return a run whose start is on its way, with its worker."""
+    cluster = CellCluster(workers=1)
+    cluster.run(1_000)
+    cluster.holds_orders = True
+    cluster.submit(make_spec("job", make_step(1)), POLICY, {0: 500})
+    cluster.run(50)
+    worker = cluster.cell.state.workers["w0"]
+    (run,) = worker.runs.values()
+    return run, worker
+
+
+def test_list_that_tells_whether_a_stopped_run_has_ever_run_is_asked_for_at_once() -> None:
+    """Guards against a task that waits for a poll that no end answers, as none comes."""
+    control = make_control(0)
+    run, worker = make_unlisted_run()
+    assert control.choose_wait_ms(worker) == INVENTORY_POLL_WAIT_MS
+    run.advance("stop")
+    assert control.choose_wait_ms(worker) == INVENTORY_POLL_WAIT_MS
+    run.record_answer(1, 1)
+    assert control.choose_wait_ms(worker) == 0
+    run.is_listed = True
+    assert control.choose_wait_ms(worker) == INVENTORY_POLL_WAIT_MS
+
+
+def test_start_that_was_answered_is_listed_by_a_poll_that_may_wait() -> None:
+    """Guards against one more poll for each start."""
+    run, worker = make_unlisted_run()
+    run.advance("confirm")
+    run.record_answer(1, 1)
+    assert make_control(0).choose_wait_ms(worker) == INVENTORY_POLL_WAIT_MS
