--- a/packages/core/src/quetzallock_core/cells/answers.py
+++ b/packages/core/src/quetzallock_core/cells/answers.py
@@ -73,7 +73,7 @@
     def _handle_begun(self, run: Run, clock_ms: int, now: int) -> None:
         """Process the answer that a run is there, or was; it says nothing of a stop."""
         if run.state != "stopping":
-            run.answered_clock_ms = clock_ms
+            run.record_answer(clock_ms, now)
         run.is_acknowledged = True
         run.progressed_at = now
         if run.state == "ordered":
@@ -97,9 +97,9 @@
             worker.blocked_until = now + BUSY_REFUSAL_PAUSE_MS
         else:
             run.task.not_before = now + RETRY_PAUSE_MS
-        if run.state == "running":
+        if run.has_begun:
             return
-        if run.unanswered and outcome != "late":
+        if run.unanswered:
             state.stop_with_gang(run, "an earlier copy of the refused order may arrive")
             return
         state.shares.refund(run.task.step.share_key, run.service_core_ms, now)
@@ -120,7 +120,8 @@
         if outcome == OTHER_BOOT:
             self._state.handle_misdirected(worker, order.address)
             return
-        worker.record_contact(clock_ms, asked_at, self._state.clock.now())
+        now = self._state.clock.now()
+        worker.record_contact(clock_ms, asked_at, now)
         if outcome == "fence":
             self._state.fenced = True
             return
@@ -128,7 +129,7 @@
             return
         self._state.ended_runs.handle_stop_answer(order)
         if run is not None:
-            run.answered_clock_ms = clock_ms + self._state.bounds.stop_ms
+            run.record_answer(clock_ms + self._state.bounds.stop_ms, now)
             self._state.cancellations.handle_stop_answer(run, clock_ms)
 
     def _find_run(self, order: StartRun | StopRun) -> tuple[Worker | None, Run | None]:
