--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -6,6 +6,7 @@
 import json
 import sys
 import tempfile
+from dataclasses import dataclass
 from pathlib import Path
 from random import Random
 from typing import Any, Final
@@ -15,6 +16,7 @@
 
 from quetzallock_daemon.helpers import reactor, run_coroutine, sleep
 
+from . import false_entries, full_pool
 from .callers import Caller, CallerJob
 from .cancel_checks import list_cancel_findings
 from .cancellers import Canceller
@@ -23,10 +25,11 @@
 from .config_faults import inject_silences, silence_in_calm
 from .config_probers import ConfigProbing
 from .deployment import SoakDeployment, now_ms
+from .false_entries import FalseEntriesCourse
 from .fault_log import FaultLog
 from .faults import heal, inject_faults
 from .final_cancels import acknowledge_cancellations, cancel_jobs, cancel_jobs_under_restarts
-from .full_pool import HOST_COUNT, FullPoolCourse
+from .full_pool import FullPoolCourse
 from .lasting_checks import list_lasting_findings
 from .order_faults import inject_order_faults
 from .planned_work import do_planned_work
@@ -41,6 +44,21 @@
 CANCELLER_COUNT: Final = 2
 
 
+@dataclass(frozen=True, slots=True)
+class Size:
+    """Number of hosts, and of workers at the start, for which a course is made."""
+
+    hosts: int
+    workers: int
+
+
+SIZES: Final = {
+    "": Size(3, 4),
+    "full_pool": Size(full_pool.HOST_COUNT, 0),
+    "false_entries": Size(false_entries.HOST_COUNT, false_entries.WORKER_COUNT),
+}
+
+
 async def run_seed(
     deployment: SoakDeployment, seed: int, seconds: float, log: FaultLog
 ) -> list[str]:
@@ -90,6 +108,21 @@
     return findings + await _check_end(deployment, course.callers, ended_at, log)
 
 
+async def run_false_entries(
+    deployment: SoakDeployment, seed: int, seconds: float, log: FaultLog
+) -> list[str]:
+    """Play the course of false entries of silent workers, and return the findings."""
+    with log.record("start of the processes"):
+        await deployment.prepare()
+    await sleep(reactor, SETTLE_PAUSE_MS)
+    course = FalseEntriesCourse(deployment, seed, log)
+    await course.play(seconds)
+    await heal(deployment)
+    healed_at = now_ms()
+    await wait_for_final_states(deployment, course.callers, healed_at)
+    return await _check_end(deployment, course.callers, healed_at, log)
+
+
 async def _inject_faults(
     deployment: SoakDeployment, rng: Random, silence_rng: Random, seconds: float, log: FaultLog
 ) -> tuple[list[Caller], list[Canceller]]:
@@ -177,32 +210,44 @@
     return job.state in ("completed", "failed", "cancelled")
 
 
+async def _run_course(
+    course: str, deployment: SoakDeployment, seed: int, seconds: float, log: FaultLog
+) -> list[str]:
+    if course == "full_pool":
+        return await run_full_pool(deployment, seed, log)
+    if course == "false_entries":
+        return await run_false_entries(deployment, seed, seconds, log)
+    return await run_seed(deployment, seed, seconds, log)
+
+
 def main(
     seed: int,
     seconds: float = 20,
     hosts: int = 0,
-    workers: int = 4,
+    workers: int = 0,
     keep: str = "",
     full_pool: bool = False,
+    false_entries: bool = False,
 ) -> None:
     """Run the soak with SEED; the logs go below the folder KEEP, or to a temporary folder.
 
-    With FULL_POOL the course is planned work on a full pool instead of faults. HOSTS 0 stands for
-    the number that the course is made for.
+    With FULL_POOL the course is planned work on a full pool, with FALSE_ENTRIES it is entries of
+    other writers beside silent workers. HOSTS and WORKERS 0 stand for the numbers that the course
+    is made for; a full pool draws its workers.
     """
+    course = "full_pool" if full_pool else "false_entries" if false_entries else ""
     folder = Path(keep) / f"seed-{seed}" if keep else Path(tempfile.mkdtemp(prefix="soak-"))
     folder.mkdir(parents=True, exist_ok=True)
     log = FaultLog()
     findings: list[str] = []
 
     async def run() -> None:
-        count = hosts or (HOST_COUNT if full_pool else 3)
-        deployment = SoakDeployment(reactor, folder, count, 0 if full_pool else workers)
+        size = SIZES[course]
+        deployment = SoakDeployment(
+            reactor, folder, hosts or size.hosts, 0 if full_pool else workers or size.workers
+        )
         try:
-            if full_pool:
-                findings.extend(await run_full_pool(deployment, seed, log))
-            else:
-                findings.extend(await run_seed(deployment, seed, seconds, log))
+            findings.extend(await _run_course(course, deployment, seed, seconds, log))
         finally:
             deployment.close()
             reactor.stop()
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -7,6 +7,7 @@
 import subprocess
 import sys
 import tomllib
+from collections.abc import Sequence
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from random import SystemRandom
@@ -20,11 +21,11 @@
 SEED_TIMEOUT_S: Final = 300
 
 
-def run_seed(seed: int, seconds: float, hosts: int, full_pool: bool) -> bool:
+def run_seed(seed: int, options: Sequence[str]) -> bool:
     """Run one seed in a separate process; return whether it had no findings."""
-    command = [sys.executable, "-m", "tests.soak.play", f"--seed={seed}", f"--seconds={seconds}"]
+    command = [sys.executable, "-m", "tests.soak.play", f"--seed={seed}", *options]
     ended = subprocess.run(
-        [*command, f"--hosts={hosts}", f"--full_pool={full_pool}", f"--keep={OUT}"],
+        [*command, f"--keep={OUT}"],
         capture_output=True,
         text=True,
         timeout=SEED_TIMEOUT_S,
@@ -55,14 +56,17 @@
     known: bool = False,
     hosts: int = 0,
     full_pool: bool = False,
+    false_entries: bool = False,
 ) -> None:
     """Run COUNT seeds, or the KNOWN ones; the exit status is 1 if any has findings.
 
     With more HOSTS than CI has, more connections are silenced at once.
     """
     seeds = choose_seeds(first, count, known)
+    options = [f"--seconds={seconds}", f"--hosts={hosts}"]
+    options += [f"--full_pool={full_pool}", f"--false_entries={false_entries}"]
     with ThreadPoolExecutor(at_once) as pool:
-        passed = list(pool.map(lambda seed: run_seed(seed, seconds, hosts, full_pool), seeds))
+        passed = list(pool.map(lambda seed: run_seed(seed, options), seeds))
     failed = [seed for seed, has_passed in zip(seeds, passed, strict=True) if not has_passed]
     print(f"{len(seeds)} seeds, {len(failed)} with findings: {failed}")
     sys.exit(1 if failed else 0)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -26,6 +26,13 @@
     play_seed(tmp_path, "--seed=1", "--full_pool=True")
 
 
+@pytest.mark.process
+@pytest.mark.xdist_group("soak")
+def test_false_entries_of_silent_workers_break_no_promise(tmp_path: Path) -> None:
+    """Guards against runs that are taken for over without a word of their workers."""
+    play_seed(tmp_path, "--seed=1", "--false_entries=True", "--seconds=8")
+
+
 def play_seed(folder: Path, *options: str) -> None:
     """Play a course, which must have no findings."""
     command = [sys.executable, "-m", "tests.soak.play", *options]
