--- a/tests/daemon/test_load_meter.py
+++ b/tests/daemon/test_load_meter.py
@@ -3,6 +3,7 @@
 import logging
 from collections import Counter
 from time import perf_counter, process_time
+from types import SimpleNamespace
 from typing import Any
 
 import pytest
@@ -212,8 +213,9 @@
 
 def test_owner_counts_inventories(monkeypatch: pytest.MonkeyPatch) -> None:
     observed = ObservedOwner(monkeypatch)
-    worker: Any = type("AnyWorker", (), {"id": "w", "boot": ("w", 1)})()
-    inventory: Any = Inventory.__new__(Inventory)
+    entry = SimpleNamespace(boot_ms=1)
+    worker: Any = type("AnyWorker", (), {"id": "w", "boot": ("w", 1), "entry": entry})()
+    inventory = Inventory(0, (), (), 1)
     monkeypatch.setattr(observed.owner.cell, "handle_inventory", lambda *_: None)
     observed.owner._inventory_poller._handle_answer(worker, inventory, 0)
     assert observed.owner.meter.inventories == 1
