Start no task while a known next boot may begin its ended run

Cause: a run that is over may have a start order on its way. The boot on which it ended rejects that order, and each next boot is told to stop the run first (ended_runs.py), but the task started elsewhere without waiting for the answer. Where that stop is rejected or unanswered, the next boot carries the late copy out beside the new run.

The order for j12.0.0.1 run 100030 was sent to w2 at 2145 by epoch 1, without an answer. w2 restarted at 2510, 3130, 3510. The second and the third boot answered the stop. The fourth rejected it at 3905 (busy), and was silent at 4605. Run 100042 began on w3 at 4705, the copy on w2 at 5260. The owner never heard of run 100030 on the fourth boot before.

Speculative tasks do not wait.

--- a/packages/core/src/quetzallock_core/cells/ended_runs.py
+++ b/packages/core/src/quetzallock_core/cells/ended_runs.py
@@ -2,6 +2,7 @@
 
 The boot on which a run has ended rejects later copies of its start order. The next boot under the
 same id does not know the run and would carry such a copy out, so it is told to stop the run first.
+Until it has answered, the task does not start elsewhere.
 
 The journal need not hold these runs: a worker refuses the orders of an earlier owner once any call
 of the next owner has reached it. A boot under another id refuses orders that are not addressed to
@@ -20,7 +21,7 @@
     MAX_ORDER_DELAY_MS,
     ORDER_TIMEOUT_MS,
 )
-from .jobs import Run
+from .jobs import Run, Task
 from .models import Boot, Bounds
 from .orders import Effect, StartRun, StopRun
 from .workers import Worker
@@ -31,6 +32,7 @@
 
     workers: dict[str, Worker]
     clock: Clock
+    is_start_due: bool
 
     def emit(self, effect: Effect) -> None:
         """Add `effect` to those that are to be carried out."""
@@ -64,6 +66,14 @@
     def __init__(self, state: StoppingState) -> None:
         self._state = state
         self._runs: dict[tuple[str, int], EndedRun] = {}
+        self._unrejected: dict[str, set[int]] = {}
+
+    def may_start(self, task: Task) -> bool:
+        """Return whether no boot that is known may still begin an ended run of `task`.
+
+        The wait ends with the boot's answer, with the boot, or when no copy arrives any more.
+        """
+        return task.spec.speculative or task.name not in self._unrejected
 
     def add(self, run: Run, boot: Boot) -> None:
         """Remember a run that is over, or is being stopped, on `boot`."""
@@ -90,16 +100,31 @@
         ended_run = self._runs.get((order.task, order.run))
         if ended_run is not None and ended_run.boot[0] == order.worker:
             ended_run.boot = (order.worker, order.boot_ms)
+            self._handle_rejected(ended_run)
+
+    def _handle_rejected(self, ended_run: EndedRun) -> None:
+        """Process that the known boot rejects a run, so that its task may start."""
+        numbers = self._unrejected.get(ended_run.task)
+        if numbers is None:
+            return
+        numbers.discard(ended_run.number)
+        if not numbers:
+            del self._unrejected[ended_run.task]
+            self._state.is_start_due = True
 
     def stop_on_new_boots(self) -> None:
         """Order the boots that do not reject the runs yet to stop them."""
         now = self._state.clock.now()
+        self._unrejected.clear()
         for key, ended_run in list(self._runs.items()):
             if now >= ended_run.expires_at:
                 del self._runs[key]
                 continue
             worker = self._state.workers.get(ended_run.boot[0])
-            if worker is not None and worker.boot != ended_run.boot and now >= ended_run.resend_at:
+            if worker is None or worker.boot == ended_run.boot:
+                continue
+            self._unrejected.setdefault(ended_run.task, set()).add(ended_run.number)
+            if now >= ended_run.resend_at:
                 self._send_stop(ended_run, worker, now)
 
     def _send_stop(self, ended_run: EndedRun, worker: Worker, now: int) -> None:
--- a/packages/core/src/quetzallock_core/cells/scheduler.py
+++ b/packages/core/src/quetzallock_core/cells/scheduler.py
@@ -23,7 +23,7 @@
     """Return whether a waiting task may be started now, if there is a worker."""
     if now < task.not_before or state.unverified.may_be_running(task):
         return False
-    if not state.crashes.may_start(task, now):
+    if not state.ended_runs.may_start(task) or not state.crashes.may_start(task, now):
         return False
     if task.spec.lasting:
         return True
--- a/tests/core/cells/test_ended_runs.py
+++ b/tests/core/cells/test_ended_runs.py
@@ -1,17 +1,28 @@
 """Late copies of start orders whose runs are over, and the next boots of their workers."""
 
+from dataclasses import replace
+from typing import Any
+
 import pytest
 
 from quetzallock_core.cells import ended_runs
-from quetzallock_core.cells.const import MAX_ORDER_DELAY_MS
+from quetzallock_core.cells.const import (
+    MAX_ORDER_DELAY_MS,
+    ORDER_TIMEOUT_MS,
+    UNREACHABLE_TIMEOUT_MS,
+)
+from quetzallock_core.cells.models import Resources
 from quetzallock_core.cells.orders import StopRun
 from quetzallock_standins.emulator import CellCluster
-from quetzallock_standins.emulator.cluster import make_spec
+from quetzallock_standins.emulator.cluster import Owner, make_spec
+from quetzallock_standins.emulator.deliveries import Delivery, Order
 
-from .common import POLICY, make_step
+from .common import CAPACITY, POLICY, make_step
 
 SETTLE_MS = 12_500
 """Longer than the emulated cluster holds an order back."""
+LONG_MS = 30_000
+"""Tasks of this duration are at work for longer than that."""
 
 
 def make_cluster_with_late_order(count: int = 1, seed: int = 1) -> CellCluster:
@@ -112,3 +123,84 @@
     cluster.cell.handle_entries(cluster._list_entries())
     effects = cluster.cell.pop_effects()
     assert sum(isinstance(effect, StopRun) for effect in effects) == 3
+
+
+class RejectedStops(CellCluster):
+    """A cluster in which some workers reject stop orders as busy.
+
+    Attributes:
+        busy_workers: Ids of these workers.
+    """
+
+    def __init__(self, **fields: Any) -> None:
+        self.busy_workers: set[str] = set()
+        super().__init__(**fields)
+
+    def _execute(self, owner: Owner, order: Order, sent_at: int, delivery: Delivery) -> None:
+        if isinstance(order, StopRun) and order.worker in self.busy_workers:
+            delivery = replace(delivery, is_rejected=True)
+        super()._execute(owner, order, sent_at, delivery)
+
+
+def make_cluster_with_waiting_task(seed: int = 1, **fields: bool) -> RejectedStops:
+    """Return a cluster whose task waits for room while a copy of its start order is late.
+
+    Its first run is over on the second boot of `w0`. The third boot is up and answers polls, but
+    rejects stop orders as busy. Its entry shows no room, so that the task can start on `w1` only.
+    """
+    cluster = RejectedStops(workers=2, seed=seed)
+    cluster.run(500)
+    cluster.resize("w1", Resources())
+    cluster.run(200)
+    cluster.order_delay_rate = 1.0
+    cluster.submit(make_spec("a", make_step(1, **fields)), POLICY, {0: LONG_MS})
+    cluster.run(50)
+    cluster.order_delay_rate = 0.0
+    restart_worker(cluster)
+    cluster.workers["w0"].resize(Resources())
+    cluster.workers["w0"].publish_capacity()
+    cluster.run(700)
+    task = cluster.cell.state.jobs["a"].find_task(0, 0, 0)
+    assert task is not None
+    assert not task.runs
+    cluster.busy_workers.add("w0")
+    restart_worker(cluster)
+    cluster.resize("w0", CAPACITY, entry_delay_ms=LONG_MS)
+    cluster.run(100)
+    cluster.resize("w1", CAPACITY)
+    return cluster
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_task_does_not_start_elsewhere_before_the_next_boot_rejects_its_late_order(
+    seed: int,
+) -> None:
+    """Guards against two runs at once: the boot carries the copy out while its stop is repeated."""
+    cluster = make_cluster_with_waiting_task(seed)
+    cluster.run(SETTLE_MS)
+    assert not cluster.ground_truth.violations
+
+
+def test_task_starts_as_soon_as_the_next_boot_rejects_its_late_order() -> None:
+    """Guards against a wait that outlasts its cause."""
+    cluster = make_cluster_with_waiting_task()
+    cluster.run(700)
+    assert not cluster.ground_truth.starts
+    cluster.busy_workers.clear()
+    cluster.run(ORDER_TIMEOUT_MS + 50)
+    assert [worker for *_, worker in cluster.ground_truth.starts] == ["w1"]
+
+
+def test_task_does_not_wait_for_a_next_boot_that_has_gone() -> None:
+    """Guards against a wait for the answer of a boot that will not come."""
+    cluster = make_cluster_with_waiting_task()
+    cluster.workers["w0"].crash()
+    cluster.run(UNREACHABLE_TIMEOUT_MS + 500)
+    assert [worker for *_, worker in cluster.ground_truth.starts] == ["w1"]
+
+
+def test_speculative_task_does_not_wait_for_the_next_boot() -> None:
+    """Guards against a wait where two runs at once break no promise."""
+    cluster = make_cluster_with_waiting_task(speculative=True)
+    cluster.run(300)
+    assert [worker for *_, worker in cluster.ground_truth.starts] == ["w1"]
