--- a/packages/core/src/quetzallock_core/cells/cell.py
+++ b/packages/core/src/quetzallock_core/cells/cell.py
@@ -141,11 +141,13 @@
             entry = entries.get(worker.id)
             if entry is None:
                 worker.is_listed = False
+                worker.next_entry = None
                 state.drains.handle_unlisted(worker)
             elif entry.boot_ms != worker.entry.boot_ms:
                 worker.is_listed = False
-                if worker.may_be_over(now):
-                    state.replace_worker(worker, entry)
+                worker.next_entry = entry
+                if worker.is_replaced_by(entry, now):
+                    state.replace_worker(worker, entry, EndProof.NEXT_BOOT)
         for entry in entries.values():
             if (entry.worker, entry.boot_ms) in state.ended_boots:
                 continue
@@ -161,6 +163,7 @@
             self.evacuations.update_worker(worker, entry)
             worker.entry = entry
             worker.is_listed = True
+            worker.next_entry = None
         state.add_unlisted_leaving()
 
     def _log_resize(self, worker: Worker, entry: WorkerEntry) -> None:
@@ -203,9 +206,17 @@
         known = self.state.find_boot(boot)
         if known is not None:
             self.state.drains.handle_no_answer(known, failure)
-            known.record_no_answer(self.state.clock.now(), failure)
+            known.record_no_answer(self.state.clock.now())
             self.state.crashes.expose_runs(known)
 
+    def handle_next_boot_inventory(
+        self, boot: Boot, entry: WorkerEntry, inventory: Inventory
+    ) -> None:
+        """Process the answer at the address in the entry of another boot than the known `boot`."""
+        worker = self.state.find_boot(boot)
+        if worker is not None and inventory.boot_ms == entry.boot_ms:
+            self.state.handle_other_boot(worker, inventory.boot_ms, entry.address)
+
     def handle_previous_owner_gone(self, gone_at: int) -> None:
         """Process that the previous owner's process was over at the local ms `gone_at`."""
         owner = self.state.unverified.previous_owner
@@ -283,9 +294,6 @@
                 state.crashes.handle_unseen_end((worker, boot_ms))
 
     def _check_worker(self, worker: Worker, now: int) -> None:
-        if worker.has_left:
-            self._end_left(worker, now)
-            return
         if worker.is_reachable(now):
             if worker.is_lease_suspended and worker.is_recorded:
                 self.state.invalidate_record(worker)
@@ -294,28 +302,24 @@
             self.state.suspend_lease(worker)
         if worker.runs and now >= worker.compute_lapse_at():
             self.state.crashes.expose_runs(worker)
-            self._lapse_runs(worker, now, EndProof.LAPSED)
+            if worker.next_entry is not None and worker.contact_at >= 0:
+                self.state.replace_worker(worker, worker.next_entry, EndProof.LAPSED)
+                return
+            self._lapse_runs(worker, now)
         if worker.runs or worker.is_listed or self.state.unverified.is_leaving(worker.boot):
             return
         self.state.drop_worker(worker, "no entry and no answer")
 
-    def _end_left(self, worker: Worker, now: int) -> None:
-        """End the runs of a worker that has left as announced, without waiting for its lease."""
-        self.state.unverified.remove_boot(worker.boot)
-        self._lapse_runs(worker, now, EndProof.LEFT)
-        if not worker.runs:
-            self.state.drop_worker(worker, "left as announced")
-
-    def _lapse_runs(self, worker: Worker, now: int, proof: EndProof) -> None:
+    def _lapse_runs(self, worker: Worker, now: int) -> None:
         """End the runs on a worker that is over, but those that a late start order may begin."""
         self.state.drains.report(worker)
         for run in list(worker.runs.values()):
             if run.unconfirmed_until > now:
                 continue
             self.state.log_decision(
-                "run.lapsed", task=run.task.name, run=run.number, worker=run.worker, how=proof
+                "run.lapsed", task=run.task.name, run=run.number, worker=run.worker
             )
-            self.state.lapse_run(run, proof)
+            self.state.lapse_run(run, EndProof.LAPSED)
 
     def _repeat_orders(self, now: int) -> None:
         state = self.state
