Delete a hand-over record that cannot be read before the next start

Callers would see tasks started beside their runs after a version is rolled back and forth (rule TWICE).

The next owner of the version that wrote it takes it for what runs now, and its lease ends too.

Change: the record is deleted with the first batch, as one that can be read, and no task is started before.

--- a/packages/core/src/quetzallock_core/cells/batches.py
+++ b/packages/core/src/quetzallock_core/cells/batches.py
@@ -5,6 +5,7 @@
 
 from ..exceptions import CodecError
 from .const import OWNERSHIP_VALID_MS, UNVERIFIED_RECORD_AFTER_MS
+from .contents import HAND_OVER_KEY
 from .early_cancels import CancelCall
 from .job_records import list_interrupted
 from .jobs import Job
@@ -14,7 +15,6 @@
 from .unverified import UnverifiedWorker
 from .workers import Worker
 
-HAND_OVER_KEY: Final = "handover"
 LEARNED_KEY: Final = "learned"
 OWNER_KEY: Final = "owner"
 OWNERSHIP_CHECK_KEY: Final = "check"
--- a/packages/core/src/quetzallock_core/cells/cell.py
+++ b/packages/core/src/quetzallock_core/cells/cell.py
@@ -68,7 +68,7 @@
 
     def restore(self, contents: Contents) -> None:
         """Load the records of the journal."""
-        self.batches.handle_restored(contents.hand_over is not None)
+        self.batches.handle_restored(contents.has_hand_over)
         self.state.restore(contents)
         for job in self.state.jobs.values():
             if job.spec.repetitions and not job.is_over:
--- a/packages/core/src/quetzallock_core/cells/contents.py
+++ b/packages/core/src/quetzallock_core/cells/contents.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from typing import Final
 
 from ..codec import decode
 from ..exceptions import CodecError
@@ -16,6 +17,8 @@
     WorkerRecord,
 )
 
+HAND_OVER_KEY: Final = "handover"
+
 
 @dataclass(slots=True)
 class Contents:
@@ -41,6 +44,14 @@
     owner: OwnerRecord | None = None
     unreadable: list[str] = field(default_factory=list)
 
+    @property
+    def has_hand_over(self) -> bool:
+        """Whether the journal holds a hand-over record, perhaps one of a later version.
+
+        It is to be deleted before the next start: it no longer names all runs then.
+        """
+        return self.hand_over is not None or HAND_OVER_KEY in self.unreadable
+
 
 def read_contents(rows: Mapping[str, bytes]) -> Contents:
     """Return the records in `rows`, which has the newest value of each key of a journal."""
--- a/tests/core/cells/test_hidden_runs.py
+++ b/tests/core/cells/test_hidden_runs.py
@@ -279,3 +279,13 @@
     cluster.run(SETTLED_MS)
     assert TASK in cluster.workers["w0"].runs
     assert count_starts(cluster) == 1
+
+
+def test_hand_over_record_that_cannot_be_read_is_deleted_before_the_next_start() -> None:
+    """Guards against a later owner of the version that wrote it, who would take it for newest."""
+    cluster = make_cluster_with_one_run()
+    cluster.kill_owner()
+    cluster.journal["handover"] = b"of a later version"
+    cluster.take_over()
+    cluster.run(2 * RECORDED_MS)
+    assert "handover" not in cluster.journal
