Wait for workers whose records cannot be read

Cause: a worker's record of a kind that this version does not know was skipped, so that the worker did not count as unverified.

Change: such a worker is unverified like any other, by the id in the key, until it lists its runs or the longest lease has lapsed.

--- a/packages/core/src/quetzallock_core/cells/contents.py
+++ b/packages/core/src/quetzallock_core/cells/contents.py
@@ -1,6 +1,6 @@
 """Decodes the journal of a cell into typed records."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -18,6 +18,7 @@
 )
 
 HAND_OVER_KEY: Final = "handover"
+_WORKER_PREFIX: Final = "worker/"
 
 
 @dataclass(slots=True)
@@ -63,9 +64,19 @@
             contents.unreadable.append(key)
             continue
         _add(contents, key, record)
+    contents.workers += _make_unknown_boots(contents.unreadable)
     return contents
 
 
+def _make_unknown_boots(unreadable: Iterable[str]) -> list[WorkerRecord]:
+    """Return records of the workers whose own cannot be read, which may run tasks all the same."""
+    return [
+        WorkerRecord(key.removeprefix(_WORKER_PREFIX), "", boot_ms=0)
+        for key in unreadable
+        if key.startswith(_WORKER_PREFIX)
+    ]
+
+
 def _add(contents: Contents, key: str, record: object) -> None:
     if isinstance(record, JobRecord):
         contents.jobs[record.spec.job] = record
--- a/tests/core/cells/test_hidden_runs.py
+++ b/tests/core/cells/test_hidden_runs.py
@@ -289,3 +289,19 @@
     cluster.take_over()
     cluster.run(2 * RECORDED_MS)
     assert "handover" not in cluster.journal
+
+
+def test_worker_whose_record_cannot_be_read_is_waited_for() -> None:
+    """Its task started elsewhere at once, as if no worker but the readable ones had any run."""
+    cluster = make_cluster_with_one_run()
+    cluster.kill_owner()
+    cluster.workers["w0"].is_isolated = True
+    cluster.journal["worker/w0"] = b"of a later version"
+    cluster.take_over()
+    cluster.run(SETTLED_MS)
+    assert TASK in cluster.workers["w0"].runs
+    assert count_starts(cluster) == 1
+    cluster.workers["w0"].is_isolated = False
+    cluster.run(LONG_MS)
+    assert cluster.cell.find_state("a") == "completed"
+    assert count_starts(cluster) == 1
