Take no 421 for the end of a boot of which no address is known

Callers would wait for tasks of a worker that is up: its boot counts as over for as long as the owner keeps the cell, it is never polled again, and its runs lapse. Cause: a boot that was dropped and listed again (no entry or another writer's between) has neither a polled nor an answered address until its next poll. A 421 to a poll that was sent before, to a false address, compared the two empty strings and counted as given at the address at which the boot has answered. Change: an address counts as one at which the boot has answered only if it is known (`Worker.has_answered_at`), for a 421 and for the answer of another boot. Measured: both cases of the new test failed before and pass now.

--- a/packages/core/src/quetzallock_core/cells/state.py
+++ b/packages/core/src/quetzallock_core/cells/state.py
@@ -501,7 +501,7 @@
         That ends the boot, and its runs, only at the address at which it has answered itself. Any
         other address is from the platform's list alone, to which others may write.
         """
-        if address != worker.answered_address:
+        if not worker.has_answered_at(address):
             self.log_decision("worker.misdirected", worker=worker.id, address=address)
             return
         self.ended_boots.add((worker.id, worker.entry.boot_ms))
--- a/packages/core/src/quetzallock_core/cells/workers.py
+++ b/packages/core/src/quetzallock_core/cells/workers.py
@@ -271,7 +271,14 @@
         """
         if not boot_ms or boot_ms == self.entry.boot_ms:
             return False
-        return address == self.answered_address or boot_ms > self.entry.boot_ms
+        return self.has_answered_at(address) or boot_ms > self.entry.boot_ms
+
+    def has_answered_at(self, address: str) -> bool:
+        """Return whether this boot is known to have answered at an address.
+
+        Neither address is known of a boot that was dropped and listed again before its next poll.
+        """
+        return bool(address) and address == self.answered_address
 
     @property
     def must_ask_next_boot(self) -> bool:
--- /dev/null
+++ b/tests/core/cells/test_review_of_run_ends.py
@@ -0,0 +1,48 @@
+"""Ends of runs and of boots that are believed although no word of the worker shows them."""
+
+from dataclasses import replace
+
+import pytest
+
+from quetzallock_core.cells.models import WorkerEntry
+from quetzallock_standins.emulator import CellCluster
+
+from .test_hidden_runs import LONG_MS, count_starts, make_cluster_with_one_run
+
+
+def list_entry(cluster: CellCluster, entry: WorkerEntry) -> None:
+    """Let the owner read a list in which one worker has an entry of another writer."""
+    cluster.cell.handle_entries(cluster._list_entries() | {entry.worker: entry})
+
+
+@pytest.mark.parametrize("between", ["other boot", "no entry"])
+def test_refusal_of_a_poll_before_a_boot_was_listed_again_does_not_end_the_boot(
+    between: str,
+) -> None:
+    """Guards against a worker that is up and whose runs lapse since it is never polled again.
+
+    The 421 comes from the address in a false entry. Meanwhile the boot was dropped and listed
+    again, and no poll of it has been sent, so that neither a polled nor an answered address is
+    known.
+    """
+    cluster = make_cluster_with_one_run()
+    worker = cluster.workers["w0"]
+    cluster.kill_owner()
+    worker.is_isolated = True
+    cluster.take_over()
+    cell = cluster.cell
+    list_entry(cluster, replace(worker.entry, address="w1:1"))
+    cell.state.workers["w0"].renew_lease(cluster.bounds.lease_ms, cluster.clock.now())
+    if between == "other boot":
+        list_entry(cluster, replace(worker.entry, boot_ms=7))
+    else:
+        entries = cluster._list_entries()
+        del entries["w0"]
+        cell.handle_entries(entries)
+        cell.tick()
+    cell.handle_entries(cluster._list_entries())
+    cell.answers.handle_inventory_refusal((worker.id, worker.entry.boot_ms), "other boot")
+    worker.is_isolated = False
+    cluster.run(LONG_MS)
+    assert cluster.cell.find_state("a") == "completed"
+    assert count_starts(cluster) == 1
