Take an unanswered start for late only by a list asked for after its lease

Callers could see a task run on two workers at once: a start without an answer that its worker carried out just before the lease in it had lapsed was taken for over, and the task started elsewhere. For answered orders let the order of the calls decide; for unanswered ones the clock in the list still did. Change: the lease must have ended by the earliest reading that the list allows: its clock less the time since it was asked for. Cost: such a run is over later by the time that the poll has waited, and only where a start has got no answer until its lease ended.

--- a/packages/core/src/quetzallock_core/cells/inventory.py
+++ b/packages/core/src/quetzallock_core/cells/inventory.py
@@ -200,10 +200,12 @@
 
         A run whose start or stop order is unanswered is kept until the lease in the start order has
         ended, as that order may still arrive. After an answer the order of the calls decides, as a
-        worker may make the lists before it carries the order out, and read its clock later.
+        worker may make the lists before it carries the order out, and read its clock later. So the
+        lease must have ended when the lists were asked for, which is the earliest that they tell.
         """
         is_asked_after_answer = run.is_answered and asked_at > run.answered_at
-        is_late = run.state != "running" and run.until_ms and clock_ms > run.until_ms
+        earliest_clock_ms = clock_ms - (self._state.clock.now() - asked_at)
+        is_late = run.state != "running" and run.until_ms and earliest_clock_ms > run.until_ms
         if not (run.is_listed or is_asked_after_answer or is_late):
             return False
         state = self._state
--- a/tests/core/cells/test_review_of_run_ends.py
+++ b/tests/core/cells/test_review_of_run_ends.py
@@ -7,7 +7,9 @@
 from quetzallock_core.cells.models import WorkerEntry
 from quetzallock_standins.emulator import CellCluster
 
+from .common import submit_plain
 from .test_hidden_runs import LONG_MS, count_starts, make_cluster_with_one_run
+from .test_worker_answers import advance, find_run, make_list, make_order, read_list
 
 
 def list_entry(cluster: CellCluster, entry: WorkerEntry) -> None:
@@ -46,3 +48,27 @@
     cluster.run(LONG_MS)
     assert cluster.cell.find_state("a") == "completed"
     assert count_starts(cluster) == 1
+
+
+@pytest.mark.parametrize("early_ms", [5, 400, 1_000])
+def test_list_made_before_the_lease_end_of_an_unanswered_start_ends_no_run(early_ms: int) -> None:
+    """Guards against a second run beside one whose start came just before its lease had lapsed.
+
+    A worker may make the lists before it carries an order out, and read its clock later.
+    """
+    cluster = CellCluster(workers=2)
+    cluster.run(500)
+    cluster.holds_orders = True
+    submit_plain(cluster, "a", count=1, duration_ms=LONG_MS)
+    cluster.run(50)
+    order, run = make_order(cluster), find_run(cluster)
+    worker = cluster.workers[order.worker]
+    advance(cluster, order.until_ms - worker.clock_ms - early_ms)
+    inventory, asked_at = make_list(cluster, worker), cluster.clock.now()
+    advance(cluster, early_ms - 1)
+    worker.start(order, cluster.owner.epoch)
+    advance(cluster, 10)
+    assert worker.clock_ms > order.until_ms
+    assert run.task.name in worker.runs
+    read_list(cluster, worker, inventory, asked_at)
+    assert run.state == "ordered"
