Record the last lease end of all boots of a worker that are unverified

A task could run twice after two takeovers within a second: the first new owner wrote the record of a boot that only the hand-over names over that of another boot of the worker, whose lease ended later, and the next owner knew of neither the boot nor its lease. Change: the lease end in the record is that of the boot whose lease ends last, so whichever boot is named, its time covers the others. One pass over the unverified boots for an append, none after they are verified.

--- a/packages/core/src/quetzallock_core/cells/batches.py
+++ b/packages/core/src/quetzallock_core/cells/batches.py
@@ -1,5 +1,6 @@
 """Collects records for the journal into batches, and applies them once they are durable."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
 from typing import Final
 
@@ -247,6 +248,7 @@
     def _record_unverified(self, batch: Batch) -> None:
         """Add records of when the leases of unverified workers have lapsed."""
         state = self._state
+        last_lapses = state.unverified.find_last_lapses()
         for unverified_worker in self._list_due_lapses():
             unverified_worker.is_lapse_recorded = True
             lapses_in_ms = unverified_worker.lapse_at - state.clock.now()
@@ -260,16 +262,22 @@
             if worker is not None and worker.entry.boot_ms == unverified_worker.record.boot_ms:
                 state.suspend_lease(worker)
                 continue
-            self._record_lapse(unverified_worker, batch)
+            self._record_lapse(unverified_worker, last_lapses, batch)
         for unverified_worker in state.unverified.list_unlisted_lapses():
-            self._record_lapse(unverified_worker, batch)
+            self._record_lapse(unverified_worker, last_lapses, batch)
 
-    def _record_lapse(self, unverified_worker: UnverifiedWorker, batch: Batch) -> None:
-        """Add the record of when the lease of a boot without an entry has lapsed."""
+    def _record_lapse(
+        self, unverified_worker: UnverifiedWorker, last_lapses: Mapping[str, int], batch: Batch
+    ) -> None:
+        """Add the record of when the lease of a boot without an entry has lapsed.
+
+        The journal has one record of a worker, so it names the time at which the leases of all its
+        unverified boots have lapsed, whichever of them it names.
+        """
         state = self._state
         unverified_worker.is_lapse_handed_over = False
         unverified_worker.is_hidden = False
-        lapse_at = unverified_worker.lapse_at
+        lapse_at = last_lapses[unverified_worker.record.worker]
         record = replace(
             unverified_worker.record,
             lapsed_by=state.unverified.make_clock_references(lapse_at),
--- a/packages/core/src/quetzallock_core/cells/unverified.py
+++ b/packages/core/src/quetzallock_core/cells/unverified.py
@@ -224,6 +224,13 @@
             )
         ]
 
+    def find_last_lapses(self) -> dict[str, int]:
+        """Return, by worker id, the local ms at which the leases of all its boots have lapsed."""
+        lapses: dict[str, int] = {}
+        for (worker_id, _), unverified_worker in self.by_boot.items():
+            lapses[worker_id] = max(unverified_worker.lapse_at, lapses.get(worker_id, 0))
+        return lapses
+
     def pop_lapsed(self) -> list[Boot]:
         """Remove and return the boots whose leases have lapsed."""
         now = self._clock.now()
--- a/tests/core/cells/test_review_of_run_ends.py
+++ b/tests/core/cells/test_review_of_run_ends.py
@@ -5,10 +5,12 @@
 import pytest
 
 from quetzallock_core.cells.models import WorkerEntry
+from quetzallock_core.cells.records import HandOverRecord, LeasesRecord, WorkerRecord
+from quetzallock_core.codec import encode
 from quetzallock_standins.emulator import CellCluster
 
 from .common import submit_plain
-from .test_hidden_runs import LONG_MS, count_starts, make_cluster_with_one_run
+from .test_hidden_runs import LONG_MS, SETTLED_MS, TASK, count_starts, make_cluster_with_one_run
 from .test_worker_answers import advance, find_run, make_list, make_order, read_list
 
 
@@ -72,3 +74,32 @@
     assert run.task.name in worker.runs
     read_list(cluster, worker, inventory, asked_at)
     assert run.state == "ordered"
+
+
+@pytest.mark.parametrize("killed_after_ms", [200, 800, SETTLED_MS])
+@pytest.mark.parametrize("are_runs_known", [True, False])
+def test_record_of_one_boot_does_not_shorten_the_lease_of_another_one(
+    are_runs_known: bool, killed_after_ms: int
+) -> None:
+    """Guards against a second run while the run of the recorded boot goes on unseen.
+
+    The journal has one record of a worker. That of a boot which only the hand-over names, whose
+    lease ends sooner, was written over that of the boot with the run.
+    """
+    cluster = make_cluster_with_one_run()
+    cluster.workers["w0"].is_isolated = True
+    cluster.kill_owner()
+    left_ms = cluster.cell.state.workers["w0"].compute_lapse_at() - cluster.clock.now()
+    leases = (("w0", 0, 300), ("w0", 1, left_ms), ("w1", 1, left_ms), ("w2", 1, left_ms))
+    record: HandOverRecord | LeasesRecord = LeasesRecord(leases)
+    if are_runs_known:
+        record = HandOverRecord(((TASK, "w0", 0), (TASK, "w0", 1)), leases)
+    cluster.journal["handover"] = encode(record)
+    cluster.journal["worker/w0"] = encode(WorkerRecord("w0", "w0:1", 1))
+    cluster.take_over()
+    cluster.run(killed_after_ms)
+    cluster.kill_owner()
+    cluster.take_over()
+    cluster.run(SETTLED_MS)
+    assert TASK in cluster.workers["w0"].runs
+    assert count_starts(cluster) == 1
