--- a/packages/core/src/quetzallock_core/cells/inventory.py
+++ b/packages/core/src/quetzallock_core/cells/inventory.py
@@ -39,17 +39,15 @@
         worker = state.find_boot(boot)
         if worker is None:
             return False
-        if inventory.boot_ms and inventory.boot_ms != worker.entry.boot_ms:
-            state.log_decision("worker.reborn", worker=worker.id, born=inventory.boot_ms)
-            worker.is_listed = False
-            worker.has_next_boot_answered = True
+        if inventory.boot_ms != worker.entry.boot_ms:
+            state.handle_other_boot(worker, inventory.boot_ms, worker.polled_address)
             return False
         now = state.clock.now()
         is_first = worker.inventory_at < 0
         state.interruptions.handle_inventory(worker)
         worker.record_contact(inventory.clock_ms, asked_at, now)
         worker.inventory_at = now
-        worker.leave.record_inventory()
+        worker.answered_address = worker.polled_address
         worker.inventory_asked_at = max(worker.inventory_asked_at, asked_at)
         worker.is_poll_unanswered = False
         if is_first:
