Tell each next boot at once to reject the late copies of ended runs

Cause: the pause after a stop that was sent to one boot of a worker (700 ms) also held back the first stop for its next boot. A boot that followed within that time was told up to 700 ms late.

Measured: the new test fails without the change.

--- a/packages/core/src/quetzallock_core/cells/ended_runs.py
+++ b/packages/core/src/quetzallock_core/cells/ended_runs.py
@@ -49,7 +49,8 @@
         boot: Boot that rejects later copies of its start order.
         unanswered: Number of start orders without an answer.
         expires_at: Local ms from which on no copy arrives any more.
-        resend_at: Local ms at which the stop is sent again unless it is answered.
+        asked_boot: Boot that was sent the last stop, if any.
+        resend_at: Local ms at which that stop is sent again unless it is answered.
     """
 
     task: str
@@ -57,8 +58,13 @@
     boot: Boot
     unanswered: int
     expires_at: int
+    asked_boot: Boot | None = None
     resend_at: int = 0
 
+    def must_ask(self, boot: Boot, now: int) -> bool:
+        """Return whether a stop is to be sent to `boot`, which does not reject the run yet."""
+        return boot != self.asked_boot or now >= self.resend_at
+
 
 class EndedRuns:
     """The ended runs of a cell whose start orders may still arrive, oldest first."""
@@ -124,17 +130,18 @@
             if worker is None or worker.boot == ended_run.boot:
                 continue
             self._unrejected.setdefault(ended_run.task, set()).add(ended_run.number)
-            if now >= ended_run.resend_at:
+            if ended_run.must_ask(worker.boot, now):
                 self._send_stop(ended_run, worker, now)
 
     def _send_stop(self, ended_run: EndedRun, worker: Worker, now: int) -> None:
-        if not ended_run.resend_at:
+        if ended_run.asked_boot is None:
             self._state.log_decision(
                 "run.rejected_on_new_boot",
                 task=ended_run.task,
                 run=ended_run.number,
                 worker=worker.id,
             )
+        ended_run.asked_boot = worker.boot
         ended_run.resend_at = now + ORDER_TIMEOUT_MS
         entry = worker.entry
         self._state.emit(
--- a/tests/core/cells/test_ended_runs.py
+++ b/tests/core/cells/test_ended_runs.py
@@ -90,6 +90,18 @@
     assert cluster.counters["StopRun"] == answered
 
 
+def test_each_next_boot_is_told_at_once() -> None:
+    """Guards against a pause after the stop that an earlier boot was sent, in which a copy begins.
+
+    The pause is for a boot that does not answer; another boot has not been asked yet.
+    """
+    cluster = make_cluster_with_late_order()
+    for _ in range(3):
+        restart_worker(cluster, down_ms=20)
+        cluster.run(300)
+        assert cluster.workers["w0"].highest_closed_runs
+
+
 def test_next_owner_needs_no_record_as_its_first_call_refuses_the_late_order() -> None:
     """Guards against a change of the fencing on which the missing journal record relies."""
     cluster = make_cluster_with_late_order()
