Extend no lease of a boot in whose place another one answers

Cause: a poll that another boot answers was no poll without an answer, so the polls went on to extend the lease of the boot that is over until it counted as unreachable. Change: it counts as one (`record_no_answer`).

--- a/packages/core/src/quetzallock_core/cells/state.py
+++ b/packages/core/src/quetzallock_core/cells/state.py
@@ -483,11 +483,12 @@
     def handle_other_boot(self, worker: Worker, boot_ms: int, address: str) -> None:
         """Process that a poll of a boot was answered by another boot of the worker at `address`.
 
-        Its runs end once the platform's list names the next boot, whose resources it tells.
+        Its runs end once the platform's list names the next boot, whose resources it tells, or by
+        the lease, which the answer of another boot does not extend.
         """
         self.log_decision("worker.reborn", worker=worker.id, born=boot_ms, address=address)
         worker.is_listed = False
-        worker.is_poll_unanswered = True
+        worker.record_no_answer(self.clock.now())
         if not worker.is_next_boot(boot_ms, address):
             return
         worker.next_boot_ms = boot_ms
--- a/tests/core/cells/test_review_of_run_ends.py
+++ b/tests/core/cells/test_review_of_run_ends.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from quetzallock_core.cells.const import CLOCK_DRIFT, LEASE_MARGIN_MS, MAX_LEASE_MS
 from quetzallock_core.cells.models import WorkerEntry
 from quetzallock_core.cells.records import HandOverRecord, LeasesRecord, WorkerRecord
 from quetzallock_core.codec import encode
@@ -11,8 +12,13 @@
 
 from .common import submit_plain
 from .test_hidden_runs import LONG_MS, SETTLED_MS, TASK, count_starts, make_cluster_with_one_run
+from .test_run_ends import FalseEntries
 from .test_worker_answers import advance, find_run, make_list, make_order, read_list
 
+LONGEST_LEASE_MS = int(MAX_LEASE_MS / (1 - CLOCK_DRIFT)) + LEASE_MARGIN_MS
+TICKS_MS = 400
+"""Time for the list, a tick and an order."""
+
 
 def list_entry(cluster: CellCluster, entry: WorkerEntry) -> None:
     """Let the owner read a list in which one worker has an entry of another writer."""
@@ -103,3 +109,24 @@
     cluster.run(SETTLED_MS)
     assert TASK in cluster.workers["w0"].runs
     assert count_starts(cluster) == 1
+
+
+@pytest.mark.parametrize("boot_ms", [None, 7])
+@pytest.mark.parametrize("has_broken_connections", [True, False])
+def test_task_of_a_restarted_worker_that_no_entry_names_waits_no_longer_than_its_lease(
+    boot_ms: int | None, has_broken_connections: bool
+) -> None:
+    """Guards against a lease that is renewed although another boot answers in place of its own."""
+    cluster = make_cluster_with_one_run()
+    worker = cluster.workers["w0"]
+    entry = worker.entry
+    if boot_ms is None:
+        cluster.unlisted_workers.add("w0")
+    else:
+        FalseEntries(cluster, ["w0"], boot_ms=boot_ms)
+    worker.crash()
+    cluster.revive("w0")
+    worker.has_broken_connections = has_broken_connections
+    assert worker.entry.boot_ms not in (entry.boot_ms, boot_ms)
+    cluster.run(LONGEST_LEASE_MS + TICKS_MS)
+    assert count_starts(cluster) == 2
