--- a/tests/soak/false_entries.py
+++ b/tests/soak/false_entries.py
@@ -29,6 +29,7 @@
 SILENCE_MS: Final = (1_900, 3_200)
 """Longer than a poll waits for its answer, and shorter than the lease of a worker."""
 GAP_MS: Final = (800, 2_000)
+"""A poll may wait through such a gap, so the lease of a worker that is silent twice may lapse."""
 REWRITE_PAUSE_MS: Final = (30, 150)
 """Time between two writes; a worker replaces a false entry by its own twice a second."""
 
