Move what happens to boots out of the state of the cell

Replacing a boot, answers of other boots and 421s, and the boots that leave without an entry are in boots.py now, as functions on the state, with what proves the end of a boot in its docstring. No change of logic.

--- a/packages/core/src/quetzallock_core/cells/answers.py
+++ b/packages/core/src/quetzallock_core/cells/answers.py
@@ -2,6 +2,7 @@
 
 from typing import Final
 
+from .boots import handle_misdirected
 from .const import RETRY_PAUSE_MS
 from .inventory import mark_started
 from .jobs import Run
@@ -36,7 +37,7 @@
         if worker is None:
             return
         if outcome == OTHER_BOOT:
-            self._state.handle_misdirected(worker, worker.polled_address)
+            handle_misdirected(self._state, worker, worker.polled_address)
         else:
             worker.unanswered_since = -1
 
@@ -56,7 +57,7 @@
             run.unanswered -= 1
         now = self._state.clock.now()
         if outcome == OTHER_BOOT:
-            self._state.handle_misdirected(worker, order.address)
+            handle_misdirected(self._state, worker, order.address)
             return
         if outcome:
             worker.record_contact(clock_ms, asked_at, now)
@@ -118,7 +119,7 @@
         if worker is None or not outcome:
             return
         if outcome == OTHER_BOOT:
-            self._state.handle_misdirected(worker, order.address)
+            handle_misdirected(self._state, worker, order.address)
             return
         now = self._state.clock.now()
         worker.record_contact(clock_ms, asked_at, now)
--- a/packages/core/src/quetzallock_core/cells/cell.py
+++ b/packages/core/src/quetzallock_core/cells/cell.py
@@ -5,6 +5,7 @@
 
 from ..clock import Clock
 from ..helpers.hashing import hash_to_range
+from . import boots
 from .answers import OrderAnswers
 from .batches import BatchMaker
 from .contents import Contents
@@ -147,7 +148,7 @@
                 worker.is_listed = False
                 worker.next_entry = entry
                 if worker.is_replaced_by(entry, now):
-                    state.replace_worker(worker, entry, EndProof.NEXT_BOOT)
+                    boots.replace_boot(state, worker, entry, EndProof.NEXT_BOOT)
         for entry in entries.values():
             if (entry.worker, entry.boot_ms) in state.ended_boots:
                 continue
@@ -164,7 +165,7 @@
             worker.entry = entry
             worker.is_listed = True
             worker.next_entry = None
-        state.add_unlisted_leaving()
+        boots.add_unlisted_leaving(state)
 
     def _log_resize(self, worker: Worker, entry: WorkerEntry) -> None:
         self.state.log_decision(
@@ -215,7 +216,7 @@
         """Process the answer at the address in the entry of another boot than the known `boot`."""
         worker = self.state.find_boot(boot)
         if worker is not None and inventory.boot_ms == entry.boot_ms:
-            self.state.handle_other_boot(worker, inventory.boot_ms, entry.address)
+            boots.handle_other_boot(self.state, worker, inventory.boot_ms, entry.address)
 
     def handle_previous_owner_gone(self, gone_at: int) -> None:
         """Process that the previous owner's process was over at the local ms `gone_at`."""
@@ -303,7 +304,7 @@
         if worker.runs and now >= worker.compute_lapse_at():
             self.state.crashes.expose_runs(worker)
             if worker.next_entry is not None and worker.contact_at >= 0:
-                self.state.replace_worker(worker, worker.next_entry, EndProof.LAPSED)
+                boots.replace_boot(self.state, worker, worker.next_entry, EndProof.LAPSED)
                 return
             self._lapse_runs(worker, now)
         if worker.runs or worker.is_listed or self.state.unverified.is_leaving(worker.boot):
--- a/packages/core/src/quetzallock_core/cells/inventory.py
+++ b/packages/core/src/quetzallock_core/cells/inventory.py
@@ -1,5 +1,6 @@
 """Processes workers' inventories."""
 
+from .boots import handle_other_boot
 from .const import DEFAULT_DURATION_MS, STALL_TIMEOUT_MS
 from .jobs import Job, Run, Task, parse_task_name
 from .models import Boot, EndRow, Inventory, RunningRow
@@ -40,7 +41,7 @@
         if worker is None:
             return False
         if inventory.boot_ms != worker.entry.boot_ms:
-            state.handle_other_boot(worker, inventory.boot_ms, worker.polled_address)
+            handle_other_boot(state, worker, inventory.boot_ms, worker.polled_address)
             return False
         now = state.clock.now()
         is_first = worker.inventory_at < 0
--- a/packages/core/src/quetzallock_core/cells/state.py
+++ b/packages/core/src/quetzallock_core/cells/state.py
@@ -12,13 +12,12 @@
 from .drains import Drains
 from .durations import DurationEstimates
 from .early_cancels import EarlyCancels
-from .ended_runs import EndedRuns, compute_unconfirmed_until
+from .ended_runs import EndedRuns
 from .headroom import Headroom
 from .interference import Interference
 from .interruptions import Interruptions
 from .job_records import list_exhausted, make_job, restore_has_run, restore_job
 from .jobs import Job, Run, StepRun, Task
-from .leaves import make_unlisted_entry
 from .models import Boot, Bounds, WorkerEntry
 from .orders import Decision, Effect, PaceRun, StopRun
 from .packing import PolicyChooser
@@ -440,36 +439,6 @@
             if not self.unverified.has_boot_of(worker.id):
                 self.dropped_workers.append(worker.id)
 
-    def replace_worker(self, worker: Worker, entry: WorkerEntry, proof: EndProof) -> None:
-        """Replace a worker by its next boot; `proof` shows that the previous boot is over.
-
-        A start order whose run the previous boot has not listed, or that is unanswered, may have
-        reached the next boot, or may still reach it. Such a run is stopped there before its task
-        starts elsewhere.
-        """
-        unconfirmed_runs = [
-            run for run in worker.runs.values() if run.unanswered or not run.is_listed
-        ]
-        self.crashes.handle_loss(worker)
-        for run in unconfirmed_runs:
-            worker.remove(run)
-        self.drop_worker(worker, "worker restarted", proof)
-        successor = self.add_worker(entry)
-        for run in unconfirmed_runs:
-            self.ended_runs.add(run, successor.boot)
-            run.unconfirmed_until = max(
-                run.unconfirmed_until, compute_unconfirmed_until(run, self.bounds)
-            )
-            run.unanswered = 0
-            run.is_listed = run.is_acknowledged = False
-            run.is_unsent = True
-            run.answered_clock_ms = -1
-            self.add_run(successor, run)
-            if run.state == "stopping":
-                self.send_stop(run)
-            else:
-                self.stop_run(run, "start order may reach the next boot of the worker")
-
     def invalidate_record(self, worker: Worker) -> None:
         """Mark the record of a worker as outdated, so that the next batch has it."""
         worker.invalidate_record()
@@ -480,35 +449,6 @@
         worker.is_lease_suspended = True
         self.invalidate_record(worker)
 
-    def handle_other_boot(self, worker: Worker, boot_ms: int, address: str) -> None:
-        """Process that a poll of a boot was answered by another boot of the worker at `address`.
-
-        Its runs end once the platform's list names the next boot, whose resources it tells, or by
-        the lease, which the answer of another boot does not extend.
-        """
-        self.log_decision("worker.reborn", worker=worker.id, born=boot_ms, address=address)
-        worker.is_listed = False
-        worker.record_no_answer(self.clock.now())
-        if not worker.is_next_boot(boot_ms, address):
-            return
-        worker.next_boot_ms = boot_ms
-        if worker.next_entry is not None and worker.next_entry.boot_ms == boot_ms:
-            self.replace_worker(worker, worker.next_entry, EndProof.NEXT_BOOT)
-            self.is_start_due = True
-
-    def handle_misdirected(self, worker: Worker, address: str) -> None:
-        """Process that a call to a boot was answered by another boot or worker.
-
-        That ends the boot, and its runs, only at the address at which it has answered itself. Any
-        other address is from the platform's list alone, to which others may write.
-        """
-        if not worker.has_answered_at(address):
-            self.log_decision("worker.misdirected", worker=worker.id, address=address)
-            return
-        self.ended_boots.add((worker.id, worker.entry.boot_ms))
-        self.drop_worker(worker, "another boot answers at its address", EndProof.MISDIRECTED)
-        self.is_start_due = True
-
     def find_boot(self, boot: Boot) -> Worker | None:
         """Return the worker that `boot` is a boot of, or None if another or no boot is known.
 
@@ -532,17 +472,3 @@
             worker.is_lease_suspended = True
         self.log_decision("worker.known", worker=entry.worker, born=entry.boot_ms, rack=entry.rack)
         return worker
-
-    def add_unlisted_leaving(self) -> None:
-        """Add unverified boots whose entries have gone after they announced to leave, to poll them.
-
-        They get no tasks. Their leases are renewed only after an answer.
-        """
-        for boot, address in self.unverified.list_leaving():
-            if boot[0] in self.workers or boot in self.ended_boots:
-                continue
-            worker = self.add_worker(make_unlisted_entry(boot, address))
-            worker.is_listed = False
-            worker.is_lease_suspended = True
-            self.drains.handle_entry(worker, worker.entry)
-            self.drains.handle_unlisted(worker)
--- a/tests/daemon/test_next_boots.py
+++ b/tests/daemon/test_next_boots.py
@@ -9,6 +9,7 @@
 from twisted.internet.defer import Deferred, succeed
 from twisted.internet.task import Clock
 
+from quetzallock_core.cells import boots
 from quetzallock_core.cells.const import UNREACHABLE_TIMEOUT_MS
 from quetzallock_core.cells.jobs import Run
 from quetzallock_core.cells.models import Bounds, Inventory, PollFailure, Resources, WorkerEntry
@@ -64,7 +65,7 @@
     worker.runs["t"] = Run(task, 1, "w", "running", 0, is_listed=True)
     monkeypatch.setattr(owner.cell.state.crashes, "expose_runs", lambda _: None)
     replaced: list[Any] = []
-    monkeypatch.setattr(owner.cell.state, "replace_worker", lambda *args: replaced.append(args))
+    monkeypatch.setattr(boots, "replace_boot", lambda *args: replaced.append(args))
     workers.answering = replace(listed, address="nowhere")
     advance(UNREACHABLE_TIMEOUT_MS // 2, listed)
     assert not replaced
