Know the next boot of a worker without runs after one failed poll, as before

A boot without runs is again replaced after one poll without an answer, not only after 1.5 s of silence: nothing ends with it.

--- a/packages/core/src/quetzallock_core/cells/workers.py
+++ b/packages/core/src/quetzallock_core/cells/workers.py
@@ -261,7 +261,7 @@
         """
         if entry.boot_ms == self.next_boot_ms or self.contact_at < 0:
             return True
-        return not self.runs and not self.is_reachable(now)
+        return not self.runs and (self.unanswered_since >= 0 or not self.is_reachable(now))
 
     def is_next_boot(self, boot_ms: int, address: str) -> bool:
         """Return whether an answer of another boot at an address proves that this one is over.
