Order only the inventories of the emulator, not its refusals

Cause: orders all outcomes of the polls of a boot. Since boots end by the next boot's answer, a 421 that is late holds back that answer in tests/core/cells/test_late_poll_answers.py, whose three tests fail in their setup. Only inventories need the order.

Run: test_late_poll_answers.py, test_emulated_polls.py and test_ended_runs.py hold. The whole of tests/core/cells is not run again after this change.

--- a/packages/standins/src/quetzallock_standins/emulator/cluster.py
+++ b/packages/standins/src/quetzallock_standins/emulator/cluster.py
@@ -100,7 +100,7 @@
         self._event_number = 0
         self._ticket = 0
         self._cancelled_jobs: dict[int, str] = {}
-        self._poll_outcomes_until: dict[tuple[int, Boot], int] = {}
+        self._inventories_until: dict[tuple[int, Boot], int] = {}
         self._capacity = capacity or Resources(16_000, 64_000, 0)
         self._data_centres = data_centres
         self.planned_hand_overs = 0
@@ -251,45 +251,39 @@
         until = cell_worker.renew_lease(self.bounds.lease_ms, now)
         if self._is_misdirected(worker, cell_worker.entry.address):
             misdirected = Answer("other boot", 0)
-            self._schedule_poll_outcome(
-                owner,
-                boot,
+            self.schedule(
                 self.latency_ms,
                 lambda: self._handle_inventory_answer(owner, boot, misdirected, now),
             )
             return
         if _rejects_connections(worker, cell_worker.entry.address):
             rejected = PollFailure.REJECTED
-            self._schedule_poll_outcome(
-                owner, boot, self.latency_ms, lambda: self._handle_failure(owner, boot, rejected)
-            )
+            self.schedule(self.latency_ms, lambda: self._handle_failure(owner, boot, rejected))
             return
         if worker.is_silent:
             failure = PollFailure.UNANSWERED
-            self._schedule_poll_outcome(
-                owner, boot, CONNECT_TIMEOUT_MS, lambda: self._handle_failure(owner, boot, failure)
-            )
+            self.schedule(CONNECT_TIMEOUT_MS, lambda: self._handle_failure(owner, boot, failure))
             return
         if not worker.is_up or worker.is_isolated:
             return
         answer = worker.poll_inventory(owner.epoch, cell_worker.ack_cursor, until)
-        self._schedule_poll_outcome(
+        self._schedule_inventory(
             owner,
             boot,
             self.latency_ms,
             lambda: self._handle_inventory_answer(owner, boot, answer, now),
         )
 
-    def _schedule_poll_outcome(
+    def _schedule_inventory(
         self, owner: Owner, boot: Boot, delay_ms: int, action: Callable[[], None]
     ) -> None:
-        """Deliver the outcome of a poll, but not before those of earlier polls of the boot.
+        """Deliver an inventory, but not before earlier ones of the boot.
 
-        The daemon has one poll of a boot open at a time, so that no outcome overtakes another.
+        The daemon has one poll of a boot open at a time, so that none overtakes another.
         """
         now = self.clock.now()
-        at = max(now + delay_ms, self._poll_outcomes_until.get((owner.epoch, boot), 0))
-        self._poll_outcomes_until[owner.epoch, boot] = at
+        at = max(now + delay_ms, self._inventories_until.get((owner.epoch, boot), 0))
+        self._inventories_until[owner.epoch, boot] = at
         self.schedule(at - now, action)
 
     def _ask_next_boot(self, owner: Owner, known: Worker) -> None:
