Revert the confirmation of the ownership by an append in each new generation

 confirm an owner in a new generation of the group only by an append of its epoch. That is later than the join, and while the store turns hosts away generations change all the time.

What it closed stays open: a cell that is assigned away and back between two joins. By reading no task can run twice by it, as the owner between has to fence or to wait for each worker first; the test stays and is known red.

--- a/packages/daemon/src/quetzallock_daemon/cells/owner.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/owner.py
@@ -116,8 +116,6 @@
         self._tickets: dict[int, tuple[Reply, int, int]] = {}
         self._last_ticket = 0
         self.ownership_confirmed_at = 0
-        self._confirmed_generation = epoch
-        self._unchecked: dict[int, int] = {}
         self.is_active = False
         self.is_stopped = False
         self.is_handing_over = False
@@ -129,41 +127,6 @@
             return False
         return self.is_ownership_confirmed(OWNERSHIP_VALID_MS)
 
-    def confirm_ownership(self, generation: int, sent_at: int) -> None:
-        """Process that the cell is assigned to this host in an answer to a call.
-
-        In a new generation of the group, another host may have owned the cell since the last call.
-        The ownership is then confirmed only once the journal has taken an append of this epoch.
-
-        Args:
-            generation: Generation of the group in the answer.
-            sent_at: Local ms at which the call was sent.
-        """
-        if generation == self._confirmed_generation:
-            self.ownership_confirmed_at = sent_at
-            return
-        if generation not in self._unchecked:
-            self.cell.batches.request_check(generation)
-        self._unchecked[generation] = sent_at
-        self.run_effects()
-
-    def _apply_check(self) -> None:
-        """Confirm the ownership, if the journal has taken an append that was to show it.
-
-        An append that was requested in a generation shows it for the earlier ones too. A later
-        generation does not void it: the group may change more often than a slow store appends.
-        """
-        checked = self.cell.batches.checked_generation
-        if checked <= self._confirmed_generation:
-            return
-        self._confirmed_generation = checked
-        self.ownership_confirmed_at = self._unchecked[checked]
-        self._unchecked = {
-            generation: sent_at
-            for generation, sent_at in self._unchecked.items()
-            if generation > checked
-        }
-
     def is_ownership_confirmed(self, within_ms: int) -> bool:
         """Return whether the store confirmed the ownership within the last `within_ms`."""
         return self.clock.now() - self.ownership_confirmed_at < within_ms
@@ -303,7 +266,6 @@
 
     def run_effects(self) -> None:
         """Run the cell's effects, and schedule placement and the next append where they are due."""
-        self._apply_check()
         for effect in self.cell.pop_effects():
             self._run_effect(effect)
         if self.cell.state.fenced:
