--- a/packages/daemon/src/quetzallock_daemon/cells/owner.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/owner.py
@@ -117,7 +117,7 @@
         self._last_ticket = 0
         self.ownership_confirmed_at = 0
         self._confirmed_generation = epoch
-        self._unchecked: dict[int, int] = {}
+        self._unchecked: tuple[int, int] | None = None
         self.is_active = False
         self.is_stopped = False
         self.is_handing_over = False
@@ -142,27 +142,20 @@
         if generation == self._confirmed_generation:
             self.ownership_confirmed_at = sent_at
             return
-        if generation not in self._unchecked:
+        if self._unchecked is None or self._unchecked[0] != generation:
             self.cell.batches.request_check(generation)
-        self._unchecked[generation] = sent_at
+        self._unchecked = (generation, sent_at)
         self.run_effects()
 
     def _apply_check(self) -> None:
-        """Confirm the ownership, if the journal has taken an append that was to show it.
-
-        An append that was requested in a generation shows it for the earlier ones too. A later
-        generation does not void it: the group may change more often than a slow store appends.
-        """
-        checked = self.cell.batches.checked_generation
-        if checked <= self._confirmed_generation:
+        """Confirm the ownership, if the journal has taken the append that was to show it."""
+        if self._unchecked is None:
             return
-        self._confirmed_generation = checked
-        self.ownership_confirmed_at = self._unchecked[checked]
-        self._unchecked = {
-            generation: sent_at
-            for generation, sent_at in self._unchecked.items()
-            if generation > checked
-        }
+        generation, sent_at = self._unchecked
+        if self.cell.batches.checked_generation == generation:
+            self._unchecked = None
+            self._confirmed_generation = generation
+            self.ownership_confirmed_at = sent_at
 
     def is_ownership_confirmed(self, within_ms: int) -> bool:
         """Return whether the store confirmed the ownership within the last `within_ms`."""
--- a/tests/daemon/test_confirmed_ownership.py
+++ b/tests/daemon/test_confirmed_ownership.py
@@ -22,7 +22,7 @@
 class SlowStore:
     """A store that takes `SLOW_APPEND_MS` for an append."""
 
-    def __init__(self, reactor: Any) -> None:
+    def __init__(self, reactor: Clock) -> None:
         self._reactor = reactor
 
     def append(self, *_: Any) -> "Deferred[None]":
