--- a/packages/core/src/quetzallock_core/cells/batches.py
+++ b/packages/core/src/quetzallock_core/cells/batches.py
@@ -18,8 +18,6 @@
 
 LEARNED_KEY: Final = "learned"
 OWNER_KEY: Final = "owner"
-OWNERSHIP_CHECK_KEY: Final = "check"
-"""Key that no record has; its deletion is an append without any other effect."""
 LEARNED_INTERVAL_MS: Final = 2_000
 """Minimum time between two records of the learned estimates."""
 
@@ -39,7 +37,6 @@
         ends_hand_over: The previous owner's hand-over record is deleted.
         workers: Workers whose records are written, the revisions of these records, and whether the
             leases may be renewed.
-        checked_generation: Generation of the group for which the append checks the ownership.
     """
 
     records: list[Persist] = field(default_factory=list)
@@ -50,7 +47,6 @@
     cursors: list[tuple[Worker, int]] = field(default_factory=list)
     ends_hand_over: bool = False
     workers: list[tuple[Worker, int, bool]] = field(default_factory=list)
-    checked_generation: int = 0
 
 
 class BatchMaker:
@@ -61,8 +57,6 @@
             started while it does, as the record must name all runs.
         unrecorded_owner: Record of the own process that is still to be written; None if there is
             none.
-        checked_generation: Newest generation of the group in which the journal has taken an append
-            that was requested by `request_check`.
     """
 
     def __init__(self, state: CellState) -> None:
@@ -75,8 +69,6 @@
         self._postponed: set[str] = set()
         self.has_hand_over = False
         self.unrecorded_owner: OwnerRecord | None = None
-        self._unchecked_generation = 0
-        self.checked_generation = 0
 
     def handle_restored(self, has_hand_over: bool) -> None:
         """Record that the journal was loaded."""
@@ -95,10 +87,6 @@
         """Delete the records of a job with the next batch."""
         self._deleted.append(job_id)
 
-    def request_check(self, generation: int) -> None:
-        """Let the next append show that no later owner has fenced the journal by then."""
-        self._unchecked_generation = generation
-
     def has_records(self) -> bool:
         """Return whether there are records to write."""
         state = self._state
@@ -112,7 +100,6 @@
             or state.dropped_workers
             or state.has_worker_changes
             or self._is_postponed_record_due()
-            or self._unchecked_generation
             or self._is_owner_due()
             or self._list_due_lapses()
             or self._state.unverified.list_unlisted_lapses()
@@ -133,13 +120,6 @@
             batch.records.append(Persist(OWNER_KEY, self.unrecorded_owner))
             self.unrecorded_owner = None
 
-    def _record_check(self, batch: Batch) -> None:
-        """Add a record without any effect, if the ownership is to be checked."""
-        if self._unchecked_generation:
-            batch.records.append(Persist(OWNERSHIP_CHECK_KEY, None))
-            batch.checked_generation = self._unchecked_generation
-            self._unchecked_generation = 0
-
     def pop_batch(self) -> Batch:
         """Return all records that wait to be written, for one atomic append."""
         state = self._state
@@ -162,7 +142,6 @@
         state.dropped_workers = []
         self._record_unverified(batch)
         self._record_owner(batch)
-        self._record_check(batch)
         self._record_workers(batch)
         for worker in state.workers.values():
             if worker.cursor > worker.durable_cursor:
@@ -336,7 +315,6 @@
         state = self._state
         if batch.ends_hand_over:
             self.has_hand_over = False
-        self.checked_generation = max(self.checked_generation, batch.checked_generation)
         for job in batch.stored_jobs:
             job.is_stored = True
             if job.spec.repetitions:
--- a/packages/daemon/src/quetzallock_daemon/cells/owner.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/owner.py
@@ -116,8 +116,6 @@
         self._tickets: dict[int, tuple[Reply, int, int]] = {}
         self._last_ticket = 0
         self.ownership_confirmed_at = 0
-        self._confirmed_generation = epoch
-        self._unchecked: tuple[int, int] | None = None
         self.is_active = False
         self.is_stopped = False
         self.is_handing_over = False
@@ -129,34 +127,6 @@
             return False
         return self.is_ownership_confirmed(OWNERSHIP_VALID_MS)
 
-    def confirm_ownership(self, generation: int, sent_at: int) -> None:
-        """Process that the cell is assigned to this host in an answer to a call.
-
-        In a new generation of the group, another host may have owned the cell since the last call.
-        The ownership is then confirmed only once the journal has taken an append of this epoch.
-
-        Args:
-            generation: Generation of the group in the answer.
-            sent_at: Local ms at which the call was sent.
-        """
-        if generation == self._confirmed_generation:
-            self.ownership_confirmed_at = sent_at
-            return
-        if self._unchecked is None or self._unchecked[0] != generation:
-            self.cell.batches.request_check(generation)
-        self._unchecked = (generation, sent_at)
-        self.run_effects()
-
-    def _apply_check(self) -> None:
-        """Confirm the ownership, if the journal has taken the append that was to show it."""
-        if self._unchecked is None:
-            return
-        generation, sent_at = self._unchecked
-        if self.cell.batches.checked_generation == generation:
-            self._unchecked = None
-            self._confirmed_generation = generation
-            self.ownership_confirmed_at = sent_at
-
     def is_ownership_confirmed(self, within_ms: int) -> bool:
         """Return whether the store confirmed the ownership within the last `within_ms`."""
         return self.clock.now() - self.ownership_confirmed_at < within_ms
@@ -296,7 +266,6 @@
 
     def run_effects(self) -> None:
         """Run the cell's effects, and schedule placement and the next append where they are due."""
-        self._apply_check()
         for effect in self.cell.pop_effects():
             self._run_effect(effect)
         if self.cell.state.fenced:
--- a/packages/daemon/src/quetzallock_daemon/cells/service.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/service.py
@@ -253,7 +253,7 @@
         for cell in list(self._owned):
             owner = self._owned[cell]
             if cell in assigned and not has_lapsed:
-                owner.confirm_ownership(membership.generation, sent_at)
+                owner.ownership_confirmed_at = sent_at
             elif cell in assigned:
                 self._stop_owner(owner, "membership had lapsed")
             else:
