--- a/packages/core/src/quetzallock_core/cells/batches.py
+++ b/packages/core/src/quetzallock_core/cells/batches.py
@@ -1,10 +1,12 @@
 """Collects records for the journal into batches, and applies them once they are durable."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
 from typing import Final
 
 from ..exceptions import CodecError
 from .const import OWNERSHIP_VALID_MS, UNVERIFIED_RECORD_AFTER_MS
+from .contents import HAND_OVER_KEY
 from .early_cancels import CancelCall
 from .job_records import list_interrupted
 from .jobs import Job
@@ -14,11 +16,8 @@
 from .unverified import UnverifiedWorker
 from .workers import Worker
 
-HAND_OVER_KEY: Final = "handover"
 LEARNED_KEY: Final = "learned"
 OWNER_KEY: Final = "owner"
-OWNERSHIP_CHECK_KEY: Final = "check"
-"""Key that no record has; its deletion is an append without any other effect."""
 LEARNED_INTERVAL_MS: Final = 2_000
 """Minimum time between two records of the learned estimates."""
 
@@ -38,7 +37,6 @@
         ends_hand_over: The previous owner's hand-over record is deleted.
         workers: Workers whose records are written, the revisions of these records, and whether the
             leases may be renewed.
-        checked_generation: Generation of the group for which the append checks the ownership.
     """
 
     records: list[Persist] = field(default_factory=list)
@@ -49,7 +47,6 @@
     cursors: list[tuple[Worker, int]] = field(default_factory=list)
     ends_hand_over: bool = False
     workers: list[tuple[Worker, int, bool]] = field(default_factory=list)
-    checked_generation: int = 0
 
 
 class BatchMaker:
@@ -60,8 +57,6 @@
             started while it does, as the record must name all runs.
         unrecorded_owner: Record of the own process that is still to be written; None if there is
             none.
-        checked_generation: Newest generation of the group in which the journal has taken an append
-            that was requested by `request_check`.
     """
 
     def __init__(self, state: CellState) -> None:
@@ -74,8 +69,6 @@
         self._postponed: set[str] = set()
         self.has_hand_over = False
         self.unrecorded_owner: OwnerRecord | None = None
-        self._unchecked_generation = 0
-        self.checked_generation = 0
 
     def handle_restored(self, has_hand_over: bool) -> None:
         """Record that the journal was loaded."""
@@ -94,10 +87,6 @@
         """Delete the records of a job with the next batch."""
         self._deleted.append(job_id)
 
-    def request_check(self, generation: int) -> None:
-        """Let the next append show that no later owner has fenced the journal by then."""
-        self._unchecked_generation = generation
-
     def has_records(self) -> bool:
         """Return whether there are records to write."""
         state = self._state
@@ -111,7 +100,6 @@
             or state.dropped_workers
             or state.has_worker_changes
             or self._is_postponed_record_due()
-            or self._unchecked_generation
             or self._is_owner_due()
             or self._list_due_lapses()
             or self._state.unverified.list_unlisted_lapses()
@@ -132,13 +120,6 @@
             batch.records.append(Persist(OWNER_KEY, self.unrecorded_owner))
             self.unrecorded_owner = None
 
-    def _record_check(self, batch: Batch) -> None:
-        """Add a record without any effect, if the ownership is to be checked."""
-        if self._unchecked_generation:
-            batch.records.append(Persist(OWNERSHIP_CHECK_KEY, None))
-            batch.checked_generation = self._unchecked_generation
-            self._unchecked_generation = 0
-
     def pop_batch(self) -> Batch:
         """Return all records that wait to be written, for one atomic append."""
         state = self._state
@@ -161,7 +142,6 @@
         state.dropped_workers = []
         self._record_unverified(batch)
         self._record_owner(batch)
-        self._record_check(batch)
         self._record_workers(batch)
         for worker in state.workers.values():
             if worker.cursor > worker.durable_cursor:
@@ -247,6 +227,7 @@
     def _record_unverified(self, batch: Batch) -> None:
         """Add records of when the leases of unverified workers have lapsed."""
         state = self._state
+        last_lapses = state.unverified.find_last_lapses()
         for unverified_worker in self._list_due_lapses():
             unverified_worker.is_lapse_recorded = True
             lapses_in_ms = unverified_worker.lapse_at - state.clock.now()
@@ -260,16 +241,22 @@
             if worker is not None and worker.entry.boot_ms == unverified_worker.record.boot_ms:
                 state.suspend_lease(worker)
                 continue
-            self._record_lapse(unverified_worker, batch)
+            self._record_lapse(unverified_worker, last_lapses, batch)
         for unverified_worker in state.unverified.list_unlisted_lapses():
-            self._record_lapse(unverified_worker, batch)
+            self._record_lapse(unverified_worker, last_lapses, batch)
 
-    def _record_lapse(self, unverified_worker: UnverifiedWorker, batch: Batch) -> None:
-        """Add the record of when the lease of a boot without an entry has lapsed."""
+    def _record_lapse(
+        self, unverified_worker: UnverifiedWorker, last_lapses: Mapping[str, int], batch: Batch
+    ) -> None:
+        """Add the record of when the lease of a boot without an entry has lapsed.
+
+        The journal has one record of a worker, so it names the time at which the leases of all its
+        unverified boots have lapsed, whichever of them it names.
+        """
         state = self._state
         unverified_worker.is_lapse_handed_over = False
         unverified_worker.is_hidden = False
-        lapse_at = unverified_worker.lapse_at
+        lapse_at = last_lapses[unverified_worker.record.worker]
         record = replace(
             unverified_worker.record,
             lapsed_by=state.unverified.make_clock_references(lapse_at),
@@ -328,7 +315,6 @@
         state = self._state
         if batch.ends_hand_over:
             self.has_hand_over = False
-        self.checked_generation = max(self.checked_generation, batch.checked_generation)
         for job in batch.stored_jobs:
             job.is_stored = True
             if job.spec.repetitions:
--- a/packages/core/src/quetzallock_core/cells/contents.py
+++ b/packages/core/src/quetzallock_core/cells/contents.py
@@ -1,7 +1,8 @@
 """Decodes the journal of a cell into typed records."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
+from typing import Final
 
 from ..codec import decode
 from ..exceptions import CodecError
@@ -16,6 +17,9 @@
     WorkerRecord,
 )
 
+HAND_OVER_KEY: Final = "handover"
+_WORKER_PREFIX: Final = "worker/"
+
 
 @dataclass(slots=True)
 class Contents:
@@ -41,6 +45,14 @@
     owner: OwnerRecord | None = None
     unreadable: list[str] = field(default_factory=list)
 
+    @property
+    def has_hand_over(self) -> bool:
+        """Whether the journal holds a hand-over record, perhaps one of a later version.
+
+        It is to be deleted before the next start: it no longer names all runs then.
+        """
+        return self.hand_over is not None or HAND_OVER_KEY in self.unreadable
+
 
 def read_contents(rows: Mapping[str, bytes]) -> Contents:
     """Return the records in `rows`, which has the newest value of each key of a journal."""
@@ -52,9 +64,19 @@
             contents.unreadable.append(key)
             continue
         _add(contents, key, record)
+    contents.workers += _make_unknown_boots(contents.unreadable)
     return contents
 
 
+def _make_unknown_boots(unreadable: Iterable[str]) -> list[WorkerRecord]:
+    """Return records of the workers whose own cannot be read, which may run tasks all the same."""
+    return [
+        WorkerRecord(key.removeprefix(_WORKER_PREFIX), "", boot_ms=0)
+        for key in unreadable
+        if key.startswith(_WORKER_PREFIX)
+    ]
+
+
 def _add(contents: Contents, key: str, record: object) -> None:
     if isinstance(record, JobRecord):
         contents.jobs[record.spec.job] = record
--- a/packages/core/src/quetzallock_core/cells/inventory.py
+++ b/packages/core/src/quetzallock_core/cells/inventory.py
@@ -1,5 +1,6 @@
 """Processes workers' inventories."""
 
+from .boots import handle_other_boot
 from .const import DEFAULT_DURATION_MS, STALL_TIMEOUT_MS
 from .jobs import Job, Run, Task, parse_task_name
 from .models import Boot, EndRow, Inventory, RunningRow
@@ -40,7 +41,7 @@
         if worker is None:
             return False
         if inventory.boot_ms != worker.entry.boot_ms:
-            state.handle_other_boot(worker, inventory.boot_ms, worker.polled_address)
+            handle_other_boot(state, worker, inventory.boot_ms, worker.polled_address)
             return False
         now = state.clock.now()
         is_first = worker.inventory_at < 0
@@ -200,10 +201,12 @@
 
         A run whose start or stop order is unanswered is kept until the lease in the start order has
         ended, as that order may still arrive. After an answer the order of the calls decides, as a
-        worker may make the lists before it carries the order out, and read its clock later.
+        worker may make the lists before it carries the order out, and read its clock later. So the
+        lease must have ended when the lists were asked for, which is the earliest that they tell.
         """
         is_asked_after_answer = run.is_answered and asked_at > run.answered_at
-        is_late = run.state != "running" and run.until_ms and clock_ms > run.until_ms
+        earliest_clock_ms = clock_ms - (self._state.clock.now() - asked_at)
+        is_late = run.state != "running" and run.until_ms and earliest_clock_ms > run.until_ms
         if not (run.is_listed or is_asked_after_answer or is_late):
             return False
         state = self._state
--- a/packages/core/src/quetzallock_core/cells/workers.py
+++ b/packages/core/src/quetzallock_core/cells/workers.py
@@ -261,7 +261,7 @@
         """
         if entry.boot_ms == self.next_boot_ms or self.contact_at < 0:
             return True
-        return not self.runs and not self.is_reachable(now)
+        return not self.runs and (self.unanswered_since >= 0 or not self.is_reachable(now))
 
     def is_next_boot(self, boot_ms: int, address: str) -> bool:
         """Return whether an answer of another boot at an address proves that this one is over.
@@ -271,7 +271,14 @@
         """
         if not boot_ms or boot_ms == self.entry.boot_ms:
             return False
-        return address == self.answered_address or boot_ms > self.entry.boot_ms
+        return self.has_answered_at(address) or boot_ms > self.entry.boot_ms
+
+    def has_answered_at(self, address: str) -> bool:
+        """Return whether this boot is known to have answered at an address.
+
+        Neither address is known of a boot that was dropped and listed again before its next poll.
+        """
+        return bool(address) and address == self.answered_address
 
     @property
     def must_ask_next_boot(self) -> bool:
--- a/packages/standins/src/quetzallock_standins/emulator/cluster.py
+++ b/packages/standins/src/quetzallock_standins/emulator/cluster.py
@@ -100,6 +100,7 @@
         self._event_number = 0
         self._ticket = 0
         self._cancelled_jobs: dict[int, str] = {}
+        self._inventories_until: dict[tuple[int, Boot], int] = {}
         self._capacity = capacity or Resources(16_000, 64_000, 0)
         self._data_centres = data_centres
         self.planned_hand_overs = 0
@@ -249,9 +250,10 @@
             self._ask_next_boot(owner, cell_worker)
         until = cell_worker.renew_lease(self.bounds.lease_ms, now)
         if self._is_misdirected(worker, cell_worker.entry.address):
+            misdirected = Answer("other boot", 0)
             self.schedule(
                 self.latency_ms,
-                lambda: self._handle_inventory_answer(owner, boot, Answer("other boot", 0), now),
+                lambda: self._handle_inventory_answer(owner, boot, misdirected, now),
             )
             return
         if _rejects_connections(worker, cell_worker.entry.address):
@@ -265,10 +267,25 @@
         if not worker.is_up or worker.is_isolated:
             return
         answer = worker.poll_inventory(owner.epoch, cell_worker.ack_cursor, until)
-        self.schedule(
-            self.latency_ms, lambda: self._handle_inventory_answer(owner, boot, answer, now)
+        self._schedule_inventory(
+            owner,
+            boot,
+            self.latency_ms,
+            lambda: self._handle_inventory_answer(owner, boot, answer, now),
         )
 
+    def _schedule_inventory(
+        self, owner: Owner, boot: Boot, delay_ms: int, action: Callable[[], None]
+    ) -> None:
+        """Deliver an inventory, but not before earlier ones of the boot.
+
+        The daemon has one poll of a boot open at a time, so that none overtakes another.
+        """
+        now = self.clock.now()
+        at = max(now + delay_ms, self._inventories_until.get((owner.epoch, boot), 0))
+        self._inventories_until[owner.epoch, boot] = at
+        self.schedule(at - now, action)
+
     def _ask_next_boot(self, owner: Owner, known: Worker) -> None:
         """Poll the worker at the address in the list's entry of another boot of it."""
         worker, entry = self.workers[known.id], known.next_entry
