--- a/review/lab-2/standin.py
+++ b/review/lab-2/standin.py
@@ -136,7 +136,8 @@
         quota = -(-PARTS // len(names))
         count = dict.fromkeys(names, 0)
         wanted: dict[int, str] = {}
-        for part, name in self.wanted.items():
+        # A joining member gets the first partitions of the others, so that the last ones stay.
+        for part, name in sorted(self.wanted.items(), reverse=True):
             if name in count and count[name] < quota:
                 wanted[part] = name
                 count[name] += 1
