--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,104 +1,138 @@
-"""The owner's process is killed and starts again; the other daemons do not reach it any more."""
+"""An order for a boot that is over gives the worker's next boot a longer lease than is known."""
 
-import asyncio
-import signal
+import os
 import sys
+import time
 from pathlib import Path
+from typing import Any
 
-FOLDER = Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / "lab-2"))
-
-from lab import PREFIX, Lab, run  # noqa: E402
-
-DAEMONS = 6
-JOBS = 18
-EACH_S = 0.23
-RESTART_S = 0.1
-SETTLE_S = 4.0
-MAX_KILLS = 3
-"""A process is killed again where the store has given its cell to another host."""
-
-CALM_S = 12.0
-ACK_S = 4.0
-STOP_S = 0.4
-CANCELS = 5
-
-
-def make_id(number: int) -> str:
-    return f"{number:016x}"
-
-
-async def ask(lab: Lab, number: int, stopped: asyncio.Event) -> None:
-    """Ask one daemon for the states of jobs, four times a second, as requesters do on a quiet day."""
-    calls = set()
-    count = 0
-    while not stopped.is_set():
-        job = make_id(CANCELS + (count + number) % (JOBS - CANCELS))
-        call = asyncio.create_task(lab.state(job, number))
-        calls.add(call)
-        call.add_done_callback(calls.discard)
-        count += 1
-        await asyncio.sleep(EACH_S)
-    await asyncio.gather(*calls)
-
-
-async def cancel(lab: Lab, number: int, daemons: list[int]) -> float:
-    """Cancel a job, again until it is acknowledged; return the time of the first send."""
-    first = lab.now()
-    for daemon in daemons:
-        front = lab.daemons[daemon].front
-        status, _ = await lab.call(front, "DELETE", PREFIX + make_id(number))
-        if status in (200, 410):
-            break
-    return first
-
-
-async def case(lab: Lab, trouble: bool) -> str:
-    workers = [(f"w{n}", ["a", f"r1-{1 + n % 2}"], 16_000) for n in range(10)]
-    await lab.start(workers, DAEMONS)
-    step = {"count": 1, "cpu": 1_000, "memMb": 100, "longRunning": True}
-    for number in range(JOBS):
-        assert await lab.submit(make_id(number), {"spec": "cpu=1000", "steps": [step]}) == 200
-    stopped = asyncio.Event()
-    asking = [asyncio.create_task(ask(lab, number, stopped)) for number in range(DAEMONS)]
-    await asyncio.sleep(4.0)
-    owner = lab.find_owner()
-    for _ in range(MAX_KILLS if trouble else 0):
-        owner = lab.find_owner()
-        lab.log("lab", "kill", daemon=owner.name)
-        owner.send(signal.SIGKILL)
-        await asyncio.sleep(RESTART_S)
-        owner.start()
-        await asyncio.sleep(SETTLE_S)
-        if lab.find_owner() is owner:
-            break
-    await asyncio.sleep(CALM_S)
-    others = [number for number in range(DAEMONS) if lab.daemons[number] is not owner]
-    cancels = [
-        asyncio.create_task(cancel(lab, number, others[number:] + others[:number]))
-        for number in range(CANCELS)
-    ]
-    await asyncio.sleep(ACK_S + STOP_S + 0.6)
-    running = {task for worker in lab.workers.values() for task in worker.runs}
-    going_on = [number for number in range(CANCELS) if f"{make_id(number)}.0.0.0" in running]
-    lab.log("lab", "cancelled", going_on=going_on, owner=lab.find_owner().name)
-    stopped.set()
-    await asyncio.gather(*asking, *cancels)
-    answers = [
-        line["status"]
-        for line in lab.lines
-        if line["event"] == "answer" and line["method"] == "GET"
-        and float(str(line["sent"])) > lab.now() - 8
-    ]
-    served = sum(status == 200 for status in answers) / max(1, len(answers))
-    lab.log("lab", "served at the end", share=round(served, 3), of=len(answers))
-    if going_on:
-        return (
-            f"UNASKED: tasks of {len(going_on)} of {CANCELS} jobs run on {ACK_S + STOP_S} s after"
-            f" their cancels were sent; {served:.0%} of the last requests are served"
-        )
-    return ""
-
-
-if __name__ == "__main__":
-    run(case, FOLDER, 110)
+sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lab-3"))
+from lab import SERVER, Lab, LabError, call, has_trouble, run_case  # noqa: E402
+
+CASE = Path(__file__).resolve().parent
+WORKERS = 24
+DISTURBED = ("w3", "w9", "w15")
+DOWN_S = 0.8
+CUT_S = 5.5
+HAS_CUT = os.environ.get("CUT", "1") != "0"
+"""Without it the workers crash and start again all the same."""
+
+BOUNDS = (
+    "contactMs = 3000\nackMs = 4000\ndrainMs = 2000\ngraceS = 6\nlossSlackMs = 200\n"
+    "configApplyMs = 2000\nholdMaxMs = 10000\nstopMs = 200\ngangMs = 3000\ncancel_ms = 3000\n"
+    "visible_ms = 3000\nearly_ms = 250\nfinish_s = 14\nstatus_s = 120\nremoteFactor = 2.0\n"
+    "harmMs = 4000\n"
+)
+SERVER_COMMAND = [str(SERVER), f"--workers={WORKERS}", "--max-lease-ms=10000", "--stop-ms=200"]
+
+
+def submit_lasting(lab: Lab, first: int, count: int) -> int:
+    """Submit `count` jobs, numbered from `first` on, and return the next number."""
+    for number in range(first, first + count):
+        step = {"count": 6, "cpu": 3100, "memMb": 6400, "estimateMs": 400, "longRunning": True}
+        body = {"spec": "lasts 3100", "steps": [step]}
+        status, _ = lab.call_host(number % 3, "POST", f"/jobs/{number:016x}", body)
+        if status != 200:
+            raise LabError(f"job {number} was not accepted: {status}")
+    return first + count
+
+
+class Flow:
+    """Submits jobs of short tasks, so that each worker gets orders all the time."""
+
+    def __init__(self, lab: Lab) -> None:
+        self._lab = lab
+        self._number = 1_000
+
+    def submit_wide(self) -> None:
+        """Submit a job whose tasks fill most of the workers' room for a moment."""
+        step = {"count": 300, "cpu": 1000, "memMb": 64, "estimateMs": 150}
+        body = {"spec": "150 1000", "steps": [step]}
+        self._lab.call_host(0, "POST", f"/jobs/{900:016x}", body)
+
+    def run(self, seconds: float) -> None:
+        until = time.monotonic() + seconds
+        while time.monotonic() < until:
+            self._number += 1
+            step = {"count": 24, "cpu": 200, "memMb": 64, "estimateMs": 150}
+            body = {"spec": "150 200", "steps": [step]}
+            url = self._lab.hosts[self._number % 3].url(f"/jobs/{self._number:016x}")
+            call(url, "POST", body)
+            time.sleep(0.02)
+
+
+def count_running(lab: Lab, worker: str, record: dict[str, Any]) -> int:
+    ended = {(task, run) for _, task, run, _ in record["ends"]}
+    return sum(w == worker and (t, r) not in ended for _, t, r, w in record["starts"])
+
+
+def find_overlaps(record: dict[str, Any]) -> list[str]:
+    ends = {(task, run): (at, how) for at, task, run, how in record["ends"]}
+    runs: dict[str, list[tuple[int, int, int, str, str]]] = {}
+    for at, task, run, worker in record["starts"]:
+        end, how = ends.get((task, run), (1 << 60, "running"))
+        runs.setdefault(task, []).append((at, end, run, worker, how))
+    rows = []
+    for task, found in runs.items():
+        found.sort()
+        for first, second in zip(found, found[1:]):
+            if second[0] < first[1]:
+                rows.append(
+                    f"{task}: run {first[2]} on {first[3]} from {first[0]} to {first[1]} "
+                    f"({first[4]}), run {second[2]} on {second[3]} from {second[0]}: together for "
+                    f"{min(first[1], second[1]) - second[0]} ms"
+                )
+    return rows
+
+
+def play() -> bool:
+    lab = Lab(CASE, 3, SERVER_COMMAND, BOUNDS)
+    try:
+        lab.record(f"clock of the stand-in at 0: {lab.started_at}")
+        number = submit_lasting(lab, 1, 5)
+        lab.wait_for(lambda: len(lab.command("record")["live"]) >= 30, 15, "all tasks run")
+        flow = Flow(lab)
+        flow.run(3.0)
+        if has_trouble():
+            for worker in DISTURBED:
+                lab.command("crash", worker)
+            lab.record(f"{DISTURBED} crash")
+            flow.run(DOWN_S)
+            for worker in DISTURBED:
+                lab.command("revive", worker)
+            lab.record("they are up again under the same ids")
+        else:
+            flow.run(DOWN_S)
+        flow.submit_wide()
+        flow.run(0.6)
+        submit_lasting(lab, number, 10)
+        time.sleep(1.6)
+        if has_trouble():
+            record = lab.command("record")
+            for worker in DISTURBED:
+                lab.record(f"{worker} runs {count_running(lab, worker, record)} tasks")
+            for worker in DISTURBED:
+                if HAS_CUT:
+                    lab.command("cut", worker, "on")
+            lab.record("they are cut off")
+            time.sleep(CUT_S)
+            for worker in DISTURBED:
+                lab.command("cut", worker, "off")
+            lab.record("the cut is over")
+        time.sleep(8.0)
+        record = lab.command("record")
+        for row in lab.command("log")["log"]:
+            lab.record(f"worker: {row}")
+        for at, task, run, worker in record["starts"]:
+            lab.record(f"start at {at}: {task} run {run} on {worker}")
+        for at, task, run, how in record["ends"]:
+            lab.record(f"end at {at}: {task} run {run} {how}")
+        overlaps = find_overlaps(record)
+        for row in overlaps:
+            lab.record(f"TWICE: {row}")
+        return not overlaps
+    finally:
+        lab.close()
+
+
+run_case(play)
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,69 +1,84 @@
-"""After 100,000 starts under one owner, the next one numbers runs below those that workers know."""
+"""A job of many steps keeps each owner busy for longer than it may hold the cell."""
 
-import asyncio
+import json
 import sys
+import time
 from pathlib import Path
+from typing import Any
 
-FOLDER = Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / "lab-2"))
+sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lab-3"))
+from lab import SERVER, Lab, LabError, has_trouble, run_case  # noqa: E402
 
-from lab import PREFIX, CannotRunError, Lab, run  # noqa: E402
+CASE = Path(__file__).resolve().parent
+ACCEPTED = 6
+TASKS = 4
+OBSERVED_S = 45.0
+RETURN_MS = 6_000 + 3_000
+"""A task that lasts is to run again 6 s after its last run, and 3 s more are tolerated."""
+BOUNDS = (
+    "contactMs = 3000\nackMs = 4000\ndrainMs = 2000\ngraceS = 6\nlossSlackMs = 200\n"
+    "configApplyMs = 2000\nholdMaxMs = 10000\nstopMs = 200\ngangMs = 3000\ncancel_ms = 3000\n"
+    "visible_ms = 3000\nearly_ms = 250\nfinish_s = 14\nstatus_s = 120\nremoteFactor = 2.0\n"
+    "harmMs = 4000\n"
+)
+SERVER_COMMAND = [str(SERVER), "--workers=24", "--max-lease-ms=10000", "--stop-ms=200"]
 
-MANY = "00000000000000a{0}"
-WATCHED = "00000000000000b1"
-TASK = WATCHED + ".0.0.0"
-STARTS = 104_000
-AWAY_LIMIT_S = 6.0 + 3.0
 
+def find_absences(record: dict[str, Any], until: int) -> list[str]:
+    """Return each task that lasts and was away for too long, with all workers up."""
+    rows = []
+    for job in range(1, ACCEPTED + 1):
+        for index in range(TASKS):
+            task = f"{job:016x}.0.0.{index}"
+            starts = sorted(at for at, name, _, _ in record["starts"] if name == task)
+            ends = sorted((at, how) for at, name, _, how in record["ends"] if name == task)
+            for at, how in ends:
+                again = min((start for start in starts if start >= at), default=until)
+                if again - at > RETURN_MS:
+                    rows.append(f"{task} has {how} at {at} and is away for {again - at} ms")
+    return rows
 
-def is_at_work(lab: Lab) -> bool:
-    return any(TASK in worker.runs for worker in lab.workers.values() if worker.is_up)
 
+def play() -> bool:
+    lab = Lab(CASE, 3, SERVER_COMMAND, BOUNDS)
+    try:
+        lab.record(f"clock of the stand-in at 0: {lab.started_at}")
+        for number in range(1, ACCEPTED + 1):
+            step = {"count": TASKS, "cpu": 500, "memMb": 256, "longRunning": True}
+            body = {"spec": "lasts 500", "steps": [step]}
+            if lab.call_host(number % 3, "POST", f"/jobs/{number:016x}", body)[0] != 200:
+                raise LabError(f"job {number} was not accepted")
+        total = ACCEPTED * TASKS
+        lab.wait_for(lambda: len(lab.command("record")["live"]) == total, 10, "all tasks run")
+        lab.record(f"the {total} tasks of {ACCEPTED} jobs run, on 5 % of the workers' room")
+        steps = [{"count": 1, "cpu": 500}] * (2_500 if has_trouble() else 5)
+        data = json.dumps({"spec": "50 500", "steps": steps}, separators=(",", ":")).encode()
+        lab.call_host(1, "POST", f"/jobs/{100:016x}", data)
+        begun = time.monotonic()
+        asked = answered = 0
+        while time.monotonic() - begun < OBSERVED_S:
+            number = 1 + asked % ACCEPTED
+            status, _ = lab.call_host(asked % 3, "GET", f"/jobs/{number:016x}")
+            asked += 1
+            answered += status == 200
+            live = lab.command("record")["live"]
+            kept = sum(int(task.partition(".")[0], 16) <= ACCEPTED for task in live)
+            lab.record(f"{kept} of {total} tasks that last run, {len(live) - kept} others")
+            time.sleep(0.5)
+        lab.record(f"{answered} of {asked} questions for the state of accepted jobs are answered")
+        absences = find_absences(lab.command("record"), int(time.monotonic() * 1_000))
+        for row in absences:
+            lab.record(f"LOST: {row}")
+        dead = [host.name for host in lab.hosts if host.process and host.process.poll() is not None]
+        lab.record(f"processes that have ended by themselves: {dead}")
+        for host in lab.hosts:
+            for row in host.read_events("owner.load"):
+                if row["interval_ms"] > 3_000:
+                    busy = row["busy_ms"]["placement"]
+                    lab.record(f"{host.name}: {busy} of {row['interval_ms']} ms in placement")
+        return not absences and answered == asked
+    finally:
+        lab.close()
 
-async def make_many_starts(lab: Lab) -> None:
-    """Let the owner start many tasks: long-running ones that end soon after each start."""
-    step = {"count": 40, "cpu": 100, "memMb": 1, "longRunning": True}
-    jobs = [MANY.format(number) for number in range(10)]
-    for job in jobs:
-        lab.counted_jobs[job] = {}
-    for job in jobs:
-        assert await lab.submit(job, {"spec": "cpu=100 ms=1", "steps": [step]}) == 200
-    until = lab.now() + 80
-    while sum(counts.get("start", 0) for counts in lab.counted_jobs.values()) < STARTS:
-        if lab.now() > until:
-            raise CannotRunError("too few starts in the time")
-        await asyncio.sleep(0.2)
-    for job in jobs:
-        status, _ = await lab.call(lab.daemons[0].front, "DELETE", PREFIX + job)
-        assert status == 200
-    lab.log("lab", "many starts", counts=lab.counted_jobs)
 
-
-async def case(lab: Lab, trouble: bool) -> str:
-    workers = [("w0", ["b", "r1-1"], 64_000)]
-    workers += [(f"w{n}", ["a", f"r1-{1 + n % 2}"], 64_000) for n in range(1, 10)]
-    await lab.start(workers)
-    # The owner gets its cell in the newest generation of the group, with and without the trouble.
-    lab.store.reassign_all()
-    await asyncio.sleep(3.0)
-    await make_many_starts(lab)
-    step = {"count": 1, "cpu": 100, "memMb": 1, "longRunning": True, "requirements": "b"}
-    assert await lab.submit(WATCHED, {"spec": "cpu=100", "steps": [step]}) == 200
-    await asyncio.sleep(2.0)
-    if trouble:
-        lab.store.reassign_all()
-    await asyncio.sleep(8.0)
-    if not is_at_work(lab):
-        raise CannotRunError("the task is not at work before its end")
-    lab.workers["w0"].fail(TASK)
-    ended = lab.now()
-    while lab.now() < ended + AWAY_LIMIT_S:
-        await asyncio.sleep(0.1)
-        if is_at_work(lab):
-            return ""
-    state = await lab.state(WATCHED)
-    return f"LOST: {TASK} has not run for {AWAY_LIMIT_S} s after its last run; the job is {state}"
-
-
-if __name__ == "__main__":
-    run(case, FOLDER, 115)
+run_case(play)
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,9 +1,11 @@
 #!/bin/sh
-# Checks the stand-ins that the scripts of the cases start; they need Python 3.11 and nothing else.
+# Checks the stand-ins that the scripts of the cases start. Those of review/lab-2 need Python 3.11 and nothing
+# else; that of review/lab-3 also needs what the build of the deploy file has put under target/deps.
 set -eu
 cd "$(dirname "$0")"
-for file in lab-2/standin.py lab-2/lab.py 6/case.py 7/case.py 8/case.py 9/case.py 10/case.py; do
-    [ -f "$file" ] || continue
+python3 -c 'import sys; sys.exit(sys.version_info < (3, 11))'
+for file in lab-2/*.py lab-3/*.py [6-9]/case.py tried-2/*.py tried-2/*/case.py; do
     python3 -c 'import sys; compile(open(sys.argv[1]).read(), sys.argv[1], "exec")' "$file"
 done
-python3 -c 'import sys; sys.exit(sys.version_info < (3, 11))'
+PYTHONPATH=../target/deps:../packages/standins/src PYTHONDONTWRITEBYTECODE=1 \
+    python3 -c 'import sys; sys.path.insert(0, "lab-3"); import standin'
--- a/review/lab-3/standin.py
+++ b/review/lab-3/standin.py
@@ -1,7 +1,8 @@
-"""Stand-in for the platform of the third lab: the project's own, with three additions.
+"""Stand-in for the platform: the project's own, with additions.
 
-Workers grant leases of up to `--max-lease-ms`; a cut drops what arrives and what waits; a poll or a start order can be left without an answer and carried out later, by whatever boot the worker
-then has.
+Workers have been up for some minutes and grant leases of up to `--max-lease-ms`. A worker that is down
+resets connections. A cut drops what arrives and what waits. A poll or a start order can be left without an
+answer and carried out later, by whatever boot the worker then has. The store rejects what is too large.
 """
 
 import json
@@ -18,6 +19,9 @@
 UPTIME_MS = 480_000.0
 """Clock of the workers at the start: they have been up for some minutes."""
 
+NEW_BOOT_MS = 600
+"""Clock up to which the start orders that a boot receives are logged."""
+
 RECORD_BYTES = 262_144
 CALL_BYTES = 2_097_152
 """Limits of an append, as in the settings."""
@@ -38,10 +42,17 @@
 
 
 class LabWorkerRequest(server.WorkerRequest):
-    """A call to a worker, which a cut keeps from being answered."""
+    """A call to a worker: a cut keeps it from being answered, and one that is down resets it."""
 
     def process(self) -> None:
         worker = self.subject
+        if not worker.is_up:
+            self.loseConnection()
+            return
+        if self.path == b"/run-start" and worker.clock_ms < NEW_BOOT_MS:
+            until = self.read_json()["untilMs"]
+            self.content.seek(0)
+            _log_event("start at a new boot", worker, until=until)
         if self.path == b"/run-start" and worker.is_up and worker.id in _late_starts:
             body = self.read_json()
             self.standin.behaviours.add_task(body["task"], body["spec"])
--- a/review/10/case.py
+++ b/review/tried-2/gang/case.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / "lab-2"))
+sys.path.insert(0, str(FOLDER.parent.parent / "lab-2"))
 
 from lab import Lab, run  # noqa: E402
 
--- a/review/11/case.py
+++ b/review/tried-2/late-start/case.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 from typing import Any
 
-sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lab-3"))
+sys.path.insert(0, str(Path(__file__).resolve().parents[2] / "lab-3"))
 from lab import SERVER, Lab, LabError, has_trouble, run_case  # noqa: E402
 
 CASE = Path(__file__).resolve().parent
