--- a/review/6/case.py
+++ b/review/6/case.py
@@ -7,16 +7,24 @@
 from typing import Any
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lab-3"))
-from lab import SERVER, Lab, LabError, call, has_trouble, run_case  # noqa: E402
+from lab import SERVER, Lab, LabError, has_trouble, run_case  # noqa: E402
 
 CASE = Path(__file__).resolve().parent
 WORKERS = 24
 DISTURBED = ("w3", "w9", "w15")
 DOWN_S = 0.8
 CUT_S = 5.5
+CUT_AFTER_S = 3.0
+SETTLED_S = 2.3
+MAX_LATER_JOBS = 12
+"""Jobs submitted until each of the workers runs a task that lasts again."""
+
 HAS_CUT = os.environ.get("CUT", "1") != "0"
 """Without it the workers crash and start again all the same."""
 
+FIRST_SHORT = 900
+"""Number of the first job of short tasks."""
+
 BOUNDS = (
     "contactMs = 3000\nackMs = 4000\ndrainMs = 2000\ngraceS = 6\nlossSlackMs = 200\n"
     "configApplyMs = 2000\nholdMaxMs = 10000\nstopMs = 200\ngangMs = 3000\ncancel_ms = 3000\n"
@@ -42,13 +50,13 @@
 
     def __init__(self, lab: Lab) -> None:
         self._lab = lab
-        self._number = 1_000
+        self._number = FIRST_SHORT
 
     def submit_wide(self) -> None:
         """Submit a job whose tasks fill most of the workers' room for a moment."""
         step = {"count": 300, "cpu": 1000, "memMb": 64, "estimateMs": 150}
         body = {"spec": "150 1000", "steps": [step]}
-        self._lab.call_host(0, "POST", f"/jobs/{900:016x}", body)
+        self._lab.call_host(0, "POST", f"/jobs/{FIRST_SHORT:016x}", body)
 
     def run(self, seconds: float) -> None:
         until = time.monotonic() + seconds
@@ -56,14 +64,17 @@
             self._number += 1
             step = {"count": 24, "cpu": 200, "memMb": 64, "estimateMs": 150}
             body = {"spec": "150 200", "steps": [step]}
-            url = self._lab.hosts[self._number % 3].url(f"/jobs/{self._number:016x}")
-            call(url, "POST", body)
+            self._lab.call_host(self._number % 3, "POST", f"/jobs/{self._number:016x}", body)
             time.sleep(0.02)
 
 
 def count_running(lab: Lab, worker: str, record: dict[str, Any]) -> int:
+    """Return how many tasks that last a worker runs."""
     ended = {(task, run) for _, task, run, _ in record["ends"]}
-    return sum(w == worker and (t, r) not in ended for _, t, r, w in record["starts"])
+    return sum(
+        w == worker and (t, r) not in ended and int(t.partition(".")[0], 16) < FIRST_SHORT
+        for _, t, r, w in record["starts"]
+    )
 
 
 def find_overlaps(record: dict[str, Any]) -> list[str]:
@@ -103,14 +114,23 @@
             lab.record("they are up again under the same ids")
         else:
             flow.run(DOWN_S)
+        back = time.monotonic()
         flow.submit_wide()
-        flow.run(0.6)
-        submit_lasting(lab, number, 10)
-        time.sleep(1.6)
+        flow.run(0.3)
+        time.sleep(0.7)
+        for _ in range(MAX_LATER_JOBS):
+            number = submit_lasting(lab, number, 1)
+            time.sleep(0.05)
+            record = lab.command("record")
+            if all(count_running(lab, worker, record) for worker in DISTURBED):
+                break
+            if time.monotonic() > back + SETTLED_S:
+                break
+        time.sleep(max(0.0, back + CUT_AFTER_S - time.monotonic()))
         if has_trouble():
             record = lab.command("record")
             for worker in DISTURBED:
-                lab.record(f"{worker} runs {count_running(lab, worker, record)} tasks")
+                lab.record(f"{worker} runs {count_running(lab, worker, record)} tasks that last")
             for worker in DISTURBED:
                 if HAS_CUT:
                     lab.command("cut", worker, "on")
@@ -123,10 +143,7 @@
         record = lab.command("record")
         for row in lab.command("log")["log"]:
             lab.record(f"worker: {row}")
-        for at, task, run, worker in record["starts"]:
-            lab.record(f"start at {at}: {task} run {run} on {worker}")
-        for at, task, run, how in record["ends"]:
-            lab.record(f"end at {at}: {task} run {run} {how}")
+        lab.record_runs(record)
         overlaps = find_overlaps(record)
         for row in overlaps:
             lab.record(f"TWICE: {row}")
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -66,7 +66,9 @@
             lab.record(f"{kept} of {total} tasks that last run, {len(live) - kept} others")
             time.sleep(0.5)
         lab.record(f"{answered} of {asked} questions for the state of accepted jobs are answered")
-        absences = find_absences(lab.command("record"), int(time.monotonic() * 1_000))
+        record = lab.command("record")
+        lab.record_runs(record)
+        absences = find_absences(record, int(time.monotonic() * 1_000))
         for row in absences:
             lab.record(f"LOST: {row}")
         dead = [host.name for host in lab.hosts if host.process and host.process.poll() is not None]
--- a/review/lab-3/lab.py
+++ b/review/lab-3/lab.py
@@ -24,6 +24,9 @@
     """The case could not run."""
 
 
+urllib.request.install_opener(urllib.request.build_opener(urllib.request.ProxyHandler({})))
+
+
 def now_ms() -> int:
     return int(time.monotonic() * 1_000)
 
@@ -119,7 +122,7 @@
         ]
         try:
             self.wait_for(lambda: all(host.is_ready() for host in self.hosts), 20, "hosts are up")
-        except LabError:
+        except BaseException:
             self.close()
             raise
 
@@ -147,6 +150,14 @@
         self.record(f"{method} {path}{size} -> {status} {json.dumps(answer)[:160]}")
         return status, answer
 
+    def record_runs(self, record: dict[str, Any], first: int = 0, last: int = 1 << 64) -> None:
+        """Record the starts and ends of the tasks of the jobs from `first` to `last`."""
+        rows = [(at, f"start {task} run {run} on {w}", task) for at, task, run, w in record["starts"]]
+        rows += [(at, f"end {task} run {run} {how}", task) for at, task, run, how in record["ends"]]
+        for at, text, task in sorted(rows):
+            if first <= int(task.partition(".")[0], 16) <= last:
+                self.record(f"at {(at - self.started_at) / 1_000:.3f}: {text}")
+
     def close(self) -> None:
         for process in [*(host.process for host in self.hosts), self.server]:
             if process is not None and process.poll() is None:
@@ -164,11 +175,15 @@
 
 
 def run_case(play: Any) -> None:
-    """Exit with the status of a case; `play` returns whether the rule held."""
+    """Exit with the status of a case; `play` returns whether the rule held.
+
+    A script that is asked to stop, or that fails itself, ends its processes and could not run.
+    """
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_UNUSABLE))
     try:
         held = play()
-    except (LabError, OSError) as error:
-        print(f"the case could not run: {error}")
+    except Exception as error:
+        print(f"the case could not run: {error!r}")
         sys.exit(EXIT_UNUSABLE)
     print("the rule held" if held else "the rule was broken")
     sys.exit(EXIT_HELD if held else EXIT_BROKEN)
