Emulator: an end after which the lease has lapsed is not taken note of

The check "the task is already done" counted an end that was acknowledged after the worker's lease had lapsed since that end.

Ends without a lapse are judged as before.

--- a/packages/standins/src/quetzallock_standins/emulator/ground_truth.py
+++ b/packages/standins/src/quetzallock_standins/emulator/ground_truth.py
@@ -69,16 +69,19 @@
     ) -> None:
         """Record that the owner has acknowledged an end; its journal holds it by then.
 
+        An end as done is not taken note of, for good, if the lease has lapsed since.
+
         Args:
             task: The task.
             run: Number of its run.
             outcome: Its outcome.
             has_lapsed_since: The worker's lease has lapsed between the end and this.
         """
+        if outcome == "done" and has_lapsed_since:
+            return
         if outcome == "done":
             self._acknowledged_done.add(task)
-            if not has_lapsed_since:
-                self._check_started_again(task, run)
+            self._check_started_again(task, run)
         elif outcome == "failed":
             self._acknowledged_failures.setdefault(task, set()).add(run)
 
