Count the longest lease of workers that are back under their ids; tokens rise with boots

What callers saw: TWICE on the ledger.

Cause: orders meant for the former boot are carried out by the next one. They name the end of the lease by the former clock, far ahead of the new one, so the boot grants its longest lease (`holdMaxMs`, 10 s), where the owner counted 6 s from its own orders to this boot.

A clock that began anew in an answer stops further orders at once. A worker that did not restart is waited for as before (6 s, 9.27 s).

Why it works: a boot refuses lower tokens, whatever the call and however late; a lease can't be longer than the longest one counted from that first call.

--- a/packages/core/src/quetzallock_core/cells/answers.py
+++ b/packages/core/src/quetzallock_core/cells/answers.py
@@ -2,7 +2,7 @@
 
 from typing import Final
 
-from .boots import handle_misdirected
+from .boots import handle_clock_of_next_boot, handle_misdirected
 from .const import RETRY_PAUSE_MS
 from .inventory import mark_started
 from .jobs import Run
@@ -15,6 +15,10 @@
 OTHER_BOOT: Final = "other boot"
 """Outcome of an order that another boot of the worker, or another worker, has received."""
 
+_OUTCOMES_WITH_CLOCK: Final = ("ok", "old", "room")
+"""Outcomes of orders whose answers certainly have the worker's clock, and that a boot gives which
+has accepted the fencing token and the end of the lease."""
+
 CAPACITY_REFUSAL_PAUSE_MS: Final = 250
 """How long a worker gets no task after it has refused one for lack of free capacity."""
 
@@ -28,12 +32,12 @@
     def __init__(self, state: CellState) -> None:
         self._state = state
 
-    def handle_inventory_refusal(self, boot: Boot, outcome: str) -> None:
-        """Process the refusal of an inventory poll of `boot`."""
+    def handle_inventory_refusal(self, boot: Boot, fence: int, outcome: str) -> None:
+        """Process the refusal of an inventory poll of `boot` with the token `fence`."""
         self._state.log_decision("hold.refused", worker=boot[0], born=boot[1], reason=outcome)
         worker = self._state.find_boot(boot)
         if outcome == "fence":
-            self._state.fenced = True
+            self._handle_fence(boot[0], fence)
         if worker is None:
             return
         if outcome == OTHER_BOOT:
@@ -41,6 +45,17 @@
         else:
             worker.unanswered_since = -1
 
+    def _handle_fence(self, worker_id: str, fence: int) -> None:
+        """Process that a worker has seen a higher token than `fence`.
+
+        It is that of a newer owner, unless this one has called a later boot since.
+        """
+        worker = self._state.workers.get(worker_id)
+        if worker is None and self._state.fences.rise_with_boots:
+            return
+        if worker is None or fence >= worker.fence:
+            self._state.fenced = True
+
     def handle_start_answer(
         self, order: StartRun, outcome: str, clock_ms: int, asked_at: int
     ) -> None:
@@ -49,6 +64,8 @@
         `outcome` is empty when there was no answer.
         """
         worker, run = self._find_run(order)
+        if outcome == "fence":
+            self._handle_fence(order.worker, order.fence)
         if outcome and run is None:
             self._state.ended_runs.handle_start_answer(order)
         if worker is None or run is None:
@@ -59,6 +76,10 @@
         if outcome == OTHER_BOOT:
             handle_misdirected(self._state, worker, order.address)
             return
+        if outcome in _OUTCOMES_WITH_CLOCK and worker.is_answer_of_next_boot(clock_ms, asked_at):
+            run.unanswered += 1
+            handle_clock_of_next_boot(self._state, worker, run, clock_ms)
+            return
         if outcome:
             worker.record_contact(clock_ms, asked_at, now)
         if outcome in ("ok", "old"):
@@ -90,7 +111,6 @@
             "start.refused", task=run.task.name, run=run.number, worker=worker.id, reason=outcome
         )
         if outcome == "fence":
-            state.fenced = True
             return
         if outcome == "room":
             worker.blocked_until = now + CAPACITY_REFUSAL_PAUSE_MS
@@ -116,16 +136,18 @@
         `outcome` is empty when there was no answer.
         """
         worker, run = self._find_run(order)
+        if outcome == "fence":
+            self._handle_fence(order.worker, order.fence)
         if worker is None or not outcome:
             return
         if outcome == OTHER_BOOT:
             handle_misdirected(self._state, worker, order.address)
             return
+        if outcome in _OUTCOMES_WITH_CLOCK and worker.is_answer_of_next_boot(clock_ms, asked_at):
+            handle_clock_of_next_boot(self._state, worker, None, clock_ms)
+            return
         now = self._state.clock.now()
         worker.record_contact(clock_ms, asked_at, now)
-        if outcome == "fence":
-            self._state.fenced = True
-            return
         if outcome != "ok":
             return
         self._state.ended_runs.handle_stop_answer(order)
--- a/packages/core/src/quetzallock_core/cells/batches.py
+++ b/packages/core/src/quetzallock_core/cells/batches.py
@@ -8,16 +8,18 @@
 from .const import OWNERSHIP_VALID_MS, UNVERIFIED_RECORD_AFTER_MS
 from .contents import HAND_OVER_KEY
 from .early_cancels import CancelCall
+from .fences import TOKENS_PER_EPOCH
 from .job_records import list_interrupted
 from .jobs import Job
 from .orders import Persist, TicketOutcome
-from .records import HandOverRecord, OwnerRecord, WorkerRecord
+from .records import FencesRecord, HandOverRecord, OwnerRecord, WorkerRecord
 from .state import CellState
 from .unverified import UnverifiedWorker
 from .workers import Worker
 
 LEARNED_KEY: Final = "learned"
 OWNER_KEY: Final = "owner"
+FENCES_KEY: Final = "fences"
 LEARNED_INTERVAL_MS: Final = 2_000
 """Minimum time between two records of the learned estimates."""
 
@@ -37,6 +39,7 @@
         ends_hand_over: The previous owner's hand-over record is deleted.
         workers: Workers whose records are written, the revisions of these records, and whether the
             leases may be renewed.
+        fences: How many fencing tokens an epoch has from now on.
     """
 
     records: list[Persist] = field(default_factory=list)
@@ -47,6 +50,7 @@
     cursors: list[tuple[Worker, int]] = field(default_factory=list)
     ends_hand_over: bool = False
     workers: list[tuple[Worker, int, bool]] = field(default_factory=list)
+    fences: FencesRecord | None = None
 
 
 class BatchMaker:
@@ -57,6 +61,8 @@
             started while it does, as the record must name all runs.
         unrecorded_owner: Record of the own process that is still to be written; None if there is
             none.
+        must_raise_fences: Fencing tokens are to rise with the boots of workers, which the journal
+            must name first.
     """
 
     def __init__(self, state: CellState) -> None:
@@ -69,6 +75,7 @@
         self._postponed: set[str] = set()
         self.has_hand_over = False
         self.unrecorded_owner: OwnerRecord | None = None
+        self.must_raise_fences = False
 
     def handle_restored(self, has_hand_over: bool) -> None:
         """Record that the journal was loaded."""
@@ -92,6 +99,7 @@
         state = self._state
         return bool(
             self.has_hand_over
+            or self._are_fences_due
             or self._new_jobs
             or state.dirty
             or self._tickets
@@ -105,6 +113,17 @@
             or self._state.unverified.list_unlisted_lapses()
         )
 
+    @property
+    def _are_fences_due(self) -> bool:
+        """Whether the journal does not say yet that fencing tokens rise with boots."""
+        return self.must_raise_fences and not self._state.fences.rise_with_boots
+
+    def _record_fences(self, batch: Batch) -> None:
+        """Add the record that fencing tokens rise with boots, if it is due."""
+        if self._are_fences_due:
+            batch.fences = FencesRecord(TOKENS_PER_EPOCH)
+            batch.records.append(Persist(FENCES_KEY, batch.fences))
+
     def _is_owner_due(self) -> bool:
         """Return whether the own process is to be recorded.
 
@@ -126,6 +145,7 @@
         batch = Batch(ends_hand_over=self.has_hand_over)
         if self.has_hand_over:
             batch.records.append(Persist(HAND_OVER_KEY, None))
+        self._record_fences(batch)
         for job_id in self._deleted:
             batch.records.append(Persist(f"job/{job_id}", None))
             batch.records.append(Persist(f"progress/{job_id}", None))
@@ -177,7 +197,8 @@
         record stays that of this boot, whatever boot the platform's list names: the next owner must
         know of its lease. The other boot gets no tasks and no lease without a record.
         """
-        unrecorded = [w for w in self._state.workers.values() if not w.is_recorded]
+        workers = self._state.workers.values()
+        unrecorded = [w for w in workers if not w.is_recorded or w.is_record_outdated]
         self._postponed = self._state.unverified.find_replaced(unrecorded)
         for worker in unrecorded:
             if worker.id not in self._postponed:
@@ -206,8 +227,15 @@
         worker.is_lease_suspended |= not may_renew
         lapsed_by = () if may_renew else state.unverified.make_clock_references(lapse_at)
         lapses_in_ms = -1 if may_renew else max(0, lapse_at - now)
+        worker.is_record_outdated = False
         record = WorkerRecord(
-            entry.worker, entry.address, entry.boot_ms, lapsed_by, lapses_in_ms, state.epoch
+            entry.worker,
+            entry.address,
+            entry.boot_ms,
+            lapsed_by,
+            lapses_in_ms,
+            state.epoch,
+            worker.may_hold_longest_lease,
         )
         batch.records.append(Persist(f"worker/{worker.id}", record))
         batch.workers.append((worker, worker.record_revision, may_renew))
@@ -310,11 +338,23 @@
         batch.records.append(Persist(HAND_OVER_KEY, record))
         return batch
 
+    def _handle_durable_workers(self, batch: Batch) -> None:
+        """Let the leases be renewed of workers whose current records the journal holds now."""
+        for worker, record_revision, may_renew in batch.workers:
+            if record_revision != worker.record_revision:
+                self._state.has_worker_changes = True
+                continue
+            worker.is_recorded = True
+            if may_renew:
+                worker.is_lease_suspended = False
+
     def handle_durable(self, batch: Batch) -> None:
         """Apply the changes of a batch that the journal holds now."""
         state = self._state
         if batch.ends_hand_over:
             self.has_hand_over = False
+        if batch.fences is not None:
+            state.fences.apply(batch.fences)
         for job in batch.stored_jobs:
             job.is_stored = True
             if job.spec.repetitions:
@@ -325,13 +365,7 @@
             job.durable_crash_revision = crash_revision
         for worker, cursor in batch.cursors:
             worker.durable_cursor = max(worker.durable_cursor, cursor)
-        for worker, record_revision, may_renew in batch.workers:
-            if record_revision != worker.record_revision:
-                state.has_worker_changes = True
-                continue
-            worker.is_recorded = True
-            if may_renew:
-                worker.is_lease_suspended = False
+        self._handle_durable_workers(batch)
         for job, ticket_outcome in batch.tickets:
             state.emit(ticket_outcome)
             state.cancellations.handle_answer(job, ticket_outcome.outcome)
--- a/packages/core/src/quetzallock_core/cells/boots.py
+++ b/packages/core/src/quetzallock_core/cells/boots.py
@@ -5,6 +5,7 @@
 """
 
 from .ended_runs import compute_unconfirmed_until
+from .jobs import Run
 from .leaves import make_unlisted_entry
 from .models import WorkerEntry
 from .run_ends import EndProof
@@ -58,6 +59,28 @@
         state.is_start_due = True
 
 
+def handle_clock_of_next_boot(
+    state: CellState, worker: Worker, run: Run | None, clock_ms: int
+) -> None:
+    """Process that the next boot of a worker has answered an order, as its clock has begun anew.
+
+    The boot that was asked is over, and gets no more orders; the next poll tells which boot has
+    answered. If it has begun `run`, it grants the longest lease, as the order names the end of the
+    lease by the clock of the boot that it was meant for.
+    """
+    now = state.clock.now()
+    state.log_decision(
+        "worker.clock_restarted",
+        worker=worker.id,
+        clock_ms=clock_ms,
+        known_clock_ms=worker.clock_ms,
+    )
+    worker.next_boot_seen_at = now
+    if run is not None:
+        lapsed_at = now + state.bounds.longest_granted_ms
+        run.unconfirmed_until = max(run.unconfirmed_until, lapsed_at)
+
+
 def handle_misdirected(state: CellState, worker: Worker, address: str) -> None:
     """Process that a call to a boot was answered by another boot or worker.
 
--- a/packages/core/src/quetzallock_core/cells/cell.py
+++ b/packages/core/src/quetzallock_core/cells/cell.py
@@ -283,6 +283,7 @@
         self._open_due_jobs()
         self._expire_jobs(now)
         state.early_cancels.expire()
+        state.former_boots.expire()
         self.state.run_log.flush()
         self.state.is_start_due = True
 
@@ -298,6 +299,7 @@
         if worker.is_reachable(now):
             if worker.is_lease_suspended and worker.is_recorded:
                 self.state.invalidate_record(worker)
+            self._end_longest_lease(worker, now)
             return
         if worker.contact_at >= 0 and not worker.is_lease_suspended:
             self.state.suspend_lease(worker)
@@ -311,6 +313,13 @@
             return
         self.state.drop_worker(worker, "no entry and no answer")
 
+    def _end_longest_lease(self, worker: Worker, now: int) -> None:
+        """Let the journal know once no order for an earlier boot can have extended the lease."""
+        if worker.may_hold_longest_lease and 0 <= worker.longest_lease_until <= now:
+            worker.may_hold_longest_lease = False
+            worker.is_record_outdated = True
+            self.state.has_worker_changes = True
+
     def _lapse_runs(self, worker: Worker, now: int) -> None:
         """End the runs on a worker that is over, but those that a late start order may begin."""
         self.state.drains.report(worker)
--- a/packages/core/src/quetzallock_core/cells/contents.py
+++ b/packages/core/src/quetzallock_core/cells/contents.py
@@ -8,6 +8,7 @@
 from ..exceptions import CodecError
 from .records import (
     EarlyCancelRecord,
+    FencesRecord,
     HandOverRecord,
     JobRecord,
     LearnedRecord,
@@ -33,6 +34,7 @@
         learned: Estimates of earlier owners, if recorded.
         hand_over: What a planned hand-over left, if nothing was recorded since.
         owner: The last process that has owned the cell for long enough to be recorded.
+        fences: How many fencing tokens an epoch has, if recorded.
         unreadable: Keys of records that cannot be decoded.
     """
 
@@ -43,6 +45,7 @@
     learned: LearnedRecord | None = None
     hand_over: HandOverRecord | LeasesRecord | None = None
     owner: OwnerRecord | None = None
+    fences: FencesRecord | None = None
     unreadable: list[str] = field(default_factory=list)
 
     @property
@@ -92,5 +95,7 @@
         contents.hand_over = record
     elif isinstance(record, OwnerRecord):
         contents.owner = record
+    elif isinstance(record, FencesRecord):
+        contents.fences = record
     else:
         contents.unreadable.append(key)
--- a/packages/core/src/quetzallock_core/cells/ended_runs.py
+++ b/packages/core/src/quetzallock_core/cells/ended_runs.py
@@ -15,8 +15,6 @@
 
 from ..clock import Clock
 from .const import (
-    CLOCK_DRIFT,
-    LEASE_MARGIN_MS,
     MAX_ENDED_RUNS,
     MAX_ORDER_DELAY_MS,
     ORDER_TIMEOUT_MS,
@@ -145,7 +143,14 @@
         ended_run.resend_at = now + ORDER_TIMEOUT_MS
         entry = worker.entry
         self._state.emit(
-            StopRun(worker.id, entry.boot_ms, entry.address, ended_run.task, ended_run.number)
+            StopRun(
+                worker.id,
+                entry.boot_ms,
+                entry.address,
+                ended_run.task,
+                ended_run.number,
+                worker.fence,
+            )
         )
 
 
@@ -156,5 +161,4 @@
     as its clock has started anew. Nothing renews that lease while the boot does not answer.
     """
     delay_ms = MAX_ORDER_DELAY_MS if run.unanswered else ORDER_TIMEOUT_MS
-    lease_ms = int(bounds.max_granted_lease_ms / (1 - CLOCK_DRIFT)) + LEASE_MARGIN_MS
-    return max(run.ordered_at, run.last_sent_at) + delay_ms + lease_ms
+    return max(run.ordered_at, run.last_sent_at) + delay_ms + bounds.longest_granted_ms
--- a/packages/core/src/quetzallock_core/cells/inventory.py
+++ b/packages/core/src/quetzallock_core/cells/inventory.py
@@ -1,7 +1,7 @@
 """Processes workers' inventories."""
 
 from .boots import handle_other_boot
-from .const import DEFAULT_DURATION_MS, STALL_TIMEOUT_MS
+from .const import DEFAULT_DURATION_MS, MAX_ORDER_DELAY_MS, STALL_TIMEOUT_MS
 from .jobs import Job, Run, Task, parse_task_name
 from .models import Boot, EndRow, Inventory, RunningRow
 from .orders import StopRun
@@ -51,6 +51,8 @@
         worker.answered_address = worker.polled_address
         worker.inventory_asked_at = max(worker.inventory_asked_at, asked_at)
         worker.is_poll_unanswered = False
+        if worker.next_boot_seen_at <= asked_at:
+            worker.next_boot_seen_at = -1
         if is_first:
             self._assume_longest_lease(worker, inventory, asked_at)
         changed = is_first
@@ -75,10 +77,22 @@
         return changed
 
     def _assume_longest_lease(self, worker: Worker, inventory: Inventory, asked_at: int) -> None:
-        """Assume that earlier owners have extended the lease as far as they can have."""
+        """Assume that the lease was extended as far as it can have been.
+
+        An order names the end of the lease by the clock of the boot that it was meant for. The next
+        boot, whose clock has begun anew, extends its lease as far as it grants one. Where fencing
+        tokens rise with boots, it carries no such order out after this first call.
+        """
         state = self._state
-        boot, lease_ms = worker.boot, state.bounds.lease_ms
-        left_ms = state.unverified.compute_longest_lease(boot, asked_at, lease_ms)
+        if worker.may_hold_longest_lease:
+            left_ms = state.bounds.max_granted_lease_ms
+            late_ms = 0 if state.fences.rise_with_boots else MAX_ORDER_DELAY_MS
+            lapsed_at = state.clock.now() + late_ms + state.bounds.longest_granted_ms
+            worker.longest_lease_until = lapsed_at
+        else:
+            left_ms = state.unverified.compute_longest_lease(
+                worker.boot, asked_at, state.bounds.lease_ms
+            )
         known_end = worker.lease_end_clock_ms
         worker.lease_end_clock_ms = max(known_end, inventory.clock_ms + left_ms)
 
@@ -332,4 +346,4 @@
 
 def _make_stop(worker: Worker, row: RunningRow) -> StopRun:
     entry = worker.entry
-    return StopRun(entry.worker, entry.boot_ms, entry.address, row.task, row.run)
+    return StopRun(entry.worker, entry.boot_ms, entry.address, row.task, row.run, worker.fence)
--- a/packages/core/src/quetzallock_core/cells/models.py
+++ b/packages/core/src/quetzallock_core/cells/models.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from ..codec import message
-from .const import MAX_LEASE_MS
+from .const import CLOCK_DRIFT, LEASE_MARGIN_MS, MAX_LEASE_MS
 
 Boot = tuple[str, int]
 """Id of a worker and the start time that identifies one of its boots."""
@@ -260,3 +260,8 @@
     evacuation_ms: int = 0
     max_granted_lease_ms: int = MAX_LEASE_MS
     config_apply_ms: int = 2_000
+
+    @property
+    def longest_granted_ms(self) -> int:
+        """Time in which the longest lease lapses, by a local clock that is not the worker's."""
+        return int(self.max_granted_lease_ms / (1 - CLOCK_DRIFT)) + LEASE_MARGIN_MS
--- a/packages/core/src/quetzallock_core/cells/orders.py
+++ b/packages/core/src/quetzallock_core/cells/orders.py
@@ -9,6 +9,7 @@
 
     Attributes:
         until_ms: End of the worker's lease on the worker's clock.
+        fence: Fencing token.
     """
 
     worker: str
@@ -19,22 +20,24 @@
     payload: str
     checkpoint: str
     until_ms: int
+    fence: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class StopRun:
-    """Order to stop a run."""
+    """Order to stop a run; `fence` is the fencing token."""
 
     worker: str
     boot_ms: int
     address: str
     task: str
     run: int
+    fence: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class PaceRun:
-    """Order to run at `percent` of full speed."""
+    """Order to run at `percent` of full speed; `fence` is the fencing token."""
 
     worker: str
     boot_ms: int
@@ -42,6 +45,7 @@
     task: str
     run: int
     percent: int
+    fence: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/quetzallock_core/cells/records.py
+++ b/packages/core/src/quetzallock_core/cells/records.py
@@ -130,6 +130,8 @@
         lapses_in_ms: The ms, from the writing of the record, after which it has lapsed at the
             latest, for owners that can read none of these clocks; -1 while it is renewed.
         epoch: Epoch of the owner that has written the record; no later one has renewed the lease.
+        may_hold_longest_lease: Calls that were meant for an earlier boot may have reached this one,
+            and have extended its lease as far as a worker grants it.
     """
 
     worker: str
@@ -138,6 +140,7 @@
     lapsed_by: tuple[ClockReference, ...] = ()
     lapses_in_ms: int = -1
     epoch: int = 0
+    may_hold_longest_lease: bool = False
 
     @property
     def is_suspended(self) -> bool:
@@ -163,6 +166,14 @@
     incarnation: int
 
 
+@message(234)
+@dataclass(frozen=True, slots=True)
+class FencesRecord:
+    """Journal record of how many fencing tokens an epoch has; without it, it has one."""
+
+    tokens_per_epoch: int
+
+
 @message(218)
 @dataclass(frozen=True, slots=True)
 class LearnedRecord:
--- a/packages/core/src/quetzallock_core/cells/scheduler.py
+++ b/packages/core/src/quetzallock_core/cells/scheduler.py
@@ -257,6 +257,7 @@
                 task.job.spec.payload,
                 task.checkpoint if task.spec.saves else "",
                 run.until_ms,
+                worker.fence,
             )
         )
 
--- a/packages/core/src/quetzallock_core/cells/state.py
+++ b/packages/core/src/quetzallock_core/cells/state.py
@@ -6,13 +6,15 @@
 
 from ..clock import Clock
 from .cancellations import Cancellations
-from .const import RETRY_PAUSE_MS, RUNS_PER_EPOCH
+from .const import OWNERSHIP_VALID_MS, RETRY_PAUSE_MS, RUNS_PER_EPOCH
 from .contents import Contents
 from .crashes import CrashSuspects
 from .drains import Drains
 from .durations import DurationEstimates
 from .early_cancels import EarlyCancels
 from .ended_runs import EndedRuns
+from .fences import Fences
+from .former_boots import FormerBoots
 from .headroom import Headroom
 from .interference import Interference
 from .interruptions import Interruptions
@@ -41,6 +43,8 @@
         clock: Local clock that goes on during a suspension of the host.
         read_unix_ms: Returns the Unix time in ms by the host's clock, which may jump.
         unverified: Workers that may run tasks which this owner has not seen yet.
+        former_boots: Boots whose calls may reach the next boots of their workers.
+        fences: Fencing tokens of the calls to workers.
         crashes: Tasks that may crash the workers that start them.
         reservations: Capacity that workers keep for tasks that are about to start there.
         ended_runs: Ended runs whose start orders may still arrive.
@@ -87,6 +91,8 @@
         self.jobs: dict[str, Job] = {}
         self.workers: dict[str, Worker] = {}
         self.unverified = UnverifiedWorkers(self.workers, clock)
+        self.former_boots = FormerBoots(clock)
+        self.fences = Fences(epoch)
         self.crashes = CrashSuspects(self)
         self.reservations = Reservations()
         self.ended_runs = EndedRuns(self)
@@ -140,7 +146,11 @@
     def restore(self, contents: Contents) -> None:
         """Load the records of the journal; its workers are unverified at first."""
         now = self.restored_at = self.clock.now()
-        self.unverified.restore(contents, self.bounds.lease_ms)
+        self.unverified.restore(contents, self.bounds)
+        if contents.fences is not None:
+            self.fences.apply(contents.fences)
+        for boot in self.unverified.by_boot:
+            self.former_boots.add(boot, now + OWNERSHIP_VALID_MS)
         self.interruptions.handle_restored()
         learned = contents.learned
         if learned is not None:
@@ -282,7 +292,16 @@
         self._record_best_effort_shares(worker, run)
         run.resend_at = self.clock.now() + self.bounds.stop_ms
         entry = worker.entry
-        self.emit(StopRun(entry.worker, entry.boot_ms, entry.address, run.task.name, run.number))
+        self.emit(
+            StopRun(
+                entry.worker,
+                entry.boot_ms,
+                entry.address,
+                run.task.name,
+                run.number,
+                worker.fence,
+            )
+        )
 
     def pace_run(self, run: Run, percent: int) -> None:
         """Order a run to work at `percent` of full speed."""
@@ -294,7 +313,15 @@
         entry = worker.entry
         self.log_decision("run.paced", task=run.task.name, run=run.number, percent=percent)
         self.emit(
-            PaceRun(entry.worker, entry.boot_ms, entry.address, run.task.name, run.number, percent)
+            PaceRun(
+                entry.worker,
+                entry.boot_ms,
+                entry.address,
+                run.task.name,
+                run.number,
+                percent,
+                worker.fence,
+            )
         )
 
     def end_run(self, run: Run, event: str, proof: EndProof, how: str = "") -> None:
@@ -429,6 +456,7 @@
             lease_left_ms=worker.compute_lapse_at() - now,
             next_boot_ms=worker.next_boot_ms,
         )
+        self.former_boots.add(worker.boot, now)
         self.crashes.handle_loss(worker)
         self.drains.handle_gone(worker)
         for run in list(worker.runs.values()):
@@ -459,8 +487,11 @@
 
     def add_worker(self, entry: WorkerEntry) -> Worker:
         """Add a new boot of a worker and return it."""
-        worker = Worker(entry)
+        worker = Worker(entry, fence=self.fences.next_token())
         worker.answered_address = self.unverified.leaving.get(worker.boot, "")
+        worker.may_hold_longest_lease = self.former_boots.may_reach(
+            worker.boot
+        ) or self.unverified.may_hold_longest_lease(worker.boot)
         if entry.worker in self.dropped_workers:
             self.dropped_workers.remove(entry.worker)
         self.workers[entry.worker] = worker
@@ -470,5 +501,12 @@
         if self.unverified.has_recorded_lapse((entry.worker, entry.boot_ms)):
             worker.is_recorded = True
             worker.is_lease_suspended = True
-        self.log_decision("worker.known", worker=entry.worker, born=entry.boot_ms, rack=entry.rack)
+        self.log_decision(
+            "worker.known",
+            worker=entry.worker,
+            born=entry.boot_ms,
+            rack=entry.rack,
+            fence=worker.fence,
+            may_hold_longest_lease=worker.may_hold_longest_lease,
+        )
         return worker
--- a/packages/core/src/quetzallock_core/cells/unverified.py
+++ b/packages/core/src/quetzallock_core/cells/unverified.py
@@ -15,7 +15,7 @@
 from .contents import Contents
 from .isolation import is_past_crash_risk, may_have_begun
 from .jobs import Task
-from .models import Boot
+from .models import Boot, Bounds
 from .records import ClockReference, HandOverRecord, LeasesRecord, OwnerRecord, WorkerRecord
 from .workers import Worker
 
@@ -65,18 +65,25 @@
         self.worked: set[tuple[str, Boot]] = set()
         self.leaving: dict[Boot, str] = {}
         self.previous_owner: OwnerRecord | None = None
-        self._longest_wait_ms = 0
+        self._bounds = Bounds()
 
-    def restore(self, contents: Contents, lease_ms: int) -> None:
+    def _compute_longest_wait_ms(self, record: WorkerRecord) -> int:
+        """Return how long after a takeover a lease may last that is not known to end sooner."""
+        lease_ms = self._bounds.lease_ms
+        if record.may_hold_longest_lease:
+            lease_ms = max(lease_ms, self._bounds.max_granted_lease_ms)
+        return int(lease_ms / (1 - CLOCK_DRIFT)) + OWNERSHIP_VALID_MS + LEASE_MARGIN_MS
+
+    def restore(self, contents: Contents, bounds: Bounds) -> None:
         """Mark every worker in the journal as unverified.
 
         An owner that handed the cell over has recorded when the leases lapse, and the record of a
         worker whose lease is suspended says so too. Any other lease may have been renewed until the
-        previous owner's right to order ended.
+        previous owner's right to order ended. Orders that were meant for an earlier boot may have
+        extended it further.
         """
         now = self._clock.now()
-        longest_ms = int(lease_ms / (1 - CLOCK_DRIFT)) + OWNERSHIP_VALID_MS + LEASE_MARGIN_MS
-        self._longest_wait_ms = longest_ms
+        self._bounds = bounds
         self.previous_owner = contents.owner
         remaining_ms: dict[Boot, int] = {}
         if isinstance(contents.hand_over, HandOverRecord):
@@ -94,6 +101,7 @@
         hidden = self._find_hidden(recorded, remaining_ms)
         for record in (*contents.workers, *hidden):
             boot = (record.worker, record.boot_ms)
+            longest_ms = self._compute_longest_wait_ms(record)
             left_ms = min(longest_ms, remaining_ms.get(boot, longest_ms))
             if record.lapses_in_ms >= 0:
                 left_ms = min(left_ms, record.lapses_in_ms)
@@ -128,11 +136,12 @@
     def handle_previous_owner_gone(self, gone_at: int) -> None:
         """Process that the process of the previous owner was over at the local ms `gone_at`.
 
-        Each order sent by then names the end of its lease, by the worker's clock, so that a late
-        one does not extend the lease either.
+        Each order sent by then names the end of its lease, by the clock of the boot that it was
+        meant for, so that a late one does not extend the lease of this boot either.
         """
-        lapse_at = gone_at + self._longest_wait_ms - OWNERSHIP_VALID_MS
         for unverified_worker in self.list_renewable():
+            wait_ms = self._compute_longest_wait_ms(unverified_worker.record)
+            lapse_at = gone_at + wait_ms - OWNERSHIP_VALID_MS
             if lapse_at < unverified_worker.lapse_at:
                 unverified_worker.lapse_at = lapse_at
                 unverified_worker.is_lapse_recorded = False
@@ -286,7 +295,17 @@
         unverified_worker = self.by_boot.get((worker.id, worker.entry.boot_ms))
         if unverified_worker is not None:
             return unverified_worker.lapse_at
-        return now + self._longest_wait_ms if worker.runs else now
+        if not worker.runs:
+            return now
+        lease_ms = int(self._bounds.lease_ms / (1 - CLOCK_DRIFT)) + LEASE_MARGIN_MS
+        if worker.may_hold_longest_lease:
+            lease_ms = max(lease_ms, self._bounds.longest_granted_ms)
+        return now + lease_ms + OWNERSHIP_VALID_MS
+
+    def may_hold_longest_lease(self, boot: Boot) -> bool:
+        """Return whether the journal says so of a boot that is unverified."""
+        unverified_worker = self.by_boot.get(boot)
+        return unverified_worker is not None and unverified_worker.record.may_hold_longest_lease
 
     def make_clock_references(self, lapse_at: int) -> tuple[ClockReference, ...]:
         """Convert the local ms `lapse_at` to the clocks of some reachable workers.
--- a/packages/core/src/quetzallock_core/cells/workers.py
+++ b/packages/core/src/quetzallock_core/cells/workers.py
@@ -135,6 +135,14 @@
         polled_address: Address that the last poll was sent to.
         answered_address: Address at which the boot has last listed its runs, to this owner or to
             the one that handed the cell over; empty if none is known.
+        fence: Fencing token of the calls to it.
+        may_hold_longest_lease: Calls that were meant for an earlier boot may have reached this one,
+            and have extended its lease as far as it grants one.
+        longest_lease_until: Local ms at which such a lease has lapsed; -1 while such calls may
+            still be carried out.
+        is_record_outdated: The journal is to learn that there is no such lease any more.
+        next_boot_seen_at: Local ms at which an answer showed that the next boot has received a call
+            that was meant for this one; -1 if none did.
         id: Its id.
     """
 
@@ -176,6 +184,11 @@
     cold_until: int | None = None
     polled_address: str = ""
     answered_address: str = ""
+    fence: int = 0
+    may_hold_longest_lease: bool = False
+    longest_lease_until: int = -1
+    is_record_outdated: bool = False
+    next_boot_seen_at: int = -1
     id: str = field(init=False)
 
     def __post_init__(self) -> None:
@@ -222,14 +235,22 @@
     def ack_cursor(self) -> int:
         """Highest number of an end that the next inventory poll may acknowledge.
 
-        0 after an unanswered poll, as another boot would delete ends of its own under that number.
+        0 if another boot may receive it, which would delete ends of its own under that number.
         """
-        return 0 if self.is_poll_unanswered else self.durable_cursor
+        if self.is_poll_unanswered or self.has_seen_next_boot:
+            return 0
+        return self.durable_cursor
+
+    @property
+    def has_seen_next_boot(self) -> bool:
+        """Whether the next boot has answered a call, so that this one gets no more orders."""
+        return self.next_boot_seen_at >= 0
 
     def can_accept_task(self, now: int) -> bool:
         """Return whether it may get a new task."""
         return (
             self.is_listed
+            and not self.has_seen_next_boot
             and self.inventory_at >= 0
             and self.may_renew_lease
             and not self.entry.is_draining
@@ -302,6 +323,13 @@
         """Return whether it gets only one task at a time after failures of several jobs."""
         return now < self.suspect_until
 
+    def is_answer_of_next_boot(self, clock_ms: int, asked_at: int) -> bool:
+        """Return whether the clock in the answer to a call, sent at `asked_at`, has begun anew.
+
+        It is then behind a reading that had arrived before.
+        """
+        return clock_ms < self.clock_ms and self.clock_read_at <= asked_at
+
     def record_contact(self, clock_ms: int, asked_at: int, now: int) -> None:
         """Record an answer, which arrives at `now`, to a call that was sent at `asked_at`."""
         self.contact_at = now
@@ -330,6 +358,8 @@
         self.polled_address = self.entry.address
         if not self.is_reachable(now) or not self.may_renew_lease or self.unanswered_since >= 0:
             return None
+        if self.has_seen_next_boot:
+            return None
         if self.entry.is_draining:
             lease_ms = min(lease_ms, DRAINING_LEASE_MS)
         return self.extend_lease(lease_ms, now)
--- a/packages/daemon/src/quetzallock_daemon/cells/inventory.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/inventory.py
@@ -22,7 +22,6 @@
 class PollingOwner(Protocol):
     """What the polls need of the owner of a cell."""
 
-    epoch: int
     cell: Cell
     load_control: LoadControl
     meter: LoadMeter
@@ -88,7 +87,7 @@
         wait_ms = owner.load_control.choose_wait_ms(worker) if is_reachable else 0
         entry = worker.entry
         answer = await self._workers.poll_inventory(
-            entry, owner.epoch, worker.ack_cursor, lease_end_clock_ms, wait_ms
+            entry, worker.fence, worker.ack_cursor, lease_end_clock_ms, wait_ms
         )
         if owner.is_stopped or owner.is_handing_over:
             return INVENTORY_POLL_RETRY_PAUSE_MS
@@ -100,7 +99,7 @@
         owner, entry = self._owner, worker.next_entry
         if entry is None or not owner.may_order:
             return
-        answer = await self._workers.poll_inventory(entry, owner.epoch, 0, None, 0)
+        answer = await self._workers.poll_inventory(entry, worker.fence, 0, None, 0)
         if isinstance(answer, Inventory) and not owner.is_stopped:
             owner.cell.handle_next_boot_inventory(worker.boot, entry, answer)
             owner.run_effects()
@@ -120,7 +119,7 @@
             return owner.load_control.choose_pause_ms(worker, durations, owner.clock.now())
         if isinstance(answer, OrderAnswer):
             owner.cell.handle_no_answer(worker.boot, PollFailure.UNUSABLE)
-            owner.cell.answers.handle_inventory_refusal(worker.boot, answer.outcome)
+            owner.cell.answers.handle_inventory_refusal(worker.boot, worker.fence, answer.outcome)
             owner.run_effects()
         else:
             owner.cell.handle_no_answer(worker.boot, answer)
--- a/packages/daemon/src/quetzallock_daemon/cells/owner.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/owner.py
@@ -63,7 +63,7 @@
 
     Attributes:
         number: Number of the cell.
-        epoch: Epoch of the ownership; the store and workers reject calls with an older one.
+        epoch: Epoch of the ownership; the store rejects calls with an older one.
         clock: Clock of all times named `_at`.
         load_control: Chooses when the workers are polled, by the lag of the owner's ticks.
         meter: Adds up what the owner's time is spent on.
@@ -295,7 +295,7 @@
             run_in_background(self._send_stop(effect))
         elif isinstance(effect, PaceRun):
             self.meter.paces += 1
-            run_in_background(self._workers.pace(effect, self.epoch))
+            run_in_background(self._workers.pace(effect))
 
     def _settle_ticket(self, outcome: TicketOutcome) -> None:
         """Answer the router that waits for `outcome`."""
@@ -329,7 +329,7 @@
 
     async def _send_start(self, order: StartRun) -> None:
         started_at = self.clock.now()
-        answer = await self._workers.start(order, self.epoch)
+        answer = await self._workers.start(order)
         self._observe("worker.start", self.clock.now() - started_at)
         if not self.is_stopped:
             with self.meter.measure(START_ANSWER):
@@ -340,7 +340,7 @@
 
     async def _send_stop(self, order: StopRun) -> None:
         started_at = self.clock.now()
-        answer: OrderAnswer = await self._workers.stop(order, self.epoch)
+        answer: OrderAnswer = await self._workers.stop(order)
         if not self.is_stopped:
             with self.meter.measure(STOP_ANSWER):
                 self.cell.answers.handle_stop_answer(
--- a/packages/daemon/src/quetzallock_daemon/cells/ports.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/ports.py
@@ -205,19 +205,19 @@
 
 
 class Workers(Protocol):
-    """Calls to workers. All carry the owner's epoch, by which workers reject outdated owners."""
+    """Calls to workers. All carry a fencing token, by which workers reject outdated calls."""
 
-    async def start(self, order: StartRun, epoch: int) -> OrderAnswer:
+    async def start(self, order: StartRun) -> OrderAnswer:
         """Start a run."""
 
-    async def stop(self, order: StopRun, epoch: int) -> OrderAnswer:
+    async def stop(self, order: StopRun) -> OrderAnswer:
         """Stop a run."""
 
-    async def pace(self, order: PaceRun, epoch: int) -> OrderAnswer:
+    async def pace(self, order: PaceRun) -> OrderAnswer:
         """Change the pace of a run."""
 
     async def poll_inventory(
-        self, entry: WorkerEntry, epoch: int, acked: int, until_ms: int | None, wait_ms: int
+        self, entry: WorkerEntry, fence: int, acked: int, until_ms: int | None, wait_ms: int
     ) -> Inventory | OrderAnswer | PollFailure:
         """Renew the lease, acknowledge ended runs and return the inventory.
 
--- a/packages/daemon/src/quetzallock_daemon/cells/service.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/service.py
@@ -58,6 +58,7 @@
         metrics: `ip:port` of the metrics page.
         metrics_path: Path of the metrics page.
         grace_ms: Time between SIGTERM and SIGKILL.
+        has_boot_fences: Fencing tokens rise with the boots of workers, as all hosts must know.
         loss_slack_ms: Time after a request's last byte within which its connection may end without
             an answer.
         cells: Number of cells of the deployment.
@@ -76,6 +77,7 @@
     bounds: Bounds
     power: int
     loss_slack_ms: int = DEFAULT_LOSS_SLACK_MS
+    has_boot_fences: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -280,6 +282,7 @@
         )
         owner.ownership_confirmed_at = sent_at
         owner.cell.batches.unrecorded_owner = make_owner_record(self._member, epoch)
+        owner.cell.batches.must_raise_fences = self._settings.has_boot_fences
         if self._evacuations_confirmed_at is not None:
             owner.handle_evacuations(self._evacuated, self._evacuations_confirmed_at)
         self._owned[cell] = owner
--- a/packages/standins/src/quetzallock_standins/emulator/busy.py
+++ b/packages/standins/src/quetzallock_standins/emulator/busy.py
@@ -72,20 +72,21 @@
             return
         cell_worker = owner.cell.state.workers[worker.id]
         lease_end = cell_worker.renew_lease(self.bounds.lease_ms, now)
-        answer = worker.poll_inventory(owner.epoch, cell_worker.ack_cursor, lease_end)
+        boot, fence = cell_worker.boot, cell_worker.fence
+        answer = worker.poll_inventory(fence, cell_worker.ack_cursor, lease_end)
         delay_ms = self.latency_ms + self.processor.take("inventory", now)
-        boot = cell_worker.boot
-        self.schedule(delay_ms, partial(self._end_poll, owner, worker, boot, answer, now))
+        self.schedule(delay_ms, partial(self._end_poll, owner, worker, boot, fence, answer, now))
 
     def _end_poll(
         self,
         owner: Owner,
         worker: EmulatedWorker,
         boot: Boot,
+        fence: int,
         answer: Inventory | Answer,
         asked_at: int,
     ) -> None:
-        self._handle_inventory_answer(owner, boot, answer, asked_at)
+        self._handle_inventory_answer(owner, boot, fence, answer, asked_at)
         state = owner.cell.state
         cell_worker = state.workers.get(worker.id)
         pause_ms = TICK_INTERVAL_MS
--- a/packages/standins/src/quetzallock_standins/emulator/cluster.py
+++ b/packages/standins/src/quetzallock_standins/emulator/cluster.py
@@ -68,6 +68,7 @@
         unlisted_workers: Running workers that the store does not list.
         counters: Number of orders sent, by their class.
         operator: Requests evacuations, which the owners read.
+        has_boot_fences: Whether the fencing tokens of the owners rise with the boots of workers.
     """
 
     def __init__(
@@ -77,12 +78,14 @@
         seed: int = 1,
         bounds: Bounds | None = None,
         data_centres: tuple[str, ...] = ("dc",),
+        has_boot_fences: bool = False,
     ) -> None:
         self.clock = ManualClock()
         self.rng = Random(seed)
         self.ground_truth = GroundTruth(self.clock.now)
         self.behaviours: dict[str, TaskBehaviour] = {}
         self.bounds = bounds or Bounds()
+        self.has_boot_fences = has_boot_fences
         self.journal: dict[str, bytes] = {}
         self.journal_epoch = 0
         self.is_store_up = True
@@ -131,7 +134,11 @@
         offered = capacity or self._capacity
         entry = make_entry(f"w{number}", offered, f"rack{number % 2}", boot_ms, data_centre)
         worker = EmulatedWorker(
-            entry, self.ground_truth, self.behaviours, stop_ms=self.bounds.stop_ms
+            entry,
+            self.ground_truth,
+            self.behaviours,
+            max_lease_ms=self.bounds.max_granted_lease_ms,
+            stop_ms=self.bounds.stop_ms,
         )
         self.workers[worker.id] = worker
         return worker
@@ -189,6 +196,7 @@
         cell = Cell(0, epoch, self.bounds, self.clock, self.read_unix_ms)
         owner = Owner(cell, epoch)
         self.journal_epoch = epoch
+        cell.batches.must_raise_fences = self.has_boot_fences
         cell.restore(read_contents(self.journal))
         self.owners.append(owner)
         self.operator.follow(owner)
@@ -244,7 +252,7 @@
             worker.has_broken_connections = False
             owner.cell.handle_no_answer(cell_worker.boot, PollFailure.CONNECTION_LOST)
             return
-        boot = cell_worker.boot
+        boot, fence = cell_worker.boot, cell_worker.fence
         now = self.clock.now()
         if cell_worker.must_ask_next_boot:
             self._ask_next_boot(owner, cell_worker)
@@ -253,7 +261,7 @@
             misdirected = Answer("other boot", 0)
             self.schedule(
                 self.latency_ms,
-                lambda: self._handle_inventory_answer(owner, boot, misdirected, now),
+                lambda: self._handle_inventory_answer(owner, boot, fence, misdirected, now),
             )
             return
         if _rejects_connections(worker, cell_worker.entry.address):
@@ -266,12 +274,12 @@
             return
         if not worker.is_up or worker.is_isolated:
             return
-        answer = worker.poll_inventory(owner.epoch, cell_worker.ack_cursor, until)
+        answer = worker.poll_inventory(fence, cell_worker.ack_cursor, until)
         self._schedule_inventory(
             owner,
             boot,
             self.latency_ms,
-            lambda: self._handle_inventory_answer(owner, boot, answer, now),
+            lambda: self._handle_inventory_answer(owner, boot, fence, answer, now),
         )
 
     def _schedule_inventory(
@@ -293,7 +301,7 @@
             return
         if not worker.is_up or worker.is_isolated:
             return
-        answer = worker.poll_inventory(owner.epoch, 0, None)
+        answer = worker.poll_inventory(known.fence, 0, None)
         if isinstance(answer, Inventory):
             owner.cell.handle_next_boot_inventory(known.boot, entry, answer)
             self.run_effects(owner)
@@ -309,14 +317,14 @@
         return worker.is_replaced or any(other.entry.address == address for other in others)
 
     def _handle_inventory_answer(
-        self, owner: Owner, boot: Boot, answer: Inventory | Answer, asked_at: int
+        self, owner: Owner, boot: Boot, fence: int, answer: Inventory | Answer, asked_at: int
     ) -> None:
         if not owner.is_running:
             return
         if isinstance(answer, Inventory):
             owner.cell.handle_inventory(boot, answer, asked_at)
         else:
-            owner.cell.answers.handle_inventory_refusal(boot, answer.outcome)
+            owner.cell.answers.handle_inventory_refusal(boot, fence, answer.outcome)
         self.run_effects(owner)
 
     def run_effects(self, owner: Owner) -> None:
@@ -397,11 +405,11 @@
         elif isinstance(order, StartRun):
             if delivery.is_late:
                 self.cancellations.record_late_start(order.task, order.run)
-            answer = worker.start(order, owner.epoch)
+            answer = worker.start(order, order.fence)
         elif isinstance(order, StopRun):
-            answer = worker.stop(order, owner.epoch)
+            answer = worker.stop(order, order.fence)
         else:
-            answer = worker.pace(order, owner.epoch)
+            answer = worker.pace(order, order.fence)
         if delivery.answer_delay_ms is not None:
             handle_answer = partial(self._handle_answer, owner, order, answer, sent_at)
             self.schedule(delivery.answer_delay_ms, handle_answer)
--- a/packages/standins/src/quetzallock_standins/emulator/workers.py
+++ b/packages/standins/src/quetzallock_standins/emulator/workers.py
@@ -103,7 +103,7 @@
             if tasks of the second use the whole processor.
         compute_load: Returns, for a time on its clock, the factor by which the load of the serving
             tasks changes their tail latency.
-        fence: Highest epoch seen; orders of a lower one are refused.
+        fence: Highest fencing token seen; orders with a lower one are refused.
         highest_closed_runs: For each task, the highest run that has ended or was stopped; a start
             of it or of an earlier one is refused.
         capacity: Resources that it offers, which its entry shows with a delay.
@@ -164,19 +164,19 @@
             total = total + compute_commitment(run.needs, run.is_best_effort)
         return total
 
-    def _accept_epoch(self, epoch: int) -> bool:
-        if epoch < self.fence:
+    def _accept_fence(self, fence: int) -> bool:
+        if fence < self.fence:
             return False
-        self.fence = epoch
+        self.fence = fence
         return True
 
     def _extend_lease(self, until_ms: int) -> None:
         capped = min(until_ms, self.clock_ms + self.max_lease_ms)
         self.lease_until = max(self.lease_until, capped)
 
-    def start(self, order: StartRun, epoch: int) -> Answer:
+    def start(self, order: StartRun, fence: int) -> Answer:
         """Execute a start order."""
-        if not self._accept_epoch(epoch):
+        if not self._accept_fence(fence):
             return Answer("fence", self.clock_ms)
         self._extend_lease(order.until_ms)
         current = self.runs.get(order.task)
@@ -228,9 +228,9 @@
         )
         self.ground_truth.record_start(order.task, order.run, self.id, self.entry.boot_ms)
 
-    def stop(self, order: StopRun, epoch: int) -> Answer:
+    def stop(self, order: StopRun, fence: int) -> Answer:
         """Execute a stop order."""
-        if not self._accept_epoch(epoch):
+        if not self._accept_fence(fence):
             return Answer("fence", self.clock_ms)
         run = self.runs.get(order.task)
         if run is not None and run.order.run <= order.run:
@@ -239,9 +239,9 @@
         self.highest_closed_runs[order.task] = max(highest, order.run)
         return Answer("ok", self.clock_ms)
 
-    def pace(self, order: PaceRun, epoch: int) -> Answer:
+    def pace(self, order: PaceRun, fence: int) -> Answer:
         """Execute a pace order."""
-        if not self._accept_epoch(epoch):
+        if not self._accept_fence(fence):
             return Answer("fence", self.clock_ms)
         run = self.runs.get(order.task)
         if run is not None and run.order.run == order.run:
@@ -249,10 +249,10 @@
         return Answer("ok", self.clock_ms)
 
     def poll_inventory(
-        self, epoch: int, ack_cursor: int, until_ms: int | None
+        self, fence: int, ack_cursor: int, until_ms: int | None
     ) -> Inventory | Answer:
         """Renew the lease, drop acknowledged ends and return the running and ended runs."""
-        if not self._accept_epoch(epoch):
+        if not self._accept_fence(fence):
             return Answer("fence", self.clock_ms)
         if until_ms is not None:
             self._extend_lease(until_ms)
--- a/tests/core/cells/test_cancelled_runs.py
+++ b/tests/core/cells/test_cancelled_runs.py
@@ -156,7 +156,8 @@
     started_on = cluster.workers[worker]
     until_ms = started_on.clock_ms + Bounds().lease_ms
     entry = started_on.entry
-    return StartRun(worker, entry.boot_ms, entry.address, "a.0.0.0", 99, "", "", until_ms)
+    fence = cluster.cell.state.workers[worker].fence
+    return StartRun(worker, entry.boot_ms, entry.address, "a.0.0.0", 99, "", "", until_ms, fence)
 
 
 @pytest.mark.parametrize("duration_ms", [LONG_MS, None], ids=["batch", "lasting"])
--- a/tests/core/cells/test_review_of_run_ends.py
+++ b/tests/core/cells/test_review_of_run_ends.py
@@ -51,7 +51,7 @@
         cell.handle_entries(entries)
         cell.tick()
     cell.handle_entries(cluster._list_entries())
-    cell.answers.handle_inventory_refusal((worker.id, worker.entry.boot_ms), "other boot")
+    cell.answers.handle_inventory_refusal((worker.id, worker.entry.boot_ms), 2, "other boot")
     worker.is_isolated = False
     cluster.run(LONG_MS)
     assert cluster.cell.find_state("a") == "completed"
--- a/tests/daemon/test_load_meter.py
+++ b/tests/daemon/test_load_meter.py
@@ -140,13 +140,13 @@
 class AnsweringWorkers:
     """Workers that answer all calls at once."""
 
-    async def start(self, _order: StartRun, _epoch: int) -> OrderAnswer:
+    async def start(self, _order: StartRun) -> OrderAnswer:
         return OrderAnswer("", 0)
 
-    async def stop(self, _order: StopRun, _epoch: int) -> OrderAnswer:
+    async def stop(self, _order: StopRun) -> OrderAnswer:
         return OrderAnswer("", 0)
 
-    async def pace(self, _order: PaceRun, _epoch: int) -> None:
+    async def pace(self, _order: PaceRun) -> None:
         """Accept the order."""
 
 
--- a/tests/daemon/test_stops_after_cancel.py
+++ b/tests/daemon/test_stops_after_cancel.py
@@ -66,7 +66,7 @@
         clock_ms = round(self._reactor.seconds() * 1_000)
         return Inventory(clock_ms, (RunningRow("a.0.0.0", 7, "", 100, 1_000),), (), 1)
 
-    async def stop(self, order: StopRun, _epoch: int) -> OrderAnswer:
+    async def stop(self, order: StopRun) -> OrderAnswer:
         self.stopped.append(order.run)
         return OrderAnswer("ok", round(self._reactor.seconds() * 1_000))
 
--- a/tests/platform/test_standin_orders.py
+++ b/tests/platform/test_standin_orders.py
@@ -31,8 +31,8 @@
     clock = Clock()
     worker = make_worker(clock)
     faults = OrderFaults(clock.callLater)
-    worker.stop(StopRun("w0", 1, "w0:1", TASK, 1), epoch=9)
-    faults.defer(worker, make_start(), epoch=3)
+    worker.stop(StopRun("w0", 1, "w0:1", TASK, 1), fence=9)
+    faults.defer(worker, make_start(), fence=3)
     worker.crash()
     worker.revive(replace(worker.entry, boot_ms=2))
     clock.advance(LATE_ORDER_MS[0] / 1_000 - 0.001)
@@ -48,11 +48,11 @@
     clock = Clock()
     worker = make_worker(clock)
     faults = OrderFaults(clock.callLater)
-    faults.defer(worker, make_start(until_ms=500 if reason == "late" else 20_000), epoch=3)
+    faults.defer(worker, make_start(until_ms=500 if reason == "late" else 20_000), fence=3)
     if reason == "fence":
         worker.poll_inventory(4, 0, None)
     elif reason == "old":
-        worker.stop(StopRun("w0", 1, "w0:1", TASK, 1), epoch=3)
+        worker.stop(StopRun("w0", 1, "w0:1", TASK, 1), fence=3)
     elif reason == "down":
         worker.crash()
     worker.is_isolated = reason == "cut off"
@@ -64,8 +64,8 @@
     clock = Clock()
     worker = make_worker(clock)
     faults = OrderFaults(clock.callLater)
-    faults.defer(worker, StopRun("w0", 1, "w0:1", TASK, 1), epoch=3)
-    worker.start(make_start(), epoch=3)
+    faults.defer(worker, StopRun("w0", 1, "w0:1", TASK, 1), fence=3)
+    worker.start(make_start(), fence=3)
     clock.advance(LAST_EXECUTION_S)
     assert worker.runs[TASK].stops_at is not None
     assert faults.late_starts == []
--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -138,8 +138,8 @@
     body = f'{{"clockMs":{clock}}}'.encode()
     workers = PlatformWorkers(AnsweringClient(Reply(200, body)))  # type: ignore[arg-type]
     answers: list[OrderAnswer] = []
-    order = StopRun("backend-1", 5, ADDRESS, "job.0.0.1", 3)
-    ensureDeferred(workers.stop(order, 7)).addCallback(answers.append)
+    order = StopRun("backend-1", 5, ADDRESS, "job.0.0.1", 3, 7)
+    ensureDeferred(workers.stop(order)).addCallback(answers.append)
     assert answers == [OrderAnswer("")]
 
 
@@ -172,8 +172,8 @@
     """Return what a stop order makes of an answer."""
     workers = PlatformWorkers(AnsweringClient(reply))  # type: ignore[arg-type]
     answers: list[OrderAnswer] = []
-    order = StopRun("backend-1", 5, ADDRESS, "job.0.0.1", 3)
-    ensureDeferred(workers.stop(order, 7)).addCallback(answers.append)
+    order = StopRun("backend-1", 5, ADDRESS, "job.0.0.1", 3, 7)
+    ensureDeferred(workers.stop(order)).addCallback(answers.append)
     return answers[0]
 
 
@@ -246,8 +246,8 @@
     workers = PlatformWorkers(client)  # type: ignore[arg-type]
     answers: list[OrderAnswer] = []
     for worker in ("backend-1", "backend-2"):
-        order = StopRun(worker, 5, ADDRESS, "job.0.0.1", 3)
-        ensureDeferred(workers.stop(order, 7)).addCallback(answers.append)
+        order = StopRun(worker, 5, ADDRESS, "job.0.0.1", 3, 7)
+        ensureDeferred(workers.stop(order)).addCallback(answers.append)
     body = b'{"task":"job.0.0.1","run":3,"fencingToken":7}'
     assert client.requests == [
         build_request("POST", "/run-stop", ADDRESS, body, {"X-Expected-Instance": worker})
