Let the cost of a large job grow with its size, not with its square

One accepted job of 2,500 steps kept each owner in turn busy for 10 to 20 s until it lost the cell; the tasks of all other accepted jobs stayed away, and states were not answered.

Cause: the order of steps summed the expected durations, the remaining chain and the remaining work of the whole job for each of its open steps, in each placement round. The same square in the attempts of a gang, in the steps that an end opens, and in the repetitions of a scheduled job that are due.

Change: the sums are computed once for all steps of a job (Outlooks) and, for a large job, kept for an eighth of a ms a step; gangs share their failed runs and are tried once where equal ones did not fit; an end looks at its successors; repetitions are opened 100 at a time, each once.

--- a/packages/core/src/quetzallock_core/cells/const.py
+++ b/packages/core/src/quetzallock_core/cells/const.py
@@ -63,6 +63,10 @@
 """Number of other workers whose clocks are recorded to detect that the lease of an unreachable
 worker has lapsed."""
 
+MAX_REPETITIONS_OPENED: Final = 100
+"""Maximum number of repetitions of a job that are opened at once, as the owner does nothing else
+meanwhile. The next ones follow with the next tick."""
+
 TAKEOVER_SETTLE_MS: Final = 500
 """Time after a takeover in which most workers list their runs."""
 
--- a/packages/core/src/quetzallock_core/cells/job_records.py
+++ b/packages/core/src/quetzallock_core/cells/job_records.py
@@ -40,13 +40,15 @@
             continue
         task.is_done = row.is_done
         task.step.done += row.is_done
-        task.failed_runs = set(row.failed_runs)
+        for run in row.failed_runs:
+            task.record_failed_run(run)
         task.failed_on = {run: (worker, boot_ms) for run, worker, boot_ms in row.failed_on}
         task.checkpoint = row.checkpoint
         task.crashes = row.crashes
         task.exposures = row.exposures
         task.worked_on = row.worked_on
         task.excused_crashes = row.excused_crashes
+    job.count_done()
     return job
 
 
--- a/packages/core/src/quetzallock_core/cells/jobs.py
+++ b/packages/core/src/quetzallock_core/cells/jobs.py
@@ -221,9 +221,12 @@
     @property
     def attempts(self) -> int:
         """Number of failed runs; those of any task of a gang count for the whole gang."""
-        if not self.spec.gang:
-            return len(self.failed_runs)
-        return len(set().union(*(member.failed_runs for member in self.step.tasks)))
+        return len(self.step.failed_runs if self.spec.gang else self.failed_runs)
+
+    def record_failed_run(self, number: int) -> None:
+        """Record that a run of it ended as failed."""
+        self.failed_runs.add(number)
+        self.step.failed_runs.add(number)
 
     @property
     def is_waiting(self) -> bool:
@@ -240,6 +243,8 @@
         number: Number of the step within the job.
         done: Number of tasks that are done.
         ready_at: Local ms at which its predecessors were done; 0 while they are not.
+        waits_for: Number of its predecessors that are not done.
+        failed_runs: Numbers of the runs of its tasks that ended as failed.
         has_no_waiting_task: None of its tasks waits; reset when a run of one of them ends.
         share_key: Account that the service of its tasks is charged to.
         contention_group: What it has in common with the steps that compete for the same capacity by
@@ -253,6 +258,8 @@
     tasks: list[Task] = field(default_factory=list)
     done: int = 0
     ready_at: int = 0
+    waits_for: int = 0
+    failed_runs: set[int] = field(default_factory=set)
     has_no_waiting_task: bool = False
     share_key: ShareKey = field(init=False)
     contention_group: tuple[str, int, bool] = field(init=False)
@@ -278,15 +285,26 @@
 
 @dataclass(slots=True, eq=False)
 class Occurrence:
-    """One repetition of a job's steps."""
+    """One repetition of a job's steps.
+
+    Attributes:
+        done_steps: Number of steps that are done.
+    """
 
     number: int
     steps: list[StepRun]
+    done_steps: int = 0
 
     @property
     def is_done(self) -> bool:
         """Whether all steps are done."""
-        return all(step.is_done for step in self.steps)
+        return self.done_steps == len(self.steps)
+
+    def count_done(self) -> None:
+        """Count the done steps, and for each step the predecessors that are not done."""
+        self.done_steps = sum(step.is_done for step in self.steps)
+        for step in self.steps:
+            step.waits_for = sum(not self.steps[before].is_done for before in {*step.spec.after})
 
 
 @dataclass(slots=True, eq=False)
@@ -303,6 +321,8 @@
         ended_ms: Unix time of its end, or 0.
         ended_at: Local ms of its end, or 0.
         occurrences: The repetitions begun, by number.
+        done_occurrences: Number of those that are done.
+        opened: Number of repetitions, the first ones, whose steps this owner has opened.
         work: Core-ms of one repetition, by the submitter's estimates.
         crash_revision: Number of changes of the crashes and exposures of its tasks.
         durable_crash_revision: The changes up to this one are in the journal.
@@ -318,9 +338,12 @@
     ended_ms: int = 0
     ended_at: int = 0
     occurrences: dict[int, Occurrence] = field(default_factory=dict)
+    done_occurrences: int = 0
+    opened: int = 0
     work: float = 0.0
     crash_revision: int = 0
     durable_crash_revision: int = 0
+    _successors: tuple[tuple[int, ...], ...] | None = None
 
     @property
     def id(self) -> str:
@@ -365,9 +388,26 @@
                 for index in range(step.spec.count)
             ]
         occurrence = Occurrence(number, steps)
+        occurrence.count_done()
         self.occurrences[number] = occurrence
         return occurrence
 
+    def list_successors(self, step: int) -> tuple[int, ...]:
+        """Return the numbers of the steps that wait for this one."""
+        if self._successors is None:
+            successors: list[list[int]] = [[] for _ in self.spec.steps]
+            for number, spec in enumerate(self.spec.steps):
+                for before in dict.fromkeys(spec.after):
+                    successors[before].append(number)
+            self._successors = tuple(map(tuple, successors))
+        return self._successors[step]
+
+    def count_done(self) -> None:
+        """Count the done repetitions, and the done steps of each."""
+        for occurrence in self.occurrences.values():
+            occurrence.count_done()
+        self.done_occurrences = sum(other.is_done for other in self.occurrences.values())
+
     def find_task(self, occurrence: int, step: int, index: int) -> Task | None:
         """Return the task with these numbers, or None if the job has no such task."""
         if not (0 <= occurrence < self.repetitions and 0 <= step < len(self.spec.steps)):
--- a/packages/core/src/quetzallock_core/cells/ordering.py
+++ b/packages/core/src/quetzallock_core/cells/ordering.py
@@ -4,11 +4,11 @@
 from typing import Final
 
 from ..registry import Registry
-from .durations import DurationEstimates
 from .jobs import StepRun
+from .outlooks import Outlook, Outlooks
 
 OrderKey = tuple[float, ...]
-OrderPolicy = Callable[[StepRun, DurationEstimates, int], OrderKey]
+OrderPolicy = Callable[[StepRun, Outlooks, int], OrderKey]
 
 CLASS_FIELDS: Final = 2
 """Leading fields of a key that hold lateness and priority. Steps that agree in them compete for
@@ -23,23 +23,20 @@
 """Share of a job's value that does not depend on its size."""
 
 
-def compute_objective(step: StepRun, durations: DurationEstimates) -> float:
+def compute_objective(step: StepRun, outlook: Outlook) -> float:
     """Return the ms from acceptance within which the step's job should complete."""
-    job = step.job
-    total_duration_ms = sum(
-        durations.expect(other) for other in job.occurrences[step.occurrence].steps
-    )
-    return total_duration_ms * job.policy.slack_factor + job.policy.target_ms
+    policy = step.job.policy
+    return outlook.total_ms * policy.slack_factor + policy.target_ms
 
 
 @ORDERS.register("arrival")
-def order_by_arrival(step: StepRun, _durations: DurationEstimates, _now: int) -> OrderKey:
+def order_by_arrival(step: StepRun, _outlooks: Outlooks, _now: int) -> OrderKey:
     """Place by priority, then first come, first served: for loads at which no task waits long."""
     return (0, step.job.policy.priority, step.ready_at)
 
 
 @ORDERS.register("slack")
-def order_by_slack(step: StepRun, durations: DurationEstimates, now: int) -> OrderKey:
+def order_by_slack(step: StepRun, outlooks: Outlooks, now: int) -> OrderKey:
     """Place jobs that can still be in time first, by priority and slack: for demand above capacity.
 
     Lasting tasks come before all others, since they have value all the time they run, and those
@@ -48,32 +45,14 @@
     """
     if step.spec.lasting:
         return (-2 if step.has_interrupted_task else -1, 0, step.ready_at)
-    objective = compute_objective(step, durations)
+    objective = compute_objective(step, outlooks.get(step))
     age = now - step.job.accepted_at
     lateness = 0 if age <= objective else 1 if age <= LATE_FACTOR * objective else 2
     return (lateness, step.job.policy.priority, objective - age)
 
 
-def compute_remaining_chain_ms(step: StepRun, durations: DurationEstimates) -> float:
-    """Return the ms that the longest chain of unfinished steps of the job takes."""
-    steps = step.job.occurrences[step.occurrence].steps
-    chain_ms: list[float] = []
-    for other in steps:
-        start_ms = max((chain_ms[number] for number in other.spec.after), default=0.0)
-        chain_ms.append(start_ms + (0.0 if other.is_done else durations.expect(other)))
-    return max(chain_ms, default=0.0)
-
-
-def compute_remaining_work(step: StepRun, durations: DurationEstimates) -> float:
-    """Return the core-ms that the unfinished tasks of the job still need."""
-    return sum(
-        (len(other.tasks) - other.done) * other.spec.needs.cpu / 1_000 * durations.expect(other)
-        for other in step.job.occurrences[step.occurrence].steps
-    )
-
-
 @ORDERS.register("density")
-def order_by_density(step: StepRun, durations: DurationEstimates, now: int) -> OrderKey:
+def order_by_density(step: StepRun, outlooks: Outlooks, now: int) -> OrderKey:
     """Place the jobs of the highest value density first: for demand far above capacity.
 
     Where not all jobs can be in time, those with the smallest slack would take the capacity of many
@@ -82,12 +61,12 @@
     """
     if step.spec.lasting:
         return (-2 if step.has_interrupted_task else -1, 0, step.ready_at)
-    objective = compute_objective(step, durations)
-    age_at_end = now - step.job.accepted_at + compute_remaining_chain_ms(step, durations)
+    outlook = outlooks.get(step)
+    objective = compute_objective(step, outlook)
+    age_at_end = now - step.job.accepted_at + outlook.chain_ms
     lateness = 0 if age_at_end <= objective else 1 if age_at_end <= LATE_FACTOR * objective else 2
-    remaining_work = compute_remaining_work(step, durations)
-    mean_work = durations.get_mean_work(step.job.policy.queue)
+    mean_work = outlooks.durations.get_mean_work(step.job.policy.queue)
     value = (
         BASE_VALUE_SHARE + (1 - BASE_VALUE_SHARE) * step.job.work / mean_work if mean_work else 1.0
     )
-    return (lateness, step.job.policy.priority, remaining_work / value, step.ready_at)
+    return (lateness, step.job.policy.priority, outlook.work_core_ms / value, step.ready_at)
--- a/packages/core/src/quetzallock_core/cells/placement.py
+++ b/packages/core/src/quetzallock_core/cells/placement.py
@@ -253,6 +253,9 @@
         self._policies = policies or {}
         self._profiles: dict[str, ColocationProfile] = {}
         self._unplaceable: defaultdict[tuple[str, ...], list[Resources]] = defaultdict(list)
+        self._unplaceable_gangs: defaultdict[tuple[str, ...], list[tuple[int, Resources]]] = (
+            defaultdict(list)
+        )
         self._ranking: _Ranking | None = None
         self._rankings: dict[tuple[object, ...], _Ranking] = {}
         self._rooms: defaultdict[str, _Room] = defaultdict(_Room)
@@ -447,8 +450,20 @@
         return None
 
     def choose_for_gang(self, step: StepRun) -> dict[Task, Worker] | None:
-        """Return a worker for every task of a gang, or None where they do not all fit."""
-        return choose_for_gang(step, self.workers, self._now)
+        """Return a worker for every task of a gang, or None where they do not all fit.
+
+        Room only gets less during a round, so a gang that needs no less than one which did not fit
+        is not tried.
+        """
+        spec = step.spec
+        key = (step.job.policy.service, spec.required_label, str(spec.max_per_worker))
+        unplaceable = self._unplaceable_gangs[key]
+        if any(count <= spec.count and needs.fits_in(spec.needs) for count, needs in unplaceable):
+            return None
+        chosen = choose_for_gang(step, self.workers, self._now)
+        if chosen is None and not step.tasks[0].is_crash_suspect:
+            unplaceable.append((spec.count, spec.needs))
+        return chosen
 
     def update_worker(self, worker: Worker) -> None:
         """Update the ranking after a task was started on `worker`."""
--- a/packages/core/src/quetzallock_core/cells/scheduler.py
+++ b/packages/core/src/quetzallock_core/cells/scheduler.py
@@ -10,6 +10,7 @@
 from .jobs import Run, StepRun, Task
 from .ordering import ORDERS
 from .orders import StartRun
+from .outlooks import Outlooks
 from .placement import Placement, can_place
 from .run_ends import EndProof
 from .state import CellState
@@ -48,6 +49,7 @@
     def __init__(self, state: CellState, order: str) -> None:
         self._state = state
         self._order = ORDERS.get(order)
+        self._outlooks = Outlooks(state.durations)
         self._fair_shares = FairShares(state)
         self._unsent: list[Run] = []
 
@@ -72,7 +74,8 @@
             return
         state.placing.update(state.workers.values(), now, state.log_decision)
         placement = state.make_placement()
-        candidates = [WaitingStep(self._order(step, state.durations, now), step) for step in steps]
+        self._outlooks.begin_round(now)
+        candidates = [WaitingStep(self._order(step, self._outlooks, now), step) for step in steps]
         arranged = self._fair_shares.arrange(candidates, now)
         for step, contest in arranged:
             if contest is not None:
--- a/packages/core/src/quetzallock_core/cells/state.py
+++ b/packages/core/src/quetzallock_core/cells/state.py
@@ -1,12 +1,17 @@
 """State of one cell in its owner: jobs, workers and the effects still to be carried out."""
 
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from ..clock import Clock
 from .cancellations import Cancellations
-from .const import OWNERSHIP_VALID_MS, RETRY_PAUSE_MS, RUNS_PER_EPOCH
+from .const import (
+    MAX_REPETITIONS_OPENED,
+    OWNERSHIP_VALID_MS,
+    RETRY_PAUSE_MS,
+    RUNS_PER_EPOCH,
+)
 from .contents import Contents
 from .crashes import CrashSuspects
 from .drains import Drains
@@ -208,13 +213,18 @@
         )
 
     def open_job(self, job: Job) -> None:
-        """Open all steps of `job` that are due and whose predecessors are done."""
+        """Open the steps of `job` that are due and whose predecessors are done.
+
+        Of a job with many repetitions that are due, some are opened with each call.
+        """
         if job.is_over:
             return
-        for number in range(job.repetitions):
+        last = min(job.repetitions, job.opened + MAX_REPETITIONS_OPENED)
+        for number in range(job.opened, last):
             if not self._is_due(job, number):
                 break
-            self._open_steps(job, number)
+            self._open_steps(job.open_occurrence(number).steps)
+            job.opened = number + 1
 
     def _is_due(self, job: Job, number: int) -> bool:
         if not job.spec.repetitions:
@@ -222,13 +232,11 @@
         due_ms = job.spec.first_run_ms + number * job.spec.interval_ms
         return self.read_unix_ms() >= due_ms
 
-    def _open_steps(self, job: Job, number: int) -> None:
+    def _open_steps(self, steps: Iterable[StepRun]) -> None:
+        """Open those of `steps` that wait for no other one."""
         now = self.clock.now()
-        occurrence = job.open_occurrence(number)
-        for step in occurrence.steps:
-            if step.is_done or step in self.open_steps:
-                continue
-            if all(occurrence.steps[before].is_done for before in step.spec.after):
+        for step in steps:
+            if not step.waits_for and not step.is_done and step not in self.open_steps:
                 step.ready_at = now
                 self.open_steps[step] = None
 
@@ -396,19 +404,22 @@
     def _finish_step(self, step: StepRun) -> None:
         job = step.job
         self.open_steps.pop(step, None)
+        occurrence = job.occurrences[step.occurrence]
+        occurrence.done_steps += 1
+        job.done_occurrences += occurrence.is_done
+        successors = [occurrence.steps[number] for number in job.list_successors(step.number)]
+        for successor in successors:
+            successor.waits_for -= 1
         if job.is_over:
             return
-        occurrence = job.occurrences[step.occurrence]
         if not occurrence.is_done:
-            self._open_steps(job, step.occurrence)
-            return
-        finished = sum(other.is_done for other in job.occurrences.values())
-        if finished == job.repetitions:
+            self._open_steps(successors)
+        elif job.done_occurrences == job.repetitions:
             self.finish_job(job, "complete")
 
     def fail_task(self, task: Task, run_number: int, boot: Boot) -> None:
         """Process a run of `task` that ended as failed, as `boot` has listed."""
-        task.failed_runs.add(run_number)
+        task.record_failed_run(run_number)
         task.failed_on.setdefault(run_number, boot)
         self.dirty[task.job] = None
         if task.attempts < task.job.policy.max_attempts or task.job.is_over:
--- a/tests/daemon/test_journal.py
+++ b/tests/daemon/test_journal.py
@@ -136,7 +136,7 @@
     for job in state.jobs.values():
         state.dirty[job] = None
     task = state.jobs["a" * 16].list_tasks()[0]
-    task.failed_runs.add(TOO_LARGE)
+    task.record_failed_run(TOO_LARGE)
     written.cell.cancel("b" * 16, ticket=3)
     written.write()
     assert written.store.appends[-1][1] == [f"progress/{'b' * 16}"]
