Let requests within the pause after a failed connection leave its end as it is

An owner that was killed and started again at its address was not reached by the other daemons any more: 504 and 503 for four of five requests, cancelled tasks ran on.

Cause: a request within the pause was handled like a failed connection, which sets the end of the pause. Routers repeat each waiting request every 150 ms, so with some requests waiting the pause of 100 ms never ended.

Why it works: only a failed connection begins a pause; a request within it is answered as not sent, and the first one after it connects.

--- a/packages/daemon/src/quetzallock_daemon/cells/peers.py
+++ b/packages/daemon/src/quetzallock_daemon/cells/peers.py
@@ -141,7 +141,7 @@
 
     def _connect(self) -> None:
         if self._clock.now() < self._retry_at:
-            self.handle_unreachable()
+            self._fail_queued()
             return
         self._is_connecting = True
         ip, _, port = self._address.rpartition(":")
@@ -160,9 +160,13 @@
                 sender.sendString(frame)
 
     def handle_unreachable(self) -> None:
-        """Fail the queued requests as not sent, as the connection failed just now or recently."""
+        """Process that a connection failed: the next one is tried after a pause."""
         self._is_connecting = False
-        self._retry_at = max(self._retry_at, self._clock.now() + RECONNECT_PAUSE_MS // 5)
+        self._retry_at = self._clock.now() + RECONNECT_PAUSE_MS // 5
+        self._fail_queued()
+
+    def _fail_queued(self) -> None:
+        """Fail the queued requests as not sent."""
         queued, self._queued = self._queued, []
         for ticket, _ in queued:
             self._fail(ticket, PeerUnreachableError(f"cannot connect to {self._address}"))
