--- a/packages/core/src/quetzallock_core/cells/batches.py
+++ b/packages/core/src/quetzallock_core/cells/batches.py
@@ -12,7 +12,13 @@
 from .job_records import list_interrupted
 from .jobs import Job
 from .orders import Persist, TicketOutcome
-from .records import FencesRecord, HandOverRecord, OwnerRecord, WorkerRecord
+from .records import (
+    FencesRecord,
+    HandOverRecord,
+    OwnerRecord,
+    RunNumbersRecord,
+    WorkerRecord,
+)
 from .state import CellState
 from .unverified import UnverifiedWorker
 from .workers import Worker
@@ -20,6 +26,7 @@
 LEARNED_KEY: Final = "learned"
 OWNER_KEY: Final = "owner"
 FENCES_KEY: Final = "fences"
+RUN_NUMBERS_KEY: Final = "runs"
 LEARNED_INTERVAL_MS: Final = 2_000
 """Minimum time between two records of the learned estimates."""
 
@@ -40,6 +47,7 @@
         workers: Workers whose records are written, the revisions of these records, and whether the
             leases may be renewed.
         fences: How many fencing tokens an epoch has from now on.
+        run_numbers: Run numbers that are reserved.
     """
 
     records: list[Persist] = field(default_factory=list)
@@ -51,6 +59,7 @@
     ends_hand_over: bool = False
     workers: list[tuple[Worker, int, bool]] = field(default_factory=list)
     fences: FencesRecord | None = None
+    run_numbers: RunNumbersRecord | None = None
 
 
 class BatchMaker:
@@ -100,6 +109,7 @@
         return bool(
             self.has_hand_over
             or self._are_fences_due
+            or state.run_numbers.is_reservation_due
             or self._new_jobs
             or state.dirty
             or self._tickets
@@ -118,11 +128,20 @@
         """Whether the journal does not say yet that fencing tokens rise with boots."""
         return self.must_raise_fences and not self._state.fences.rise_with_boots
 
-    def _record_fences(self, batch: Batch) -> None:
-        """Add the record that fencing tokens rise with boots, if it is due."""
+    def _record_numbers(self, batch: Batch) -> None:
+        """Add the records on fencing tokens and run numbers that are due."""
         if self._are_fences_due:
             batch.fences = FencesRecord(TOKENS_PER_EPOCH)
             batch.records.append(Persist(FENCES_KEY, batch.fences))
+        if self._state.run_numbers.is_reservation_due:
+            batch.run_numbers = self._state.run_numbers.make_reservation()
+            batch.records.append(Persist(RUN_NUMBERS_KEY, batch.run_numbers))
+
+    def _handle_durable_numbers(self, batch: Batch) -> None:
+        if batch.fences is not None:
+            self._state.fences.apply(batch.fences)
+        if batch.run_numbers is not None:
+            self._state.run_numbers.apply(batch.run_numbers)
 
     def _is_owner_due(self) -> bool:
         """Return whether the own process is to be recorded.
@@ -145,7 +164,7 @@
         batch = Batch(ends_hand_over=self.has_hand_over)
         if self.has_hand_over:
             batch.records.append(Persist(HAND_OVER_KEY, None))
-        self._record_fences(batch)
+        self._record_numbers(batch)
         for job_id in self._deleted:
             batch.records.append(Persist(f"job/{job_id}", None))
             batch.records.append(Persist(f"progress/{job_id}", None))
@@ -353,8 +372,7 @@
         state = self._state
         if batch.ends_hand_over:
             self.has_hand_over = False
-        if batch.fences is not None:
-            state.fences.apply(batch.fences)
+        self._handle_durable_numbers(batch)
         for job in batch.stored_jobs:
             job.is_stored = True
             if job.spec.repetitions:
--- a/packages/core/src/quetzallock_core/cells/cell.py
+++ b/packages/core/src/quetzallock_core/cells/cell.py
@@ -247,6 +247,8 @@
     def _may_start_tasks(self) -> bool:
         if not self.may_order or self.state.fenced or self.batches.has_hand_over:
             return False
+        if self.state.run_numbers.are_short:
+            return False
         return self.evacuations.is_view_current()
 
     def tick(self) -> None:
--- a/packages/core/src/quetzallock_core/cells/const.py
+++ b/packages/core/src/quetzallock_core/cells/const.py
@@ -4,7 +4,7 @@
 
 RUNS_PER_EPOCH: Final = 100_000
 """First run number of an epoch, as a multiple of the epoch, so that run numbers rise with each
-owner."""
+owner. An owner that needs more reserves them."""
 
 OWNERSHIP_VALID_MS: Final = 3_000
 """How long an owner may give orders after the store last confirmed its ownership of the cell."""
--- a/packages/core/src/quetzallock_core/cells/contents.py
+++ b/packages/core/src/quetzallock_core/cells/contents.py
@@ -15,6 +15,7 @@
     LeasesRecord,
     OwnerRecord,
     ProgressRecord,
+    RunNumbersRecord,
     WorkerRecord,
 )
 
@@ -35,6 +36,7 @@
         hand_over: What a planned hand-over left, if nothing was recorded since.
         owner: The last process that has owned the cell for long enough to be recorded.
         fences: How many fencing tokens an epoch has, if recorded.
+        run_numbers: Run numbers that owners have reserved, if any.
         unreadable: Keys of records that cannot be decoded.
     """
 
@@ -46,6 +48,7 @@
     hand_over: HandOverRecord | LeasesRecord | None = None
     owner: OwnerRecord | None = None
     fences: FencesRecord | None = None
+    run_numbers: RunNumbersRecord | None = None
     unreadable: list[str] = field(default_factory=list)
 
     @property
@@ -95,7 +98,15 @@
         contents.hand_over = record
     elif isinstance(record, OwnerRecord):
         contents.owner = record
-    elif isinstance(record, FencesRecord):
+    else:
+        _add_single(contents, key, record)
+
+
+def _add_single(contents: Contents, key: str, record: object) -> None:
+    """Add a record of which a journal has one."""
+    if isinstance(record, FencesRecord):
         contents.fences = record
+    elif isinstance(record, RunNumbersRecord):
+        contents.run_numbers = record
     else:
         contents.unreadable.append(key)
--- a/packages/core/src/quetzallock_core/cells/records.py
+++ b/packages/core/src/quetzallock_core/cells/records.py
@@ -174,6 +174,14 @@
     tokens_per_epoch: int
 
 
+@message(235)
+@dataclass(frozen=True, slots=True)
+class RunNumbersRecord:
+    """Journal record of the highest run number that an owner may use beyond those of its epoch."""
+
+    reserved_until: int
+
+
 @message(218)
 @dataclass(frozen=True, slots=True)
 class LearnedRecord:
--- a/packages/core/src/quetzallock_core/cells/state.py
+++ b/packages/core/src/quetzallock_core/cells/state.py
@@ -10,7 +10,6 @@
     MAX_REPETITIONS_OPENED,
     OWNERSHIP_VALID_MS,
     RETRY_PAUSE_MS,
-    RUNS_PER_EPOCH,
 )
 from .contents import Contents
 from .crashes import CrashSuspects
@@ -32,6 +31,7 @@
 from .records import JobRecord, LearnedRecord
 from .reservations import Reservations
 from .run_ends import EndProof, RunLog
+from .run_numbers import RunNumbers
 from .shares import Shares
 from .spare_room import SpareRoom
 from .start_window import StartWindow
@@ -50,6 +50,7 @@
         unverified: Workers that may run tasks which this owner has not seen yet.
         former_boots: Boots whose calls may reach the next boots of their workers.
         fences: Fencing tokens of the calls to workers.
+        run_numbers: Numbers of the next runs.
         crashes: Tasks that may crash the workers that start them.
         reservations: Capacity that workers keep for tasks that are about to start there.
         ended_runs: Ended runs whose start orders may still arrive.
@@ -127,7 +128,7 @@
         self.has_worker_changes = False
         self.run_log = RunLog(self.log_decision)
         self._effects: list[Effect] = []
-        self._last_run = epoch * RUNS_PER_EPOCH
+        self.run_numbers = RunNumbers(epoch)
 
     def emit(self, effect: Effect) -> None:
         """Add `effect` to those that are to be carried out."""
@@ -145,13 +146,13 @@
 
     def next_run_number(self) -> int:
         """Return a run number above all earlier ones of this and previous owners."""
-        self._last_run += 1
-        return self._last_run
+        return self.run_numbers.next()
 
     def restore(self, contents: Contents) -> None:
         """Load the records of the journal; its workers are unverified at first."""
         now = self.restored_at = self.clock.now()
         self.unverified.restore(contents, self.bounds)
+        self.run_numbers.restore(contents.run_numbers)
         if contents.fences is not None:
             self.fences.apply(contents.fences)
         for boot in self.unverified.by_boot:
