--- a/packages/standins/src/quetzallock_standins/emulator/workers.py
+++ b/packages/standins/src/quetzallock_standins/emulator/workers.py
@@ -156,6 +156,10 @@
         """The worker's clock in ms."""
         return int(self._clock)
 
+    def set_clock(self, clock_ms: int) -> None:
+        """Set its clock, as if it had been up for that long."""
+        self._clock = float(clock_ms)
+
     @property
     def committed(self) -> Resources:
         """Capacity committed to its runs, including those that are being stopped."""
--- a/tests/platform/processes.py
+++ b/tests/platform/processes.py
@@ -41,6 +41,7 @@
         """Start the process."""
         environment = {**os.environ, SETTINGS_VARIABLE: str(self._settings)}
         command = [sys.executable, "-m", "quetzallock_platform", f"--metrics-port={self.metrics}"]
+        command.append("--boot-fences=True")
         with self._log.open("ab") as log:
             self.process = subprocess.Popen(command, env=environment, stdout=log, stderr=log)
 
--- a/tests/soak/config_lab.py
+++ b/tests/soak/config_lab.py
@@ -27,7 +27,7 @@
 from .callers import make_steps
 from .config_troubles import TROUBLES
 from .course import Course, trace_calls
-from .deployment import Host, SoakDeployment
+from .deployment import Host, Size, SoakDeployment
 
 SUBMISSION_INTERVAL_MS: Final = 40
 SETTLE_PAUSE_MS: Final = 3_000
@@ -303,7 +303,7 @@
     failures: list[str] = []
 
     async def run() -> None:
-        deployment = SoakDeployment(reactor, folder, hosts, workers=4)
+        deployment = SoakDeployment(reactor, folder, Size(hosts, workers=4))
         try:
             lab = Lab(deployment, plan, Random(seed), course)
             await lab.play(rounds)
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -6,9 +6,11 @@
 import sys
 import time
 from collections import Counter
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any, Final
 
+from quetzallock_core.cells.const import MAX_LEASE_MS
 from quetzallock_daemon.helpers import sleep
 from quetzallock_daemon.transport import CallFailedError, HttpClient, Reply, build_request
 from quetzallock_standins.const import LOOPBACK
@@ -64,14 +66,14 @@
         was_stopped: The test ended the process, or asked it to stop.
     """
 
-    def __init__(self, name: str, folder: Path, proxy: Proxy) -> None:
+    def __init__(self, name: str, folder: Path, proxy: Proxy, bounds: str = "") -> None:
         self.store_proxy = proxy
         self.has_fault = False
         self.was_stopped = True
         self.boot = 0
         self.process_disturbances = Disturbances()
         self.link_disturbances = Disturbances()
-        super().__init__(name, folder, proxy.address)
+        super().__init__(name, folder, proxy.address, bounds=bounds)
 
     def start(self) -> None:
         """Start the process, which must not end by itself."""
@@ -105,6 +107,23 @@
         return self.process is not None and self.process.poll() is None
 
 
+@dataclass(frozen=True, slots=True)
+class Size:
+    """What a course is made for.
+
+    Attributes:
+        hosts: Number of hosts.
+        workers: Number of workers at the start.
+        max_lease_ms: Longest lease that they grant.
+        uptime_ms: Their clocks at the start.
+    """
+
+    hosts: int
+    workers: int
+    max_lease_ms: int = MAX_LEASE_MS
+    uptime_ms: int = 1_000
+
+
 class SoakDeployment:
     """The processes, proxies and HTTP client of one seed; `close` ends the processes.
 
@@ -114,7 +133,7 @@
             `publish_configuration`, oldest first.
     """
 
-    def __init__(self, reactor: Any, folder: Path, hosts: int, workers: int) -> None:
+    def __init__(self, reactor: Any, folder: Path, size: Size) -> None:
         self.reactor = reactor
         self.client = HttpClient(reactor, Counter())
         self.findings: list[str] = []
@@ -122,14 +141,22 @@
         self.prefixes: list[tuple[str, ...]] = []
         command = [sys.executable, "-m", "quetzallock_platform_standin.server"]
         self._standin = subprocess.Popen(
-            [*command, f"--workers={workers}"], stdout=subprocess.PIPE, cwd=folder
+            [
+                *command,
+                f"--workers={size.workers}",
+                f"--max_lease_ms={size.max_lease_ms}",
+                f"--uptime_ms={size.uptime_ms}",
+            ],
+            stdout=subprocess.PIPE,
+            cwd=folder,
         )
         assert self._standin.stdout is not None
         self.store_address: str = json.loads(self._standin.stdout.readline())["store"]
         self.worker_proxies: dict[str, Proxy] = {}
+        bounds = f"holdMaxMs = {size.max_lease_ms}\n"
         self.hosts = [
-            Host(f"host{number}", folder, Proxy(reactor, self.store_address))
-            for number in range(hosts)
+            Host(f"host{number}", folder, Proxy(reactor, self.store_address), bounds)
+            for number in range(size.hosts)
         ]
 
     @property
--- a/tests/soak/false_entries.py
+++ b/tests/soak/false_entries.py
@@ -10,21 +10,15 @@
 from random import Random
 from typing import Final
 
-from twisted.internet.defer import gatherResults
-
-from quetzallock_daemon.helpers import run_coroutine, sleep
+from quetzallock_daemon.helpers import sleep
 from quetzallock_platform_standin.model import FALSE_ENTRIES
 
-from .callers import Caller, JobMaker
 from .deployment import SoakDeployment, now_ms
 from .fault_log import FaultLog
+from .steady import SteadyCourse
 
 HOST_COUNT: Final = 4
 WORKER_COUNT: Final = 16
-CALLER_COUNT: Final = 16
-SUBMIT_INTERVAL_MS: Final = 1_000
-"""Time between two jobs of a caller."""
-LASTING_SHARE: Final = 0.03
 LINK_MODES: Final = ("silent", "drop_answers", "cut")
 SILENCE_MS: Final = (1_900, 3_200)
 """Longer than a poll waits for its answer, and shorter than the lease of a worker."""
@@ -33,50 +27,12 @@
 REWRITE_PAUSE_MS: Final = (30, 150)
 """Time between two writes; a worker replaces a false entry by its own twice a second."""
 
-_JOB_KINDS: Final[dict[str, JobMaker]] = {
-    "lasting": lambda _rng: ("lasts", (2,), {"longRunning": True}),
-    "timed": lambda rng: (str(rng.randrange(300, 6_000)), (rng.randrange(1, 6),), {}),
-}
-"""Kinds as in `callers.JOB_KINDS`."""
-
-
-class SteadyCaller(Caller):
-    """A caller that submits a job every `SUBMIT_INTERVAL_MS`."""
-
-    async def run(self, until: float) -> None:
-        """Submit jobs until `until`."""
-        due_at = now_ms() + self._rng.randrange(SUBMIT_INTERVAL_MS)
-        while due_at < until:
-            await sleep(self._deployment.reactor, max(0, int(due_at - now_ms())))
-            kind = "lasting" if self._rng.random() < LASTING_SHARE else "timed"
-            job, body = self._make_job_of(kind, _JOB_KINDS[kind])
-            self.jobs.append(job)
-            await self._submit(job, body)
-            due_at += SUBMIT_INTERVAL_MS
 
-
-class FalseEntriesCourse:
-    """The course of one seed.
-
-    Attributes:
-        callers: All callers.
-    """
+class FalseEntriesCourse(SteadyCourse):
+    """The course of one seed: half of the workers are silent again and again."""
 
     def __init__(self, deployment: SoakDeployment, seed: int, log: FaultLog) -> None:
-        self._deployment = deployment
-        self._rng = Random(f"false entries {seed}")
-        self._log = log
-        self.callers: list[Caller] = [
-            SteadyCaller(deployment, Random(self._rng.random()), number)
-            for number in range(CALLER_COUNT)
-        ]
-
-    async def play(self, seconds: float) -> None:
-        """Submit jobs for `seconds` s while half of the workers are silent again and again."""
-        until = now_ms() + seconds * 1_000
-        work = [caller.run(until) for caller in self.callers]
-        work.append(self._inject_faults(until))
-        await gatherResults([run_coroutine(part) for part in work], consumeErrors=True)
+        super().__init__(deployment, Random(f"false entries {seed}"), log)
 
     async def _inject_faults(self, until: float) -> None:
         kinds = cycle(self._rng.sample(FALSE_ENTRIES, len(FALSE_ENTRIES)))
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -6,7 +6,8 @@
 import json
 import sys
 import tempfile
-from dataclasses import dataclass
+from collections.abc import Callable
+from dataclasses import replace
 from pathlib import Path
 from random import Random
 from typing import Any, Final
@@ -16,7 +17,7 @@
 
 from quetzallock_daemon.helpers import reactor, run_coroutine, sleep
 
-from . import false_entries, full_pool
+from . import false_entries, full_pool, reborn
 from .callers import Caller, CallerJob
 from .cancel_checks import list_cancel_findings
 from .cancellers import Canceller
@@ -24,7 +25,7 @@
 from .config_checks import list_config_findings
 from .config_faults import inject_silences, silence_in_calm
 from .config_probers import ConfigProbing
-from .deployment import SoakDeployment, now_ms
+from .deployment import Size, SoakDeployment, now_ms
 from .false_entries import FalseEntriesCourse
 from .fault_log import FaultLog
 from .faults import heal, inject_faults
@@ -34,7 +35,9 @@
 from .order_faults import inject_order_faults
 from .planned_work import do_planned_work
 from .quiet_spell import cancel_lasting_jobs, choose_quiet_spell
+from .reborn import RebornCourse
 from .runs import list_runs_of_findings
+from .steady import SteadyCourse
 
 SETTLE_PAUSE_MS: Final = 1_500
 RECOVERY_TIMEOUT_MS: Final = 26_000
@@ -44,18 +47,11 @@
 CANCELLER_COUNT: Final = 2
 
 
-@dataclass(frozen=True, slots=True)
-class Size:
-    """Number of hosts, and of workers at the start, for which a course is made."""
-
-    hosts: int
-    workers: int
-
-
 SIZES: Final = {
     "": Size(3, 4),
     "full_pool": Size(full_pool.HOST_COUNT, 0),
     "false_entries": Size(false_entries.HOST_COUNT, false_entries.WORKER_COUNT),
+    "reborn": Size(reborn.HOST_COUNT, reborn.WORKER_COUNT, reborn.MAX_LEASE_MS, reborn.UPTIME_MS),
 }
 
 
@@ -108,14 +104,13 @@
     return findings + await _check_end(deployment, course.callers, ended_at, log)
 
 
-async def run_false_entries(
-    deployment: SoakDeployment, seed: int, seconds: float, log: FaultLog
+async def run_steady(
+    deployment: SoakDeployment, course: SteadyCourse, seconds: float, log: FaultLog
 ) -> list[str]:
-    """Play the course of false entries of silent workers, and return the findings."""
+    """Play a course under steady load, and return the findings."""
     with log.record("start of the processes"):
         await deployment.prepare()
     await sleep(reactor, SETTLE_PAUSE_MS)
-    course = FalseEntriesCourse(deployment, seed, log)
     await course.play(seconds)
     await heal(deployment)
     healed_at = now_ms()
@@ -210,13 +205,20 @@
     return job.state in ("completed", "failed", "cancelled")
 
 
+STEADY: Final[dict[str, Callable[[SoakDeployment, int, FaultLog], SteadyCourse]]] = {
+    "false_entries": FalseEntriesCourse,
+    "reborn": RebornCourse,
+}
+"""Courses under steady load."""
+
+
 async def _run_course(
     course: str, deployment: SoakDeployment, seed: int, seconds: float, log: FaultLog
 ) -> list[str]:
     if course == "full_pool":
         return await run_full_pool(deployment, seed, log)
-    if course == "false_entries":
-        return await run_false_entries(deployment, seed, seconds, log)
+    if course in STEADY:
+        return await run_steady(deployment, STEADY[course](deployment, seed, log), seconds, log)
     return await run_seed(deployment, seed, seconds, log)
 
 
@@ -228,14 +230,16 @@
     keep: str = "",
     full_pool: bool = False,
     false_entries: bool = False,
+    reborn: bool = False,
 ) -> None:
     """Run the soak with SEED; the logs go below the folder KEEP, or to a temporary folder.
 
     With FULL_POOL the course is planned work on a full pool, with FALSE_ENTRIES it is entries of
-    other writers beside silent workers. HOSTS and WORKERS 0 stand for the numbers that the course
-    is made for; a full pool draws its workers.
+    other writers beside silent workers, with REBORN workers that restart and are cut off. HOSTS
+    and WORKERS 0 stand for the numbers that the course is made for; a full pool draws its workers.
     """
-    course = "full_pool" if full_pool else "false_entries" if false_entries else ""
+    chosen = {"full_pool": full_pool, "false_entries": false_entries, "reborn": reborn}
+    course = next((name for name, is_chosen in chosen.items() if is_chosen), "")
     folder = Path(keep) / f"seed-{seed}" if keep else Path(tempfile.mkdtemp(prefix="soak-"))
     folder.mkdir(parents=True, exist_ok=True)
     log = FaultLog()
@@ -243,9 +247,9 @@
 
     async def run() -> None:
         size = SIZES[course]
-        deployment = SoakDeployment(
-            reactor, folder, hosts or size.hosts, 0 if full_pool else workers or size.workers
-        )
+        count = 0 if full_pool else workers or size.workers
+        made = replace(size, hosts=hosts or size.hosts, workers=count)
+        deployment = SoakDeployment(reactor, folder, made)
         try:
             findings.extend(await _run_course(course, deployment, seed, seconds, log))
         finally:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -57,6 +57,7 @@
     hosts: int = 0,
     full_pool: bool = False,
     false_entries: bool = False,
+    reborn: bool = False,
 ) -> None:
     """Run COUNT seeds, or the KNOWN ones; the exit status is 1 if any has findings.
 
@@ -65,6 +66,7 @@
     seeds = choose_seeds(first, count, known)
     options = [f"--seconds={seconds}", f"--hosts={hosts}"]
     options += [f"--full_pool={full_pool}", f"--false_entries={false_entries}"]
+    options += [f"--reborn={reborn}"]
     with ThreadPoolExecutor(at_once) as pool:
         passed = list(pool.map(lambda seed: run_seed(seed, options), seeds))
     failed = [seed for seed, has_passed in zip(seeds, passed, strict=True) if not has_passed]
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -33,6 +33,13 @@
     play_seed(tmp_path, "--seed=1", "--false_entries=True", "--seconds=8")
 
 
+@pytest.mark.process
+@pytest.mark.xdist_group("soak")
+def test_workers_that_return_and_are_cut_off_break_no_promise(tmp_path: Path) -> None:
+    """Guards against two runs at once where a next boot holds a longer lease than is known."""
+    play_seed(tmp_path, "--seed=1", "--reborn=True", "--seconds=12")
+
+
 def play_seed(folder: Path, *options: str) -> None:
     """Play a course, which must have no findings."""
     command = [sys.executable, "-m", "tests.soak.play", *options]
