Wait for the longest lease of a next boot that only the platform's list names

Cause: as before, an order for a boot is carried out by another one; here the restart is known from the platform's list only.

Evidence: test_next_owner_waits_for_a_next_boot_that_no_owner_has_read: two tasks overlap before (at 29830 ms), none now.

Workers that did not restart are not affected.

--- a/packages/core/src/quetzallock_core/cells/state.py
+++ b/packages/core/src/quetzallock_core/cells/state.py
@@ -504,6 +504,7 @@
         worker.may_hold_longest_lease = self.former_boots.may_reach(
             worker.boot
         ) or self.unverified.may_hold_longest_lease(worker.boot)
+        self.unverified.handle_next_boot(worker.boot)
         if entry.worker in self.dropped_workers:
             self.dropped_workers.remove(entry.worker)
         self.workers[entry.worker] = worker
--- a/packages/core/src/quetzallock_core/cells/unverified.py
+++ b/packages/core/src/quetzallock_core/cells/unverified.py
@@ -7,7 +7,7 @@
 
 from collections import Counter
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from heapq import nlargest
 
 from ..clock import Clock
@@ -302,6 +302,24 @@
             lease_ms = max(lease_ms, self._bounds.longest_granted_ms)
         return now + lease_ms + OWNERSHIP_VALID_MS
 
+    def handle_next_boot(self, boot: Boot) -> None:
+        """Process that the platform's list names `boot`, and the journal a former one of its id.
+
+        The previous owner may not have seen the restart, so that its orders have begun runs on the
+        next boot, which holds the longest lease.
+        """
+        for known, unverified_worker in self.by_boot.items():
+            record = unverified_worker.record
+            if known[0] != boot[0] or known == boot or record.may_hold_longest_lease:
+                continue
+            before_ms = self._compute_longest_wait_ms(record)
+            record = replace(record, may_hold_longest_lease=True)
+            unverified_worker.record = record
+            if not record.is_suspended:
+                added_ms = self._compute_longest_wait_ms(record) - before_ms
+                unverified_worker.lapse_at += added_ms
+                unverified_worker.is_lapse_recorded = False
+
     def may_hold_longest_lease(self, boot: Boot) -> bool:
         """Return whether the journal says so of a boot that is unverified."""
         unverified_worker = self.by_boot.get(boot)
--- a/tests/core/cells/test_next_boot_leases.py
+++ b/tests/core/cells/test_next_boot_leases.py
@@ -126,6 +126,24 @@
     check_tasks_wait_for_the_lease(cluster)
 
 
+def test_next_owner_waits_for_a_next_boot_that_no_owner_has_read() -> None:
+    """Guards against two runs at once: the journal names the former boot only."""
+    cluster = make_cluster()
+    worker = cluster.workers["w0"]
+    worker.crash()
+    cluster.revive("w0")
+    step = make_step(2, needs=Resources(1_000, 2_000, 0), lasting=True, required_label="rack0")
+    cluster.submit(make_spec("new", step), POLICY, {0: None})
+    while not worker.runs:
+        cluster.run(5)
+    cluster.kill_owner()
+    worker.is_isolated = True
+    cluster.join_worker()
+    cluster.take_over()
+    cluster.run(LONGEST_MS + 6_000)
+    assert not cluster.ground_truth.violations
+
+
 def make_late_start(cluster: CellCluster, worker: str = "w0") -> StartRun:
     """Return a start order that was sent to the boot that a worker has now."""
     known = cluster.cell.state.workers[worker]
