Record the longest lease of a next boot that an answer or the list has shown

An owner knows by the clock of an answer that the next boot has begun a run, and is replaced before it can read that boot, which is cut off.

Why it works: the recorded end includes the longest lease from the last answer of the next boot on, and where only the list tells of the restart, a recorded end is extended like any other. The owner itself waits by run, as before.

--- a/packages/core/src/quetzallock_core/cells/batches.py
+++ b/packages/core/src/quetzallock_core/cells/batches.py
@@ -241,7 +241,7 @@
         lapse_at = (
             state.unverified.compute_lapse_at(worker, now)
             if is_unverified
-            else worker.compute_lapse_at()
+            else worker.compute_last_lapse_at(state.bounds)
         )
         worker.is_lease_suspended |= not may_renew
         lapsed_by = () if may_renew else state.unverified.make_clock_references(lapse_at)
@@ -254,7 +254,7 @@
             lapsed_by,
             lapses_in_ms,
             state.epoch,
-            worker.may_hold_longest_lease,
+            worker.may_hold_longest_lease or worker.has_seen_next_boot,
         )
         batch.records.append(Persist(f"worker/{worker.id}", record))
         batch.workers.append((worker, worker.record_revision, may_renew))
--- a/packages/core/src/quetzallock_core/cells/unverified.py
+++ b/packages/core/src/quetzallock_core/cells/unverified.py
@@ -313,12 +313,10 @@
             if known[0] != boot[0] or known == boot or record.may_hold_longest_lease:
                 continue
             before_ms = self._compute_longest_wait_ms(record)
-            record = replace(record, may_hold_longest_lease=True)
+            record = replace(record, may_hold_longest_lease=True, lapsed_by=())
             unverified_worker.record = record
-            if not record.is_suspended:
-                added_ms = self._compute_longest_wait_ms(record) - before_ms
-                unverified_worker.lapse_at += added_ms
-                unverified_worker.is_lapse_recorded = False
+            unverified_worker.lapse_at += self._compute_longest_wait_ms(record) - before_ms
+            unverified_worker.is_lapse_recorded = False
 
     def may_hold_longest_lease(self, boot: Boot) -> bool:
         """Return whether the journal says so of a boot that is unverified."""
@@ -392,7 +390,7 @@
         lapses = {boot: unverified.lapse_at for boot, unverified in self.by_boot.items()}
         for worker in self._workers.values():
             if worker.inventory_at >= 0:
-                lapses[worker.boot] = worker.compute_lapse_at()
+                lapses[worker.boot] = worker.compute_last_lapse_at(self._bounds)
             elif worker.contact_at < 0 and not worker.runs:
                 lapses.setdefault(worker.boot, now)
         return [(*boot, max(0, lapse_at - now)) for boot, lapse_at in lapses.items()]
--- a/packages/core/src/quetzallock_core/cells/workers.py
+++ b/packages/core/src/quetzallock_core/cells/workers.py
@@ -14,7 +14,7 @@
     UNREACHABLE_TIMEOUT_MS,
 )
 from .jobs import Run, StepRun, Task
-from .models import Boot, Resources, StepSpec, WorkerEntry
+from .models import Boot, Bounds, Resources, StepSpec, WorkerEntry
 
 INITIAL_SLOWNESS = 1.0
 SLOWNESS_WEIGHT = 0.2
@@ -375,6 +375,16 @@
         remaining_ms = max(0, self.lease_end_clock_ms - self.clock_ms)
         return self.clock_read_at + int(remaining_ms / (1 - CLOCK_DRIFT)) + LEASE_MARGIN_MS
 
+    def compute_last_lapse_at(self, bounds: Bounds) -> int:
+        """Return the same for its next boot too, if an answer has shown that one.
+
+        Orders that were meant for this boot may have begun runs there, under the longest lease.
+        """
+        lapse_at = self.compute_lapse_at()
+        if self.has_seen_next_boot:
+            lapse_at = max(lapse_at, self.next_boot_seen_at + bounds.longest_granted_ms)
+        return lapse_at
+
     def add(self, run: Run) -> None:
         """Add a run and commit its resources."""
         self.runs[run.task.name] = run
--- a/tests/core/cells/test_next_boot_leases.py
+++ b/tests/core/cells/test_next_boot_leases.py
@@ -126,8 +126,15 @@
     check_tasks_wait_for_the_lease(cluster)
 
 
-def test_next_owner_waits_for_a_next_boot_that_no_owner_has_read() -> None:
-    """Guards against two runs at once: the journal names the former boot only."""
+@pytest.mark.parametrize("held_ms", [0, 20, 2_500])
+@pytest.mark.parametrize("is_planned", [False, True])
+def test_next_owner_waits_for_a_next_boot_that_no_owner_has_read(
+    is_planned: bool, held_ms: int
+) -> None:
+    """Guards against two runs at once: the journal names the former boot only.
+
+    Its owner may have recorded by then that the worker is silent, and when its lease lapses.
+    """
     cluster = make_cluster()
     worker = cluster.workers["w0"]
     worker.crash()
@@ -136,10 +143,16 @@
     cluster.submit(make_spec("new", step), POLICY, {0: None})
     while not worker.runs:
         cluster.run(5)
-    cluster.kill_owner()
+    if held_ms:
+        cluster.run(5)
     worker.is_isolated = True
     cluster.join_worker()
-    cluster.take_over()
+    cluster.run(held_ms)
+    if is_planned:
+        cluster.hand_over()
+    else:
+        cluster.kill_owner()
+        cluster.take_over()
     cluster.run(LONGEST_MS + 6_000)
     assert not cluster.ground_truth.violations
 
