Say why a gang like one that did not fit waits for the next round

The comment claimed that room only gets less during a round; a reservation may be released in it. Only the comment is changed; lint and test_large_jobs pass.

--- a/packages/core/src/quetzallock_core/cells/placement.py
+++ b/packages/core/src/quetzallock_core/cells/placement.py
@@ -452,8 +452,8 @@
     def choose_for_gang(self, step: StepRun) -> dict[Task, Worker] | None:
         """Return a worker for every task of a gang, or None where they do not all fit.
 
-        Room only gets less during a round, so a gang that needs no less than one which did not fit
-        is not tried.
+        A gang that needs no less than one which did not fit waits for the next round, as each
+        attempt looks at all workers.
         """
         spec = step.spec
         key = (step.job.policy.service, spec.required_label, str(spec.max_per_worker))
